--- a/eslint.config.js
+++ b/eslint.config.js
@@ -55,7 +55,14 @@
   },
   {
     // Programs read their files and end themselves.
-    files: ['**/main.ts', 'tools/**', 'tests/**', 'src/settings/**', 'src/command-line/**'],
+    files: [
+      '**/main.ts',
+      'tools/**',
+      'tests/**',
+      'src/settings/**',
+      'src/command-line/**',
+      'platform/settings.ts',
+    ],
     rules: {
       'n/no-sync': 'off',
       'n/no-process-exit': 'off',
--- a/src/common/address.ts
+++ b/src/common/address.ts
@@ -17,3 +17,18 @@
   const host = address.host.includes(':') ? `[${address.host}]` : address.host;
   return `${host}:${address.port}`;
 }
+
+/**
+ * Reads an address from its text form.
+ *
+ * @param text - `host:port` with an IP number as host.
+ * @returns The address, or undefined when the text is none.
+ */
+export function parseAddress(text: string): Address | undefined {
+  const separator = text.lastIndexOf(':');
+  if (separator < 0) return undefined;
+  const host = text.slice(0, separator).replace(/^\[|\]$/g, '');
+  const port = Number(text.slice(separator + 1));
+  const result = Address.safeParse({ host, port });
+  return result.success ? result.data : undefined;
+}
--- /dev/null
+++ b/src/daemon/entry-daemon.ts
@@ -0,0 +1,484 @@
+/** One entry instance on a platform: its parts, put together. */
+import { setMaxListeners } from 'node:events';
+import { sleep } from '../common/clock.js';
+import { callWhole } from '../common/http-client.js';
+import { ConfigurationHolder } from '../entry/configuration-holder.js';
+import { CrashRecords } from '../entry/crash-records.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import { EntryMetrics } from '../entry/entry-metrics.js';
+import { startEntryServer, type EntryServer } from '../entry/entry-server.js';
+import type { EntrySettings } from '../entry/entry-settings.js';
+import { RetryAllowance } from '../entry/retry-allowance.js';
+import { StallWatch } from '../entry/stall-watch.js';
+import { BackendFleet } from '../fleet/backend-fleet.js';
+import { CallTimes } from '../fleet/call-times.js';
+import type { ServerEntry } from '../fleet/server-entry.js';
+import { Suspicions } from '../fleet/suspicions.js';
+import { Gossip } from '../gossip/gossip.js';
+import type { PeerRecord } from '../gossip/peer-record.js';
+import { PeerTable } from '../gossip/peer-table.js';
+import { PlannerLease } from '../layers/planner-lease.js';
+import { runPlanner } from '../layers/planner-task.js';
+import { followObjects } from '../store/follow-objects.js';
+import type { StoredObject } from '../store/object-store.js';
+import type { LogFactory } from '../telemetry/log.js';
+import type { AddressAnswer, EntryPlatform } from './entry-platform.js';
+
+/** Options of {@link startEntryDaemon}. */
+export interface EntryDaemonOptions {
+  readonly settings: EntrySettings;
+  readonly platform: EntryPlatform;
+  readonly logs: LogFactory;
+}
+
+/** A running instance. */
+export interface EntryDaemon {
+  /** Stops gracefully; resolves when the last request is done or the time is over. */
+  readonly stop: () => Promise<void>;
+}
+
+/** The kind of object under which instances register. */
+const INSTANCE_KIND = 'instances';
+const CONFIGURATION_PATH = '/configuration';
+const FLEET_PATH = '/fleet';
+
+const STALL_REVIEW_MILLISECONDS = 70;
+const PACE_REVIEW_MILLISECONDS = 500;
+const HEALTH_REVIEW_MILLISECONDS = 200;
+const HEALTH_TIMEOUT_MILLISECONDS = 300;
+const ADDRESS_LIFETIME_SECONDS = 1;
+const MAXIMUM_ADDRESSES = 64;
+/** The store counts as reachable for this long after an answer. */
+const STORE_CONTACT_MILLISECONDS = 5500;
+/** Before the end of the time to stop, so that what is left ends in order. */
+const STOP_MARGIN_MILLISECONDS = 600;
+const STOP_REVIEW_MILLISECONDS = 50;
+/** How long callers may still come with addresses that they keep, in lifetimes of an answer. */
+const KEPT_LIFETIMES = 3;
+const REGISTER_RETRY_MILLISECONDS = 500;
+const PACE_RESOLUTION = 10;
+
+class EntryInstance {
+  readonly #options: EntryDaemonOptions;
+
+  readonly #incarnation = Date.now();
+
+  readonly #tasks = new AbortController();
+
+  readonly #configuration: ConfigurationHolder;
+
+  readonly #fleet: BackendFleet;
+
+  readonly #suspicions: Suspicions;
+
+  readonly #peers: PeerTable;
+
+  readonly #gossip: Gossip;
+
+  readonly #context: EntryContext;
+
+  #counter = 0;
+
+  #storeContactAt = Number.NEGATIVE_INFINITY;
+
+  #hasFleet = false;
+
+  #isStopping = false;
+
+  #server: EntryServer | undefined;
+
+  #closeIngress: (() => void) | undefined;
+
+  constructor(options: EntryDaemonOptions) {
+    this.#options = options;
+    const { settings, platform, logs } = options;
+    // Every task listens for the end.
+    setMaxListeners(0, this.#tasks.signal);
+    this.#configuration = new ConfigurationHolder({ log: logs('configuration') });
+    this.#fleet = new BackendFleet({ log: logs('backend') });
+    this.#suspicions = new Suspicions({ log: logs('backend') });
+    this.#peers = new PeerTable({ instance: settings.instance, log: logs('peer') });
+    this.#gossip = new Gossip({
+      address: settings.listen.peers,
+      seeds: settings.seeds,
+      table: this.#peers,
+      ownRecord: () => this.#ownRecord(),
+      onRecord: (record) => this.#acceptRecord(record),
+      documents: {
+        [CONFIGURATION_PATH]: () => this.#configuration.source,
+        [FLEET_PATH]: () => this.#fleetDocument(),
+      },
+      log: logs('peer'),
+      signal: this.#tasks.signal,
+    });
+    this.#context = {
+      dataCentre: settings.dataCentre,
+      dialect: platform.dialect,
+      fleet: this.#fleet,
+      suspicions: this.#suspicions,
+      callTimes: new CallTimes(),
+      crashes: new CrashRecords({ log: logs('routing') }),
+      retries: new RetryAllowance({
+        budget: settings.retryBudget,
+        instances: () => this.#peers.all.length + 1,
+      }),
+      stallWatch: new StallWatch({
+        dialect: platform.dialect,
+        fleet: this.#fleet,
+        suspicions: this.#suspicions,
+        log: logs('routing'),
+      }),
+      metrics: new EntryMetrics(),
+      logs,
+    };
+  }
+
+  async start(): Promise<void> {
+    const { settings, platform, logs } = this.#options;
+    this.#startTasks();
+    const [server, closeIngress] = await Promise.all([
+      startEntryServer({
+        address: settings.listen.callers,
+        context: this.#context,
+        configuration: this.#configuration,
+        isStopping: () => this.#isStopping,
+      }),
+      platform.startIngress({
+        isReady: () => this.#isReady,
+        addresses: () => this.#addresses(),
+        metrics: () => this.#metricsPage(),
+      }),
+      this.#gossip.listen(),
+    ]);
+    this.#server = server;
+    this.#closeIngress = closeIngress;
+    void this.#gossip.run();
+    logs('daemon').info('Started.', {
+      dataCentre: settings.dataCentre,
+      incarnation: this.#incarnation,
+      startMilliseconds: Math.round(process.uptime() * 1000),
+    });
+  }
+
+  async stop(): Promise<void> {
+    const { settings, platform, logs } = this.#options;
+    const log = logs('daemon');
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const startedAt = performance.now();
+    const end = startedAt + settings.stopMilliseconds - STOP_MARGIN_MILLISECONDS;
+    log.info('Stopping: no longer offered to callers.', { open: this.#server?.openRequests() });
+    void this.#gossip.round();
+    void platform.store.remove(INSTANCE_KIND, settings.instance);
+    const keptUntil = startedAt + KEPT_LIFETIMES * ADDRESS_LIFETIME_SECONDS * 1000;
+    while (performance.now() < end) {
+      const isKept = performance.now() < keptUntil;
+      if (!isKept) this.#server?.closeIdle();
+      if (!isKept && this.#server?.openRequests() === 0) break;
+      await sleep(STOP_REVIEW_MILLISECONDS);
+    }
+    log.info('Stopped.', { open: this.#server?.openRequests() });
+    this.#tasks.abort();
+    this.#server?.close();
+    this.#closeIngress?.();
+  }
+
+  get #isReady(): boolean {
+    return !this.#isStopping && this.#configuration.current !== undefined && this.#hasFleet;
+  }
+
+  get #isStoreReachable(): boolean {
+    return performance.now() - this.#storeContactAt < STORE_CONTACT_MILLISECONDS;
+  }
+
+  #startTasks(): void {
+    const { platform, logs } = this.#options;
+    const { signal } = this.#tasks;
+    const { store } = platform;
+    const onContact = (): void => {
+      const now = performance.now();
+      if (now - this.#storeContactAt > STORE_CONTACT_MILLISECONDS) this.#fleet.disturbedAt = now;
+      this.#storeContactAt = now;
+    };
+    void followObjects({
+      store,
+      objectKind: platform.configurationKind,
+      onList: (objects) => objects.forEach((object) => this.#takeConfiguration(object)),
+      onChanges: (changes) => changes.forEach(({ object }) => this.#takeConfiguration(object)),
+      onContact: () => {
+        onContact();
+        this.#configuration.confirm();
+      },
+      log: logs('configuration'),
+      signal,
+    });
+    void followObjects({
+      store,
+      objectKind: platform.serverKind,
+      onList: (objects, revision) => this.#takeServers(objects, revision),
+      onChanges: (changes, revision) =>
+        changes.forEach(({ object, isDeleted }) => {
+          const entry = isDeleted ? undefined : platform.parseServer(object);
+          if (entry) this.#fleet.put(entry, revision);
+          else this.#fleet.remove(object.name, revision);
+        }),
+      onContact,
+      log: logs('backend'),
+      signal,
+    });
+    void this.#register();
+    void this.#repeat(STALL_REVIEW_MILLISECONDS, () => this.#context.stallWatch.review());
+    void this.#repeat(PACE_REVIEW_MILLISECONDS, () => this.#context.stallWatch.reviewPaces());
+    void this.#repeat(HEALTH_REVIEW_MILLISECONDS, () => this.#checkSuspects());
+    void runPlanner({
+      fleet: this.#fleet,
+      suspicions: this.#suspicions,
+      configuration: this.#configuration,
+      dialect: platform.dialect,
+      lease: new PlannerLease({ store, holder: this.#holder, log: logs('placement') }),
+      isPlanner: () => this.#isPlanner(),
+      isHolderGone: (holder) => this.#isHolderGone(holder),
+      metrics: this.#context.metrics,
+      log: logs('placement'),
+      signal,
+    });
+  }
+
+  async #repeat(milliseconds: number, work: () => Promise<void>): Promise<void> {
+    const { signal } = this.#tasks;
+    while (!signal.aborted) {
+      await work();
+      await sleep(milliseconds, signal);
+    }
+  }
+
+  get #holder(): string {
+    return `${this.#options.settings.instance}/${this.#incarnation}`;
+  }
+
+  /** The first by name of the instances that reach the store plans. */
+  #isPlanner(): boolean {
+    if (!this.#isReady || !this.#isStoreReachable) return false;
+    const { instance } = this.#options.settings;
+    return !this.#peers.alive.some(
+      (peer) =>
+        peer.instance < instance && peer.isReady && !peer.isStopping && peer.isStoreReachable,
+    );
+  }
+
+  #isHolderGone(holder: string): boolean {
+    const [instance = '', incarnation] = holder.split('/');
+    const { settings } = this.#options;
+    if (instance === settings.instance) return true;
+    const peer = this.#peers.findAlive(instance);
+    if (!peer || peer.isStopping || !peer.isStoreReachable) return true;
+    // The holder lives, but another is to plan now: it comes first by name.
+    return String(peer.incarnation) !== incarnation || settings.instance < instance;
+  }
+
+  #takeConfiguration(object: StoredObject): void {
+    const { platform, logs } = this.#options;
+    if (object.name !== platform.configurationName) return;
+    platform.parseConfiguration(object.value).caseOf({
+      Right: (configuration) => this.#configuration.offer(configuration, object.value, 'store'),
+      Left: (issues) => logs('configuration').error('Configuration not understood.', { issues }),
+    });
+  }
+
+  #takeServers(objects: readonly StoredObject[], revision: number): void {
+    const { parseServer } = this.#options.platform;
+    const entries = objects.map(parseServer).filter((entry) => entry !== undefined);
+    this.#fleet.replaceAll(entries, revision);
+    this.#hasFleet = true;
+  }
+
+  /** Registers this instance, and learns of those that registered before. */
+  async #register(): Promise<void> {
+    const { settings, platform, logs } = this.#options;
+    const { signal } = this.#tasks;
+    const value = {
+      dataCentre: settings.dataCentre,
+      callers: settings.listen.callers,
+      peers: settings.listen.peers,
+    };
+    while (!signal.aborted && !this.#isStopping) {
+      const created = await platform.store.create(INSTANCE_KIND, settings.instance, value);
+      const listed = await platform.store.list(INSTANCE_KIND);
+      if (listed.kind === 'listed' && created.kind !== 'unavailable') {
+        listed.objects.forEach((object) => this.#takeInstance(object));
+        logs('peer').info('Registered.', { known: listed.objects.length });
+        void this.#gossip.round();
+        return;
+      }
+      await sleep(REGISTER_RETRY_MILLISECONDS, signal);
+    }
+  }
+
+  #takeInstance(object: StoredObject): void {
+    const { value } = object;
+    const candidate = {
+      ...this.#ownRecord(),
+      loads: {},
+      paces: {},
+      suspects: [],
+      crashes: {},
+      instance: object.name,
+      incarnation: 0,
+      counter: 0,
+      isReady: false,
+      isStoreReachable: false,
+    };
+    if (typeof value !== 'object' || value === null) return;
+    const { dataCentre, callers, peers } = value as Partial<PeerRecord>;
+    if (!dataCentre || !callers || !peers) return;
+    this.#peers.accept({ ...candidate, dataCentre, callers, peers });
+  }
+
+  #ownRecord(): PeerRecord {
+    const { settings } = this.#options;
+    this.#counter += 1;
+    const loads: PeerRecord['loads'] = {};
+    const paces: PeerRecord['paces'] = {};
+    this.#fleet.servers.forEach(({ entry, own, ownSlowFactor }) => {
+      if (own.requests > 0) loads[entry.id] = [own.requests, Math.round(own.tokenLayers)];
+      if (ownSlowFactor > 1) {
+        paces[entry.id] = Math.round(ownSlowFactor * PACE_RESOLUTION) / PACE_RESOLUTION;
+      }
+    });
+    return {
+      instance: settings.instance,
+      dataCentre: settings.dataCentre,
+      incarnation: this.#incarnation,
+      counter: this.#counter,
+      callers: settings.listen.callers,
+      peers: settings.listen.peers,
+      isReady: this.#isReady,
+      isStopping: this.#isStopping,
+      configurationVersion: this.#configuration.current?.version ?? -1,
+      fleetRevision: this.#fleet.revision,
+      isStoreReachable: this.#isStoreReachable,
+      suspects: this.#suspicions.own,
+      loads,
+      paces,
+      crashes: this.#context.crashes.list,
+    };
+  }
+
+  #acceptRecord(record: PeerRecord): void {
+    this.#suspicions.acceptFrom(record.instance, record.suspects);
+    this.#context.crashes.accept(record.crashes);
+    this.#sumLoads();
+    const version = this.#configuration.current?.version ?? -1;
+    if (record.configurationVersion > version) void this.#fetchConfiguration(record);
+    else if (record.isStoreReachable && record.configurationVersion === version) {
+      this.#configuration.confirm();
+    }
+    const isBehind = record.fleetRevision > this.#fleet.revision;
+    if (isBehind && (!this.#isStoreReachable || !this.#hasFleet)) void this.#fetchFleet(record);
+  }
+
+  #sumLoads(): void {
+    const { servers } = this.#fleet;
+    servers.forEach((server) => {
+      server.others.requests = 0;
+      server.others.tokenLayers = 0;
+      server.othersSlowFactor = 1;
+    });
+    this.#peers.alive.forEach(({ loads, paces }) => {
+      Object.entries(loads).forEach(([id, [requests, tokenLayers]]) => {
+        const server = this.#fleet.find(id);
+        if (!server) return;
+        server.others.requests += requests;
+        server.others.tokenLayers += tokenLayers;
+      });
+      Object.entries(paces).forEach(([id, pace]) => {
+        const server = this.#fleet.find(id);
+        if (server) server.othersSlowFactor = Math.max(server.othersSlowFactor, pace);
+      });
+    });
+  }
+
+  async #fetchConfiguration(record: PeerRecord): Promise<void> {
+    const value = await this.#gossip.fetch(record.peers, CONFIGURATION_PATH);
+    if (value === undefined) return;
+    this.#options.platform.parseConfiguration(value).ifRight((configuration) => {
+      this.#configuration.offer(configuration, value, record.instance);
+    });
+  }
+
+  #fleetDocument(): unknown {
+    return {
+      revision: this.#fleet.revision,
+      entries: this.#fleet.servers.map(({ entry }) => entry),
+    };
+  }
+
+  async #fetchFleet(record: PeerRecord): Promise<void> {
+    const value = await this.#gossip.fetch(record.peers, FLEET_PATH);
+    if (typeof value !== 'object' || value === null) return;
+    const { revision, entries } = value as { revision: number; entries: ServerEntry[] };
+    if (revision <= this.#fleet.revision) return;
+    this.#fleet.replaceAll(entries, revision);
+    this.#hasFleet = true;
+  }
+
+  #addresses(): AddressAnswer | undefined {
+    const { settings } = this.#options;
+    const ready = this.#peers.alive.filter(({ isReady, isStopping }) => isReady && !isStopping);
+    const addresses = ready.map(({ callers }) => callers);
+    if (this.#isReady) addresses.push(settings.listen.callers);
+    if (addresses.length === 0) return undefined;
+    return {
+      addresses: addresses.slice(0, MAXIMUM_ADDRESSES),
+      lifetimeSeconds: Math.min(ADDRESS_LIFETIME_SECONDS, settings.longestAddressLifetimeSeconds),
+    };
+  }
+
+  async #checkSuspects(): Promise<void> {
+    const { fleet } = this.#context;
+    this.#suspicions.retain((id) => fleet.find(id) !== undefined);
+    await Promise.all(this.#suspicions.due.map((id) => this.#checkHealth(id)));
+  }
+
+  async #checkHealth(id: string): Promise<void> {
+    const server = this.#fleet.find(id);
+    if (!server) return;
+    const service = this.#configuration.current?.services.get(server.entry.service);
+    try {
+      const answer = await callWhole({
+        address: server.entry.address,
+        method: 'GET',
+        path: service?.healthPath ?? '/health',
+        timeoutMilliseconds: HEALTH_TIMEOUT_MILLISECONDS,
+      });
+      if (answer.status === 200) this.#suspicions.clear(id);
+    } catch {
+      // It stays suspected and is asked again at the next review.
+    }
+  }
+
+  #metricsPage(): Promise<string> {
+    const { metrics } = this.#context;
+    metrics.state('open_requests', this.#server?.openRequests() ?? 0);
+    metrics.state('peers_alive', this.#peers.alive.length);
+    metrics.state('servers', this.#fleet.servers.length);
+    metrics.state('servers_suspected', this.#suspicions.own.length);
+    metrics.state('configuration_version', this.#configuration.current?.version ?? -1);
+    metrics.state('store_calls', this.#options.platform.store.callCount());
+    metrics.state('store_reachable', this.#isStoreReachable ? 1 : 0);
+    return metrics.page();
+  }
+}
+
+/**
+ * Starts an entry instance.
+ *
+ * @param options - Its settings, platform and logs.
+ * @returns The running instance.
+ * @throws Error when an address can't be listened on.
+ */
+export async function startEntryDaemon(options: EntryDaemonOptions): Promise<EntryDaemon> {
+  const instance = new EntryInstance(options);
+  await instance.start();
+  return { stop: () => instance.stop() };
+}
--- /dev/null
+++ b/src/entry/configuration-holder.ts
@@ -0,0 +1,85 @@
+/** The configuration in force: never an older one than before, and how fresh it is. */
+import type { PartLog } from '../telemetry/log.js';
+import { RouteTable, type ServingConfiguration } from './serving-configuration.js';
+
+/** Options of {@link ConfigurationHolder}. */
+export interface ConfigurationHolderOptions {
+  readonly log: PartLog;
+  readonly now?: () => number;
+}
+
+/** Older than this, the configuration is not relied on to say that something doesn't exist. */
+const FRESH_MILLISECONDS = 6000;
+
+export class ConfigurationHolder {
+  readonly #log: PartLog;
+
+  readonly #now: () => number;
+
+  readonly #listeners: ((configuration: ServingConfiguration) => void)[] = [];
+
+  #current: ServingConfiguration | undefined;
+
+  #routes = new RouteTable([]);
+
+  #confirmedAt = Number.NEGATIVE_INFINITY;
+
+  /** The stored value that the current configuration was decoded from, for peers. */
+  source: unknown;
+
+  constructor(options: ConfigurationHolderOptions) {
+    this.#log = options.log;
+    this.#now = options.now ?? (() => performance.now());
+  }
+
+  get current(): ServingConfiguration | undefined {
+    return this.#current;
+  }
+
+  get routes(): RouteTable {
+    return this.#routes;
+  }
+
+  /** Calls a listener for each configuration that comes into force. */
+  onChange(listener: (configuration: ServingConfiguration) => void): void {
+    this.#listeners.push(listener);
+    if (this.#current) listener(this.#current);
+  }
+
+  /** Notes that the store, or a peer in touch with it, knows no newer version. */
+  confirm(): void {
+    this.#confirmedAt = this.#now();
+  }
+
+  /** Milliseconds since the configuration was last known to be the newest. */
+  ageMilliseconds(): number {
+    return this.#now() - this.#confirmedAt;
+  }
+
+  /** Whether the configuration may be relied on to say that something doesn't exist. */
+  isFresh(): boolean {
+    return this.ageMilliseconds() < FRESH_MILLISECONDS;
+  }
+
+  /**
+   * Puts a configuration into force, unless a newer or the same one is.
+   *
+   * @param configuration - The configuration.
+   * @param source - The stored value that it was decoded from.
+   * @param origin - Where it came from, for the log.
+   */
+  offer(configuration: ServingConfiguration, source: unknown, origin: string): void {
+    const version = this.#current?.version ?? -1;
+    if (configuration.version <= version) return;
+    this.#current = configuration;
+    this.#routes = new RouteTable(configuration.routes);
+    this.source = source;
+    this.#log.info('Configuration in force.', {
+      version: configuration.version,
+      before: version,
+      routes: configuration.routes.length,
+      origin,
+    });
+    this.#listeners.forEach((listener) => listener(configuration));
+  }
+}
--- /dev/null
+++ b/src/entry/dialect.ts
@@ -0,0 +1,82 @@
+/** What the entry asks of the deployment's protocol; an adapter spells it. */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { Address } from '../common/address.js';
+import type { LayerRange } from '../fleet/server-entry.js';
+
+/** What a caller's request says of itself. */
+export interface RequestTerms {
+  readonly requestId: string;
+  /** How long the caller waits, from when it sent the request. */
+  readonly deadlineMilliseconds: number | undefined;
+  readonly apiKey: string | undefined;
+  readonly lastEventId: number | undefined;
+  readonly promptTokens: number | undefined;
+  readonly maximumAnswerTokens: number | undefined;
+  readonly expectedAnswerTokens: number | undefined;
+}
+
+/** One engine's part of a chain, by its address. */
+export interface Hop {
+  readonly address: Address;
+  readonly layers: LayerRange;
+}
+
+/** What the product adds to a request on its way to a backend server. */
+export interface ForwardedTerms {
+  readonly remainingMilliseconds: number;
+  /** The client account's name. */
+  readonly account: string | undefined;
+  /** The only server that may run the request. */
+  readonly serverId: string;
+  readonly chain: readonly Hop[] | undefined;
+  readonly lastEventId: number | undefined;
+  /** From 0, the most urgent, to 9. */
+  readonly urgency: number | undefined;
+  readonly bodyBytes: number;
+}
+
+/** What the head of a backend server's answer says. */
+export interface AnswerTerms {
+  readonly requestId: string | undefined;
+  /** Whether the server vouches for the answer. */
+  readonly isSigned: boolean;
+  /** Whether the server states that it did not run the request. */
+  readonly isNotRun: boolean;
+  /** `host:port` of the server at fault, for a chain. */
+  readonly faultAddress: string | undefined;
+  readonly load: { readonly running: number; readonly waiting: number } | undefined;
+  /** Whether the body has been encoded on its way. */
+  readonly isEncoded: boolean;
+}
+
+/** What an engine says of itself. */
+export interface EngineReport {
+  /** Over 1 means slow. */
+  readonly pace: number;
+  readonly isBusy: boolean;
+  readonly orderSequence: number;
+  readonly layers: LayerRange | undefined;
+  readonly stalled: readonly { readonly requestId: string; readonly faultAddress: string }[];
+}
+
+/** An order to hold a range of layers. */
+export interface PlaceOrder extends LayerRange {
+  /** The count of accepted orders that the engine must have. */
+  readonly expectedSequence: number;
+}
+
+/** What became of an order. */
+export type OrderResult = 'begun' | 'done' | 'conflict' | 'refused' | 'unknown';
+
+export interface Dialect {
+  readonly readTerms: (headers: IncomingHttpHeaders) => RequestTerms;
+  /** Gives the header lines for a backend server, names and values in turn. */
+  readonly forwardHeaders: (rawHeaders: readonly string[], terms: ForwardedTerms) => string[];
+  readonly readAnswer: (headers: IncomingHttpHeaders, status: number) => AnswerTerms;
+  readonly readReport: (address: Address, timeoutMilliseconds: number) => Promise<EngineReport>;
+  readonly sendOrder: (
+    address: Address,
+    order: PlaceOrder,
+    timeoutMilliseconds: number,
+  ) => Promise<OrderResult>;
+}
--- /dev/null
+++ b/src/entry/entry-context.ts
@@ -0,0 +1,23 @@
+/** What serving a request needs of the instance. */
+import type { BackendFleet } from '../fleet/backend-fleet.js';
+import type { CallTimes } from '../fleet/call-times.js';
+import type { Suspicions } from '../fleet/suspicions.js';
+import type { LogFactory } from '../telemetry/log.js';
+import type { CrashRecords } from './crash-records.js';
+import type { Dialect } from './dialect.js';
+import type { EntryMetrics } from './entry-metrics.js';
+import type { RetryAllowance } from './retry-allowance.js';
+import type { StallWatch } from './stall-watch.js';
+
+export interface EntryContext {
+  readonly dataCentre: string;
+  readonly dialect: Dialect;
+  readonly fleet: BackendFleet;
+  readonly suspicions: Suspicions;
+  readonly callTimes: CallTimes;
+  readonly crashes: CrashRecords;
+  readonly retries: RetryAllowance;
+  readonly stallWatch: StallWatch;
+  readonly metrics: EntryMetrics;
+  readonly logs: LogFactory;
+}
--- /dev/null
+++ b/src/entry/entry-server.ts
@@ -0,0 +1,214 @@
+/** The interface for callers: reads a request whole, leads it to its route and has it served. */
+import { createHash } from 'node:crypto';
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Address } from '../common/address.js';
+import { messageOf } from '../common/http-client.js';
+import { sendOwnAnswer, type OwnAnswer } from './entry-answer.js';
+import type { EntryContext } from './entry-context.js';
+import type { EndReason, EntryRequest } from './entry-request.js';
+import type { RequestTerms } from './dialect.js';
+import { relayCall } from './relay-call.js';
+import { relayStream } from './relay-stream.js';
+import type { ConfigurationHolder } from './configuration-holder.js';
+import { pickService, type Route, type ServingConfiguration } from './serving-configuration.js';
+
+/** Options of {@link startEntryServer}. */
+export interface EntryServerOptions {
+  readonly address: Address;
+  readonly context: EntryContext;
+  readonly configuration: ConfigurationHolder;
+  /** Whether the instance is about to stop, so that connections aren't kept. */
+  readonly isStopping: () => boolean;
+}
+
+/** A running interface for callers. */
+export interface EntryServer {
+  readonly openRequests: () => number;
+  /** Closes connections that carry no request. */
+  readonly closeIdle: () => void;
+  readonly close: () => void;
+}
+
+const NO_CONFIGURATION: OwnAnswer = {
+  status: 503,
+  code: 'no_configuration',
+  message: 'The instance has no configuration yet; the request was not run.',
+  retryAfterSeconds: 0.3,
+};
+const STALE_CONFIGURATION: OwnAnswer = {
+  status: 503,
+  code: 'stale_configuration',
+  message: 'The instance may not have the newest configuration; the request was not run.',
+  retryAfterSeconds: 0.3,
+};
+const NO_ROUTE: OwnAnswer = { status: 404, code: 'no_route', message: 'No route has this path.' };
+const NO_ACCOUNT: OwnAnswer = {
+  status: 401,
+  code: 'unknown_key',
+  message: 'The API key is not known.',
+};
+const TOO_LARGE: OwnAnswer = { status: 413, code: 'too_large', message: 'The body is too large.' };
+const BAD_REQUEST: OwnAnswer = {
+  status: 400,
+  code: 'bad_request',
+  message: 'The request has no id, no host or no path.',
+};
+
+const CONTENT_BYTES = 8;
+const MAXIMUM_HEADER_BYTES = 65_536;
+/** Beyond what the configuration lets callers keep a connection idle. */
+const IDLE_MARGIN_MILLISECONDS = 3000;
+const DEFAULT_IDLE_MILLISECONDS = 60_000;
+
+class BodyTooLargeError extends Error {}
+
+async function readBody(incoming: IncomingMessage, maximumBytes: number): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of incoming) {
+    const part = chunk as Buffer;
+    bytes += part.length;
+    if (bytes > maximumBytes) throw new BodyTooLargeError('The body is too large.');
+    parts.push(part);
+  }
+  return Buffer.concat(parts);
+}
+
+function hostOf(incoming: IncomingMessage): string {
+  return (incoming.headers.host ?? '').replace(/:\d+$/, '').toLowerCase();
+}
+
+function contentOf(incoming: IncomingMessage, account: string, body: Buffer): string {
+  const hash = createHash('sha1').update(`${account}\n${incoming.url}\n`).update(body);
+  return hash.digest('hex').slice(0, 2 * CONTENT_BYTES);
+}
+
+/** Finds the route, or the answer to a request that has none. */
+function admit(
+  configuration: ServingConfiguration,
+  holder: ConfigurationHolder,
+  incoming: IncomingMessage,
+  terms: RequestTerms,
+): Route | OwnAnswer {
+  const route = holder.routes.find(hostOf(incoming), incoming.url ?? '');
+  const isFresh = holder.isFresh();
+  if (!route) return isFresh ? NO_ROUTE : STALE_CONFIGURATION;
+  if (!configuration.hasAccounts || route.isPublic) return route;
+  if (terms.apiKey !== undefined && configuration.accounts.has(terms.apiKey)) return route;
+  return isFresh ? NO_ACCOUNT : STALE_CONFIGURATION;
+}
+
+function isAnswer(found: Route | OwnAnswer): found is OwnAnswer {
+  return 'status' in found;
+}
+
+/**
+ * Starts the interface for callers.
+ *
+ * @param options - Where to listen and what to serve by.
+ * @returns The running interface.
+ */
+export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
+  const { address, context, configuration: holder, isStopping } = options;
+  const { dialect, logs } = context;
+  const log = logs('caller');
+  let open = 0;
+
+  const refuse = (incoming: IncomingMessage, response: ServerResponse, answer: OwnAnswer): void => {
+    const { requestId } = dialect.readTerms(incoming.headers);
+    log.info('Request refused.', {
+      requestId,
+      status: answer.status,
+      code: answer.code,
+      configurationVersion: holder.current?.version,
+      configurationAgeMilliseconds: Math.round(holder.ageMilliseconds()),
+    });
+    sendOwnAnswer(response, requestId, answer);
+  };
+
+  const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const receivedAt = performance.now();
+    const { current } = holder;
+    if (!current) return refuse(incoming, response, NO_CONFIGURATION);
+    const terms = dialect.readTerms(incoming.headers);
+    if (terms.requestId === '' || !incoming.url?.startsWith('/')) {
+      return refuse(incoming, response, BAD_REQUEST);
+    }
+    const ending = new AbortController();
+    const end = (reason: EndReason): void => ending.abort(reason);
+    const leave = (): void => {
+      if (!response.writableFinished) end('callerGone');
+    };
+    response.on('close', leave);
+    let timer: NodeJS.Timeout | undefined;
+    try {
+      const body = await readBody(incoming, current.limits.bodyBytes);
+      const route = admit(current, holder, incoming, terms);
+      if (isAnswer(route)) return refuse(incoming, response, route);
+      const service = current.services.get(pickService(route, Math.random()));
+      if (!service) return refuse(incoming, response, STALE_CONFIGURATION);
+      const account =
+        terms.apiKey === undefined || route.isPublic
+          ? undefined
+          : current.accounts.get(terms.apiKey);
+      const patience = terms.deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
+      const deadline = receivedAt + Math.min(patience, route.timeoutMilliseconds);
+      timer = setTimeout(() => end('deadline'), Math.max(0, deadline - performance.now()));
+      const request: EntryRequest = {
+        incoming,
+        response,
+        terms,
+        route,
+        service,
+        account,
+        body,
+        receivedAt,
+        deadline,
+        signal: ending.signal,
+        content: contentOf(incoming, account?.name ?? '', body),
+      };
+      if (isStopping()) response.setHeader('Connection', 'close');
+      if (service.engine) await relayStream(context, request, service.engine);
+      else await relayCall(context, request);
+      return undefined;
+    } catch (error) {
+      if (error instanceof BodyTooLargeError) return refuse(incoming, response, TOO_LARGE);
+      if (!response.destroyed) log.error('Request failed.', { message: messageOf(error) });
+      response.destroy();
+      return undefined;
+    } finally {
+      clearTimeout(timer);
+      response.off('close', leave);
+    }
+  };
+
+  const server = http.createServer(
+    { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
+    (incoming, response) => {
+      open += 1;
+      if (isStopping()) response.setHeader('Connection', 'close');
+      response.once('close', () => {
+        open -= 1;
+      });
+      void serve(incoming, response);
+    },
+  );
+  server.requestTimeout = 0;
+  holder.onChange(({ limits }) => {
+    server.keepAliveTimeout = limits.idleMilliseconds + IDLE_MARGIN_MILLISECONDS;
+    server.headersTimeout = limits.headerMilliseconds;
+  });
+  server.keepAliveTimeout = DEFAULT_IDLE_MILLISECONDS;
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ host: address.host, port: address.port, backlog: 1024 }, resolve);
+  });
+  return {
+    openRequests: () => open,
+    closeIdle: () => server.closeIdleConnections(),
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/src/entry/exchange.ts
@@ -0,0 +1,69 @@
+/** One request to one backend server, over a connection of its own. */
+import http from 'node:http';
+import type { Address } from '../common/address.js';
+import { HttpCallError, type CallPhase } from '../common/http-client.js';
+
+/** One request to send. */
+export interface Exchange {
+  readonly address: Address;
+  readonly method: string;
+  readonly target: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly signal: AbortSignal;
+}
+
+const CONNECT_MILLISECONDS = 300;
+
+/**
+ * Sends a request.
+ *
+ * @param exchange - The request.
+ * @returns The answer, once its head is there; its body ends early when the signal aborts.
+ * @throws HttpCallError telling whether any byte may have left.
+ */
+export function sendExchange(exchange: Exchange): Promise<http.IncomingMessage> {
+  const { address, method, target, headers, body, signal } = exchange;
+  return new Promise((resolve, reject) => {
+    let phase: CallPhase = 'connecting';
+    const request = http.request({
+      host: address.host,
+      port: address.port,
+      method,
+      path: target,
+      headers: headers as unknown as http.OutgoingHttpHeaders,
+      setHost: false,
+      agent: false,
+    });
+    const abort = (): void => {
+      request.destroy(new Error('The request was cancelled.'));
+    };
+    const timer = setTimeout(() => {
+      request.destroy(new Error('The connection took too long.'));
+    }, CONNECT_MILLISECONDS);
+    request.on('socket', (socket) => {
+      socket.setNoDelay(true);
+      socket.once('connect', () => {
+        phase = 'sent';
+        clearTimeout(timer);
+      });
+    });
+    request.on('error', (error) => {
+      clearTimeout(timer);
+      reject(new HttpCallError(phase, error.message));
+    });
+    request.on('response', (response) => {
+      // Errors of the body reach whoever reads the stream.
+      response.on('error', () => undefined);
+      resolve(response);
+    });
+    request.on('close', () => {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', abort);
+    });
+    if (signal.aborted) abort();
+    else signal.addEventListener('abort', abort, { once: true });
+    request.end(body);
+  });
+}
--- /dev/null
+++ b/src/entry/relay-stream.ts
@@ -0,0 +1,417 @@
+/** Serves a streaming request over chains of engines, going on after the last event on a fault. */
+import type { IncomingMessage } from 'node:http';
+import { sleep } from '../common/clock.js';
+import { HttpCallError, messageOf } from '../common/http-client.js';
+import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { ServerEntry } from '../fleet/server-entry.js';
+import { chooseChain, type Chain, type ChainCandidate } from '../layers/chain-choice.js';
+import type { RequestTokens } from '../layers/engine-times.js';
+import { answerHeaders, sendOwnAnswer, setHeaders, type OwnAnswer } from './entry-answer.js';
+import type { EntryContext } from './entry-context.js';
+import { endReasonOf, isIdempotent, type EntryRequest } from './entry-request.js';
+import { EventSplitter } from './event-splitter.js';
+import { sendExchange } from './exchange.js';
+import type { EngineProfile } from './serving-configuration.js';
+
+/** How one attempt ended. */
+type AttemptEnd =
+  | { readonly kind: 'completed' }
+  /** The engine answered with a failure of its own, which the caller has been given. */
+  | { readonly kind: 'answered'; readonly status: number }
+  | { readonly kind: 'notRun'; readonly culprits: readonly string[]; readonly message: string }
+  | { readonly kind: 'broken'; readonly culprits: readonly string[]; readonly message: string };
+
+interface EngineCandidate extends ChainCandidate {
+  readonly server: FleetServer;
+}
+
+const LONGEST_WAIT_FOR_CHAIN_MILLISECONDS = 1700;
+const CHAIN_REVIEW_MILLISECONDS = 60;
+/** Tries beyond the route's maximum that engines have refused to run. */
+const MAXIMUM_REFUSED_TRIES = 4;
+const RETRY_AFTER_NO_CHAIN_SECONDS = 0.6;
+const RETRY_AFTER_CONVICTED_SECONDS = 30;
+
+function tokensOf(request: EntryRequest, profile: EngineProfile): RequestTokens {
+  const { promptTokens, maximumAnswerTokens, expectedAnswerTokens } = request.terms;
+  const answer = expectedAnswerTokens ?? profile.usualAnswerTokens;
+  return {
+    prompt: promptTokens ?? profile.usualPromptTokens,
+    answer: Math.min(answer, maximumAnswerTokens ?? answer),
+  };
+}
+
+/** One streaming request from its first attempt to its end. */
+class StreamRelay {
+  readonly #context: EntryContext;
+
+  readonly #request: EntryRequest;
+
+  readonly #profile: EngineProfile;
+
+  readonly #tokens: RequestTokens;
+
+  readonly #avoided = new Set<string>();
+
+  #lastEventId: number | undefined;
+
+  #hasBegun = false;
+
+  #firstEventAt: number | undefined;
+
+  /** Attempts that may have run. */
+  #runs = 0;
+
+  #refusedTries = 0;
+
+  constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
+    this.#context = context;
+    this.#request = request;
+    this.#profile = profile;
+    this.#tokens = tokensOf(request, profile);
+    this.#lastEventId = request.terms.lastEventId;
+  }
+
+  async serve(): Promise<string> {
+    const { crashes, retries } = this.#context;
+    const { content, service, signal } = this.#request;
+    if (crashes.isConvicted(content)) {
+      return this.#finish('convicted', {
+        status: 503,
+        code: 'crashes_servers',
+        message: 'Requests like this one have crashed several servers; it was not run.',
+        retryAfterSeconds: RETRY_AFTER_CONVICTED_SECONDS,
+      });
+    }
+    retries.noteFirst(service.name);
+    for (;;) {
+      const chain = await this.#findChain();
+      if (signal.aborted) return this.#finishAborted();
+      if (!chain) return this.#refuse('no_chain');
+      const end = await this.#attempt(chain);
+      if (signal.aborted) return this.#finishAborted();
+      if (end.kind === 'completed' || end.kind === 'answered') return this.#complete(end);
+      const stop = this.#afterFault(end, chain);
+      if (stop !== undefined) return stop;
+    }
+  }
+
+  /** Decides whether to try again after a fault; gives the outcome when not. */
+  #afterFault(
+    end: Extract<AttemptEnd, { kind: 'notRun' | 'broken' }>,
+    chain: Chain<EngineCandidate>,
+  ): string | undefined {
+    const { retries, logs, metrics } = this.#context;
+    const { route, service, terms } = this.#request;
+    end.culprits.forEach((id) => this.#avoided.add(id));
+    if (end.kind === 'notRun') this.#refusedTries += 1;
+    else this.#runs += 1;
+    const mayRun = isIdempotent(route) || this.#runs === 0;
+    const isWithinTries =
+      this.#runs < route.maximumAttempts && this.#refusedTries <= MAXIMUM_REFUSED_TRIES;
+    const isRetried = mayRun && isWithinTries && retries.take(service.name);
+    logs('routing').info(isRetried ? 'Trying again.' : 'Giving up.', {
+      requestId: terms.requestId,
+      after: end.kind,
+      message: end.message,
+      culprits: end.culprits,
+      first: chain.parts[0]?.engine.id,
+      lastEventId: this.#lastEventId,
+      runs: this.#runs,
+      refusedTries: this.#refusedTries,
+    });
+    metrics.event(isRetried ? 'retry' : 'given_up');
+    if (isRetried) return undefined;
+    if (this.#runs === 0) return this.#refuse('servers_refused');
+    return this.#finish('broken', {
+      status: 502,
+      code: 'engine_failed',
+      message: 'An engine failed while it ran the request.',
+    });
+  }
+
+  /** Finds a chain; a stream that has begun waits a little for one. */
+  async #findChain(): Promise<Chain<EngineCandidate> | undefined> {
+    const until = performance.now() + LONGEST_WAIT_FOR_CHAIN_MILLISECONDS;
+    for (;;) {
+      const chain = this.#choose();
+      if (chain) return chain;
+      if (!this.#hasBegun || performance.now() > until) return undefined;
+      if (this.#request.signal.aborted) return undefined;
+      await sleep(CHAIN_REVIEW_MILLISECONDS, this.#request.signal);
+    }
+  }
+
+  #choose(): Chain<EngineCandidate> | undefined {
+    const { fleet, suspicions, dataCentre, logs } = this.#context;
+    const candidates: EngineCandidate[] = [];
+    fleet.ofService(this.#request.service.name).forEach((server) => {
+      const { id, layers, kind } = server.entry;
+      if (!layers || this.#avoided.has(id) || suspicions.isSuspect(id)) return;
+      candidates.push({
+        id,
+        dataCentre: server.entry.dataCentre,
+        kind,
+        layers,
+        running: server.own.requests + server.others.requests,
+        promised: server.own.tokenLayers + server.others.tokenLayers,
+        slowFactor: Math.max(server.ownSlowFactor, server.othersSlowFactor),
+        server,
+      });
+    });
+    const chain = chooseChain(candidates, {
+      profile: this.#profile,
+      tokens: this.#tokens,
+      dataCentre,
+    });
+    if ('missingLayer' in chain) {
+      logs('routing').info('No chain.', {
+        requestId: this.#request.terms.requestId,
+        missingLayer: chain.missingLayer,
+        engines: candidates.length,
+        fleetRevision: fleet.revision,
+      });
+      return undefined;
+    }
+    return chain;
+  }
+
+  async #attempt(chain: Chain<EngineCandidate>): Promise<AttemptEnd> {
+    const total = this.#tokens.prompt + this.#tokens.answer;
+    const shares = chain.parts.map(({ engine, layers }) => ({
+      load: engine.server.own,
+      tokenLayers: total * (layers.to - layers.from),
+    }));
+    shares.forEach(({ load, tokenLayers }) => {
+      load.requests += 1;
+      load.tokenLayers += tokenLayers;
+    });
+    try {
+      return await this.#run(chain);
+    } finally {
+      shares.forEach(({ load, tokenLayers }) => {
+        load.requests -= 1;
+        load.tokenLayers -= tokenLayers;
+      });
+    }
+  }
+
+  async #run(chain: Chain<EngineCandidate>): Promise<AttemptEnd> {
+    const { stallWatch, logs } = this.#context;
+    const { terms, signal } = this.#request;
+    const first = chain.parts[0]?.engine.server;
+    if (!first) return { kind: 'notRun', culprits: [], message: 'The chain is empty.' };
+    logs('routing').info('Chain chosen.', {
+      requestId: terms.requestId,
+      chain: chain.parts.map(({ engine, layers }) => `${engine.id}=${layers.from}-${layers.to}`),
+      expectedMilliseconds: Math.round(chain.expectedMilliseconds),
+      isOverfull: chain.isOverfull,
+      fleetRevision: this.#context.fleet.revision,
+    });
+    const attempt = new AbortController();
+    const abort = (): void => attempt.abort();
+    signal.addEventListener('abort', abort, { once: true });
+    let culprits: readonly string[] | undefined;
+    const watched = {
+      requestId: terms.requestId,
+      chain: chain.parts.map(({ engine }) => engine.server),
+      lastProgressAt: performance.now(),
+      isBlocked: false,
+      giveUp: (found: readonly string[]): void => {
+        culprits = found;
+        attempt.abort();
+      },
+    };
+    stallWatch.add(watched);
+    try {
+      return await this.#converse(chain, first, watched, attempt.signal);
+    } catch (error) {
+      if (culprits) return { kind: 'broken', culprits, message: 'The stream stalled.' };
+      return this.#explain(first.entry, error);
+    } finally {
+      stallWatch.remove(watched);
+      signal.removeEventListener('abort', abort);
+      attempt.abort();
+    }
+  }
+
+  #explain(first: ServerEntry, error: unknown): AttemptEnd {
+    const { suspicions, crashes } = this.#context;
+    const culprits = [first.id];
+    const message = messageOf(error);
+    if (this.#request.signal.aborted) return { kind: 'broken', culprits: [], message };
+    if (error instanceof HttpCallError && error.phase === 'connecting') {
+      suspicions.raise(first.id, message);
+      return { kind: 'notRun', culprits, message };
+    }
+    suspicions.noteFailure(first.id, message);
+    if (error instanceof HttpCallError && error.phase === 'sent') {
+      crashes.note(this.#request.content, first.id);
+    }
+    return { kind: 'broken', culprits, message };
+  }
+
+  async #converse(
+    chain: Chain<EngineCandidate>,
+    first: FleetServer,
+    watched: { lastProgressAt: number; isBlocked: boolean },
+    signal: AbortSignal,
+  ): Promise<AttemptEnd> {
+    const { dialect, suspicions, fleet } = this.#context;
+    const { incoming, account, body, deadline, terms, route } = this.#request;
+    const answer = await sendExchange({
+      address: first.entry.address,
+      method: incoming.method ?? 'GET',
+      target: incoming.url ?? '/',
+      headers: dialect.forwardHeaders(incoming.rawHeaders, {
+        remainingMilliseconds: deadline - performance.now(),
+        account: account?.name,
+        serverId: first.entry.id,
+        chain: chain.parts.map(({ engine, layers }) => ({
+          address: engine.server.entry.address,
+          layers,
+        })),
+        lastEventId: this.#lastEventId,
+        urgency: Math.min(9, account?.priority ?? route.priority),
+        bodyBytes: body.length,
+      }),
+      body,
+      signal,
+    });
+    const status = answer.statusCode ?? 0;
+    const said = dialect.readAnswer(answer.headers, status);
+    if (said.isNotRun) {
+      const culprit =
+        said.faultAddress === undefined ? first : fleet.findByAddress(said.faultAddress);
+      const id = culprit?.entry.id ?? first.entry.id;
+      if (status === 503 && said.faultAddress !== undefined) {
+        suspicions.noteFailure(id, `Status ${status}.`);
+      }
+      return { kind: 'notRun', culprits: [id], message: `Status ${status}.` };
+    }
+    if (said.requestId !== terms.requestId) throw new Error('The answer is to another request.');
+    if (status >= 300) return this.#passFailure(answer, status);
+    if (!said.isSigned || said.isEncoded) throw new Error('The answer is not the engine’s.');
+    const splitter = new EventSplitter(this.#lastEventId);
+    for await (const chunk of answer) {
+      const events = splitter.push(chunk as Buffer);
+      watched.lastProgressAt = performance.now();
+      if (events.bytes.length > 0) {
+        if (!this.#hasBegun) this.#begin(answerHeaders(answer), status);
+        this.#lastEventId = events.lastEventId;
+        watched.isBlocked = true;
+        await this.#write(events.bytes);
+        watched.isBlocked = false;
+        watched.lastProgressAt = performance.now();
+      }
+    }
+    if (!answer.complete) throw new HttpCallError('answering', 'The stream broke off.');
+    if (!splitter.isBetweenEvents) throw new Error('The stream ended within an event.');
+    if (!this.#hasBegun) this.#begin(answerHeaders(answer), status);
+    suspicions.noteSuccess(first.entry.id);
+    return { kind: 'completed' };
+  }
+
+  /** Gives the caller an engine's failure, whole, unless a stream has begun. */
+  async #passFailure(answer: IncomingMessage, status: number): Promise<AttemptEnd> {
+    const parts: Buffer[] = [];
+    for await (const chunk of answer) parts.push(chunk as Buffer);
+    if (!answer.complete || this.#hasBegun) throw new Error(`Status ${status}.`);
+    const { response } = this.#request;
+    setHeaders(response, answerHeaders(answer));
+    response.statusCode = status;
+    response.end(Buffer.concat(parts));
+    return { kind: 'answered', status };
+  }
+
+  #begin(headers: readonly string[], status: number): void {
+    const { response } = this.#request;
+    this.#hasBegun = true;
+    this.#firstEventAt = performance.now();
+    setHeaders(response, headers);
+    // Events of several engines may follow, so that the first one's length means nothing.
+    response.removeHeader('Content-Length');
+    response.statusCode = status;
+  }
+
+  async #write(bytes: Buffer): Promise<void> {
+    const { response, signal } = this.#request;
+    if (response.write(bytes) || signal.aborted) return;
+    await new Promise<void>((resolve) => {
+      const finish = (): void => {
+        response.off('drain', finish);
+        signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      response.once('drain', finish);
+      signal.addEventListener('abort', finish, { once: true });
+    });
+  }
+
+  #complete(end: Extract<AttemptEnd, { kind: 'completed' | 'answered' }>): string {
+    if (end.kind === 'completed') this.#request.response.end();
+    return this.#note(end.kind);
+  }
+
+  #refuse(code: string): string {
+    return this.#finish('refused', {
+      status: 503,
+      code,
+      message: 'No chain of engines could run the request; it was not run.',
+      retryAfterSeconds: RETRY_AFTER_NO_CHAIN_SECONDS,
+    });
+  }
+
+  #finishAborted(): string {
+    const reason = endReasonOf(this.#request.signal) ?? 'deadline';
+    return this.#finish(reason, {
+      status: 504,
+      code: 'timeout',
+      message: 'The request was not finished in its time.',
+    });
+  }
+
+  #finish(outcome: string, answer: OwnAnswer): string {
+    const { response, terms } = this.#request;
+    // A stream that has begun ends without its last chunk, so that it doesn't look complete.
+    if (outcome === 'refused' && this.#runs > 0) {
+      sendOwnAnswer(response, terms.requestId, { ...answer, status: 502 });
+    } else {
+      sendOwnAnswer(response, terms.requestId, answer);
+    }
+    return this.#note(outcome);
+  }
+
+  #note(outcome: string): string {
+    const { metrics, logs } = this.#context;
+    const { account, route, terms, receivedAt } = this.#request;
+    const first = this.#firstEventAt;
+    const labels = { account: account?.name ?? '', route: route.name, outcome };
+    metrics.request(labels, first === undefined ? undefined : (first - receivedAt) / 1000);
+    logs('caller').info('Request done.', {
+      requestId: terms.requestId,
+      ...labels,
+      firstEventMilliseconds: first === undefined ? undefined : Math.round(first - receivedAt),
+      totalMilliseconds: Math.round(performance.now() - receivedAt),
+      lastEventId: this.#lastEventId,
+      runs: this.#runs,
+    });
+    return outcome;
+  }
+}
+
+/**
+ * Serves a streaming request to its end.
+ *
+ * @param context - The instance.
+ * @param request - The request.
+ * @param profile - The engines' profile.
+ * @returns The outcome.
+ */
+export function relayStream(
+  context: EntryContext,
+  request: EntryRequest,
+  profile: EngineProfile,
+): Promise<string> {
+  return new StreamRelay(context, request, profile).serve();
+}
--- /dev/null
+++ b/src/entry/stall-watch.ts
@@ -0,0 +1,138 @@
+/**
+ * Watches streams for silence and finds the engine at fault: the first engine of a chain tells
+ * which engine a request waits for. Answers engines that die or go dark in the middle of streams,
+ * long before the engines give such a stream up.
+ */
+import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
+import type { Suspicions } from '../fleet/suspicions.js';
+import type { PartLog } from '../telemetry/log.js';
+import type { Dialect } from './dialect.js';
+
+/** A stream under way over a chain. */
+export interface WatchedStream {
+  readonly requestId: string;
+  readonly chain: readonly FleetServer[];
+  /** When the last event came, or the request was sent, on the monotonic clock. */
+  lastProgressAt: number;
+  /** Whether its caller doesn't read, so that silence proves nothing. */
+  isBlocked: boolean;
+  /** Ends the attempt; `culprits` are servers to avoid. */
+  readonly giveUp: (culprits: readonly string[]) => void;
+}
+
+/** Options of {@link StallWatch}. */
+export interface StallWatchOptions {
+  readonly dialect: Dialect;
+  readonly fleet: BackendFleet;
+  readonly suspicions: Suspicions;
+  readonly log: PartLog;
+  readonly now?: () => number;
+}
+
+const QUIET_MILLISECONDS = 280;
+/** A stream over a suspect engine is given up sooner. */
+const QUIET_OVER_SUSPECT_MILLISECONDS = 140;
+const REPORT_TIMEOUT_MILLISECONDS = 250;
+/** Between two reports of the same engine. */
+const REPORT_SPACING_MILLISECONDS = 300;
+const SLOW_REPORT_SPACING_MILLISECONDS = 1500;
+
+export class StallWatch {
+  readonly #options: StallWatchOptions;
+
+  readonly #now: () => number;
+
+  readonly #streams = new Set<WatchedStream>();
+
+  readonly #askedAt = new Map<string, number>();
+
+  constructor(options: StallWatchOptions) {
+    this.#options = options;
+    this.#now = options.now ?? (() => performance.now());
+  }
+
+  /** Begins to watch a stream. */
+  add(stream: WatchedStream): void {
+    this.#streams.add(stream);
+  }
+
+  /** Ends watching a stream. */
+  remove(stream: WatchedStream): void {
+    this.#streams.delete(stream);
+  }
+
+  /** Looks at every stream once. */
+  async review(): Promise<void> {
+    const now = this.#now();
+    const { suspicions } = this.#options;
+    const silent = new Map<string, FleetServer>();
+    [...this.#streams].forEach((stream) => {
+      if (stream.isBlocked) return;
+      const quiet = now - stream.lastProgressAt;
+      if (quiet < QUIET_OVER_SUSPECT_MILLISECONDS) return;
+      const culprits = stream.chain
+        .map(({ entry }) => entry.id)
+        .filter((id) => suspicions.isSuspect(id));
+      if (culprits.length > 0) {
+        stream.giveUp(culprits);
+        return;
+      }
+      const [first] = stream.chain;
+      if (first && quiet >= QUIET_MILLISECONDS) silent.set(first.entry.id, first);
+    });
+    await Promise.all([...silent.values()].map((server) => this.#askAboutStalls(server)));
+  }
+
+  /** Reads the pace of engines that silent streams pass through or that were slow. */
+  async reviewPaces(): Promise<void> {
+    const now = this.#now();
+    const asked = new Map<string, FleetServer>();
+    this.#streams.forEach((stream) => {
+      if (stream.isBlocked || now - stream.lastProgressAt < QUIET_MILLISECONDS) return;
+      stream.chain.forEach((server) => asked.set(server.entry.id, server));
+    });
+    this.#options.fleet.servers.forEach((server) => {
+      if (server.ownSlowFactor > 1) asked.set(server.entry.id, server);
+    });
+    await Promise.all([...asked.values()].map((server) => this.#askPace(server)));
+  }
+
+  #mayAsk(key: string, spacing: number): boolean {
+    const now = this.#now();
+    if (now - (this.#askedAt.get(key) ?? Number.NEGATIVE_INFINITY) < spacing) return false;
+    this.#askedAt.set(key, now);
+    return true;
+  }
+
+  async #askAboutStalls(server: FleetServer): Promise<void> {
+    const { id, address } = server.entry;
+    if (!this.#mayAsk(id, REPORT_SPACING_MILLISECONDS)) return;
+    const { dialect, fleet, suspicions, log } = this.#options;
+    try {
+      const report = await dialect.readReport(address, REPORT_TIMEOUT_MILLISECONDS);
+      server.ownSlowFactor = report.pace;
+      report.stalled.forEach(({ requestId, faultAddress }) => {
+        const culprit = fleet.findByAddress(faultAddress);
+        if (culprit) suspicions.raise(culprit.entry.id, 'A stream waits for it.');
+        const stream = [...this.#streams].find((each) => each.requestId === requestId);
+        if (!stream) return;
+        log.info('Stream waits for an engine.', { requestId, faultAddress, first: id });
+        stream.giveUp(culprit ? [culprit.entry.id] : []);
+      });
+    } catch {
+      suspicions.raise(id, 'It gave no report.');
+    }
+  }
+
+  async #askPace(server: FleetServer): Promise<void> {
+    const { id, address } = server.entry;
+    if (!this.#mayAsk(`pace ${id}`, SLOW_REPORT_SPACING_MILLISECONDS)) return;
+    try {
+      const { pace } = await this.#options.dialect.readReport(address, REPORT_TIMEOUT_MILLISECONDS);
+      if (pace !== server.ownSlowFactor) this.#options.log.info('Pace changed.', { id, pace });
+      server.ownSlowFactor = pace;
+    } catch {
+      this.#options.suspicions.raise(id, 'It gave no report.');
+    }
+  }
+}
--- /dev/null
+++ b/src/gossip/gossip.ts
@@ -0,0 +1,176 @@
+/**
+ * Spreads each instance's record among all: at each round an instance exchanges records with a few
+ * peers, so that its cost doesn't grow with the number of its links. Carried over HTTP rather than
+ * gRPC, whose library takes longer to load than everything else an instance needs to serve.
+ */
+import http from 'node:http';
+import type { Address } from '../common/address.js';
+import { sleep } from '../common/clock.js';
+import { callWhole, messageOf } from '../common/http-client.js';
+import type { PartLog } from '../telemetry/log.js';
+import { PeerRecord } from './peer-record.js';
+import type { PeerTable } from './peer-table.js';
+
+/** Options of {@link startGossip}. */
+export interface GossipOptions {
+  readonly address: Address;
+  readonly seeds: readonly Address[];
+  readonly table: PeerTable;
+  readonly ownRecord: () => PeerRecord;
+  readonly onRecord: (record: PeerRecord) => void;
+  /** Answers of other paths, by path; an undefined one is absent. */
+  readonly documents: Readonly<Record<string, () => unknown>>;
+  readonly log: PartLog;
+  readonly signal: AbortSignal;
+}
+
+/** Peers exchanged with at each round. */
+const FANOUT = 3;
+const ROUND_MILLISECONDS = 250;
+const EXCHANGE_TIMEOUT_MILLISECONDS = 400;
+const DOCUMENT_TIMEOUT_MILLISECONDS = 1000;
+
+export class Gossip {
+  readonly #options: GossipOptions;
+
+  readonly #agent = new http.Agent({ keepAlive: true });
+
+  #server: http.Server | undefined;
+
+  constructor(options: GossipOptions) {
+    this.#options = options;
+  }
+
+  /** Listens for peers. */
+  async listen(): Promise<void> {
+    const server = http.createServer((request, response) => {
+      void this.#answer(request, response);
+    });
+    server.keepAliveTimeout = 30_000;
+    this.#server = server;
+    const { host, port } = this.#options.address;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, resolve);
+    });
+  }
+
+  /** Exchanges records until the signal aborts. */
+  async run(): Promise<void> {
+    const { signal, table } = this.#options;
+    while (!signal.aborted) {
+      table.review();
+      void this.round();
+      await sleep(ROUND_MILLISECONDS, signal);
+    }
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+  }
+
+  /** Exchanges records with a few peers once. */
+  async round(): Promise<void> {
+    await Promise.all(this.#pickPeers().map((address) => this.#exchange(address)));
+  }
+
+  /**
+   * Reads one of a peer's documents.
+   *
+   * @param address - The peer.
+   * @param path - The document's path.
+   * @returns The document, or undefined when it can't be had.
+   */
+  async fetch(address: Address, path: string): Promise<unknown> {
+    try {
+      const answer = await callWhole({
+        address,
+        agent: this.#agent,
+        method: 'GET',
+        path,
+        timeoutMilliseconds: DOCUMENT_TIMEOUT_MILLISECONDS,
+      });
+      return answer.status === 200 ? JSON.parse(answer.body.toString()) : undefined;
+    } catch (error) {
+      this.#options.log.debug('Document not had.', { ...address, path, message: messageOf(error) });
+      return undefined;
+    }
+  }
+
+  #pickPeers(): Address[] {
+    const { table, seeds, address } = this.#options;
+    const alive = table.alive.map(({ peers }) => peers);
+    const others = [...table.all.map(({ peers }) => peers), ...seeds].filter(
+      (peer) => peer.host !== address.host || peer.port !== address.port,
+    );
+    const picked = shuffle(alive).slice(0, FANOUT);
+    // One more, alive or not, so that parts that lost each other meet again.
+    const [extra] = shuffle(others);
+    if (extra && (alive.length < FANOUT || Math.random() < 1 / FANOUT)) picked.push(extra);
+    return picked;
+  }
+
+  async #exchange(address: Address): Promise<void> {
+    try {
+      const answer = await callWhole({
+        address,
+        agent: this.#agent,
+        method: 'POST',
+        path: '/records',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(this.#records()),
+        timeoutMilliseconds: EXCHANGE_TIMEOUT_MILLISECONDS,
+      });
+      this.#accept(JSON.parse(answer.body.toString()));
+    } catch (error) {
+      this.#options.log.debug('Peer not reached.', { ...address, message: messageOf(error) });
+    }
+  }
+
+  #records(): PeerRecord[] {
+    const { ownRecord, table } = this.#options;
+    return [ownRecord(), ...table.alive];
+  }
+
+  #accept(value: unknown): void {
+    const { table, onRecord, log } = this.#options;
+    const result = PeerRecord.array().safeParse(value);
+    if (!result.success) {
+      log.warn('Records not understood.', { message: result.error.message.slice(0, 200) });
+      return;
+    }
+    result.data.forEach((record) => {
+      if (table.accept(record)) onRecord(record);
+    });
+  }
+
+  async #answer(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const { documents } = this.#options;
+    try {
+      const parts: Buffer[] = [];
+      for await (const chunk of request) parts.push(chunk as Buffer);
+      let body: unknown;
+      if (request.url === '/records') {
+        this.#accept(JSON.parse(Buffer.concat(parts).toString()));
+        body = this.#records();
+      } else {
+        body = documents[request.url ?? '']?.();
+      }
+      response.statusCode = body === undefined ? 404 : 200;
+      response.setHeader('Content-Type', 'application/json');
+      response.end(JSON.stringify(body ?? {}));
+    } catch (error) {
+      this.#options.log.warn('Peer request failed.', { message: messageOf(error) });
+      response.destroy();
+    }
+  }
+}
+
+function shuffle<T>(values: readonly T[]): T[] {
+  const shuffled = [...values];
+  for (let index = shuffled.length - 1; index > 0; index -= 1) {
+    const other = Math.floor(Math.random() * (index + 1));
+    const value = shuffled[index] as T;
+    shuffled[index] = shuffled[other] as T;
+    shuffled[other] = value;
+  }
+  return shuffled;
+}
--- /dev/null
+++ b/src/gossip/peer-table.ts
@@ -0,0 +1,88 @@
+/** The newest record of each instance, and which instances are alive. */
+import type { PartLog } from '../telemetry/log.js';
+import type { PeerRecord } from './peer-record.js';
+
+/** Options of {@link PeerTable}. */
+export interface PeerTableOptions {
+  readonly instance: string;
+  readonly log: PartLog;
+  readonly now?: () => number;
+}
+
+interface Known {
+  record: PeerRecord;
+  /** When its counter last grew, on the monotonic clock. */
+  heardAt: number;
+  isAlive: boolean;
+}
+
+/** An instance that is silent for longer is taken for dead. */
+const SILENCE_MILLISECONDS = 1500;
+const FORGET_MILLISECONDS = 60_000;
+
+export class PeerTable {
+  readonly #instance: string;
+
+  readonly #log: PartLog;
+
+  readonly #now: () => number;
+
+  readonly #known = new Map<string, Known>();
+
+  constructor(options: PeerTableOptions) {
+    this.#instance = options.instance;
+    this.#log = options.log;
+    this.#now = options.now ?? (() => performance.now());
+  }
+
+  /**
+   * Takes in a record, if it is newer than what is known.
+   *
+   * @param record - A peer's record.
+   * @returns Whether it was newer.
+   */
+  accept(record: PeerRecord): boolean {
+    if (record.instance === this.#instance) return false;
+    const known = this.#known.get(record.instance);
+    if (known && !isNewer(record, known.record)) return false;
+    const wasAlive = known?.isAlive ?? false;
+    const isAlive = record.counter > 0;
+    this.#known.set(record.instance, { record, heardAt: this.#now(), isAlive });
+    if (isAlive && !wasAlive) this.#log.info('Peer regained.', { peer: record.instance });
+    return true;
+  }
+
+  /** Notes instances that have fallen silent. */
+  review(): void {
+    const now = this.#now();
+    this.#known.forEach((known, instance) => {
+      const silence = now - known.heardAt;
+      if (known.isAlive && silence > SILENCE_MILLISECONDS) {
+        known.isAlive = false;
+        this.#log.warn('Peer lost.', { peer: instance, silenceMilliseconds: Math.round(silence) });
+      }
+      if (silence > FORGET_MILLISECONDS) this.#known.delete(instance);
+    });
+  }
+
+  /** Records of peers that are alive. */
+  get alive(): PeerRecord[] {
+    return [...this.#known.values()].filter(({ isAlive }) => isAlive).map(({ record }) => record);
+  }
+
+  /** Records of every peer that was heard of. */
+  get all(): PeerRecord[] {
+    return [...this.#known.values()].map(({ record }) => record);
+  }
+
+  /** Finds a peer's record, if it is alive. */
+  findAlive(instance: string): PeerRecord | undefined {
+    const known = this.#known.get(instance);
+    return known?.isAlive ? known.record : undefined;
+  }
+}
+
+function isNewer(left: PeerRecord, right: PeerRecord): boolean {
+  if (left.incarnation !== right.incarnation) return left.incarnation > right.incarnation;
+  return left.counter > right.counter;
+}
