Repair by shifting neighbours and leading streams round; list after a cut watch

Ruled out: stale reads (none are asked for); a lost change (the list brought it). Change: list after every cut watch; shift engines along the chain at least cost; repath orders; retry budget shared through peers; digests between peers.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -42,6 +42,7 @@
 const CONFIGURATION_PATH = '/configuration';
 const FLEET_PATH = '/fleet';
 
+const HEARTBEAT_MILLISECONDS = 300;
 const STALL_REVIEW_MILLISECONDS = 70;
 const PACE_REVIEW_MILLISECONDS = 500;
 const HEALTH_REVIEW_MILLISECONDS = 200;
@@ -79,6 +80,9 @@
 
   #counter = 0;
 
+  /** What peers are told, made anew at each heartbeat. */
+  #record: PeerRecord;
+
   #storeContactAt = Number.NEGATIVE_INFINITY;
 
   #hasFleet = false;
@@ -100,9 +104,10 @@
     this.#peers = new PeerTable({ instance: settings.instance, log: logs('peer') });
     this.#gossip = new Gossip({
       address: settings.listen.peers,
+      dataCentre: settings.dataCentre,
       seeds: settings.seeds,
       table: this.#peers,
-      ownRecord: () => this.#ownRecord(),
+      ownRecord: () => this.#record,
       onRecord: (record) => this.#acceptRecord(record),
       documents: {
         [CONFIGURATION_PATH]: () => this.#configuration.source,
@@ -120,7 +125,8 @@
       crashes: new CrashRecords({ log: logs('routing') }),
       retries: new RetryAllowance({
         budget: settings.retryBudget,
-        instances: () => this.#peers.all.length + 1,
+        peers: () => this.#peers.alive.length,
+        othersOf: (service) => this.#peers.retriesOf(service),
       }),
       stallWatch: new StallWatch({
         dialect: platform.dialect,
@@ -131,6 +137,7 @@
       metrics: new EntryMetrics(),
       logs,
     };
+    this.#record = this.#makeRecord();
   }
 
   async start(): Promise<void> {
@@ -168,6 +175,7 @@
     const startedAt = performance.now();
     const end = startedAt + settings.stopMilliseconds - STOP_MARGIN_MILLISECONDS;
     log.info('Stopping: no longer offered to callers.', { open: this.#server?.openRequests() });
+    this.#record = this.#makeRecord();
     void this.#gossip.round();
     void platform.store.remove(INSTANCE_KIND, settings.instance);
     const keptUntil = startedAt + KEPT_LIFETIMES * ADDRESS_LIFETIME_SECONDS * 1000;
@@ -227,6 +235,9 @@
       signal,
     });
     void this.#register();
+    void this.#repeat(HEARTBEAT_MILLISECONDS, async () => {
+      this.#record = this.#makeRecord();
+    });
     void this.#repeat(STALL_REVIEW_MILLISECONDS, () => this.#context.stallWatch.review());
     void this.#repeat(PACE_REVIEW_MILLISECONDS, () => this.#context.stallWatch.reviewPaces());
     void this.#repeat(HEALTH_REVIEW_MILLISECONDS, () => this.#checkSuspects());
@@ -317,8 +328,9 @@
   #takeInstance(object: StoredObject): void {
     const { value } = object;
     const candidate = {
-      ...this.#ownRecord(),
+      ...this.#record,
       loads: {},
+      retries: {},
       paces: {},
       suspects: [],
       crashes: {},
@@ -334,7 +346,7 @@
     this.#peers.accept({ ...candidate, dataCentre, callers, peers });
   }
 
-  #ownRecord(): PeerRecord {
+  #makeRecord(): PeerRecord {
     const { settings } = this.#options;
     this.#counter += 1;
     const loads: PeerRecord['loads'] = {};
@@ -360,6 +372,7 @@
       suspects: this.#suspicions.own,
       loads,
       paces,
+      retries: this.#context.retries.counts,
       crashes: this.#context.crashes.list,
     };
   }
--- a/src/entry/dialect.ts
+++ b/src/entry/dialect.ts
@@ -65,6 +65,21 @@
   readonly expectedSequence: number;
 }
 
+/** An order to lead a request that is under way over another chain. */
+export interface RepathOrder {
+  readonly requestId: string;
+  /** Begins with the part that the request's chain began with. */
+  readonly chain: readonly Hop[];
+}
+
+/** What became of an order to lead a request over another chain. */
+export type RepathResult =
+  | { readonly kind: 'done' }
+  /** The engine doesn't run the request, or can't be asked. */
+  | { readonly kind: 'failed' }
+  /** A part of the new chain can't take the request. */
+  | { readonly kind: 'conflict'; readonly faultAddress: string | undefined };
+
 /** What became of an order. */
 export type OrderResult = 'begun' | 'done' | 'conflict' | 'refused' | 'unknown';
 
@@ -79,4 +94,9 @@
     order: PlaceOrder,
     timeoutMilliseconds: number,
   ) => Promise<OrderResult>;
+  readonly repath: (
+    address: Address,
+    order: RepathOrder,
+    timeoutMilliseconds: number,
+  ) => Promise<RepathResult>;
 }
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -4,14 +4,21 @@
 import { HttpCallError, messageOf } from '../common/http-client.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
-import { chooseChain, type Chain, type ChainCandidate } from '../layers/chain-choice.js';
+import {
+  chooseChain,
+  type Chain,
+  type ChainCandidate,
+  type ChainPart,
+} from '../layers/chain-choice.js';
 import type { RequestTokens } from '../layers/engine-times.js';
+import type { Hop } from './dialect.js';
 import { answerHeaders, sendOwnAnswer, setHeaders, type OwnAnswer } from './entry-answer.js';
 import type { EntryContext } from './entry-context.js';
 import { endReasonOf, isIdempotent, type EntryRequest } from './entry-request.js';
 import { EventSplitter } from './event-splitter.js';
 import { sendExchange } from './exchange.js';
 import type { EngineProfile } from './serving-configuration.js';
+import type { WatchedStream } from './stall-watch.js';
 
 /** How one attempt ended. */
 type AttemptEnd =
@@ -29,6 +36,12 @@
 const CHAIN_REVIEW_MILLISECONDS = 60;
 /** Tries beyond the route's maximum that engines have refused to run. */
 const MAXIMUM_REFUSED_TRIES = 4;
+const MAXIMUM_ATTEMPTS = 4;
+/** Beginning in another data centre must be worth this, so that instances don't all agree. */
+const OTHER_START_MILLISECONDS = 80;
+const START_SPREAD_MILLISECONDS = 80;
+const MAXIMUM_REPATHS = 3;
+const REPATH_TIMEOUT_MILLISECONDS = 300;
 const RETRY_AFTER_NO_CHAIN_SECONDS = 0.6;
 const RETRY_AFTER_CONVICTED_SECONDS = 30;
 
@@ -41,6 +54,13 @@
   };
 }
 
+function hopsOf(chain: Chain<EngineCandidate>): Hop[] {
+  return chain.parts.map(({ engine, layers }) => ({
+    address: engine.server.entry.address,
+    layers,
+  }));
+}
+
 /** One streaming request from its first attempt to its end. */
 class StreamRelay {
   readonly #context: EntryContext;
@@ -60,6 +80,9 @@
   #firstEventAt: number | undefined;
 
   /** Attempts that may have run. */
+  #attempts = 0;
+
+  /** Of them, those whose first engine lives; the route bounds them. */
   #runs = 0;
 
   #refusedTries = 0;
@@ -105,10 +128,15 @@
     const { route, service, terms } = this.#request;
     end.culprits.forEach((id) => this.#avoided.add(id));
     if (end.kind === 'notRun') this.#refusedTries += 1;
-    else this.#runs += 1;
-    const mayRun = isIdempotent(route) || this.#runs === 0;
+    else this.#attempts += 1;
+    const first = chain.parts[0]?.engine.id;
+    const isFirstLost = first === undefined || this.#context.suspicions.isSuspect(first);
+    if (end.kind === 'broken' && !isFirstLost) this.#runs += 1;
+    const mayRun = isIdempotent(route) || this.#attempts === 0;
     const isWithinTries =
-      this.#runs < route.maximumAttempts && this.#refusedTries <= MAXIMUM_REFUSED_TRIES;
+      this.#runs < route.maximumAttempts &&
+      this.#attempts < MAXIMUM_ATTEMPTS &&
+      this.#refusedTries <= MAXIMUM_REFUSED_TRIES;
     const isRetried = mayRun && isWithinTries && retries.take(service.name);
     logs('routing').info(isRetried ? 'Trying again.' : 'Giving up.', {
       requestId: terms.requestId,
@@ -117,12 +145,13 @@
       culprits: end.culprits,
       first: chain.parts[0]?.engine.id,
       lastEventId: this.#lastEventId,
+      attempts: this.#attempts,
       runs: this.#runs,
       refusedTries: this.#refusedTries,
     });
     metrics.event(isRetried ? 'retry' : 'given_up');
     if (isRetried) return undefined;
-    if (this.#runs === 0) return this.#refuse('servers_refused');
+    if (this.#attempts === 0) return this.#refuse('servers_refused');
     return this.#finish('broken', {
       status: 502,
       code: 'engine_failed',
@@ -142,12 +171,13 @@
     }
   }
 
-  #choose(): Chain<EngineCandidate> | undefined {
+  #choose(pinned?: ChainPart<EngineCandidate>): Chain<EngineCandidate> | undefined {
     const { fleet, suspicions, dataCentre, logs } = this.#context;
     const candidates: EngineCandidate[] = [];
     fleet.ofService(this.#request.service.name).forEach((server) => {
       const { id, layers, kind } = server.entry;
-      if (!layers || this.#avoided.has(id) || suspicions.isSuspect(id)) return;
+      const isAvoided = this.#avoided.has(id) || suspicions.isSuspect(id);
+      if (!layers || (isAvoided && id !== pinned?.engine.id)) return;
       candidates.push({
         id,
         dataCentre: server.entry.dataCentre,
@@ -162,7 +192,10 @@
     const chain = chooseChain(candidates, {
       profile: this.#profile,
       tokens: this.#tokens,
-      dataCentre,
+      ...(pinned ? { pinned } : {}),
+      startBias: (place) =>
+        (place === dataCentre ? 0 : OTHER_START_MILLISECONDS) +
+        Math.random() * START_SPREAD_MILLISECONDS,
     });
     if ('missingLayer' in chain) {
       logs('routing').info('No chain.', {
@@ -176,7 +209,8 @@
     return chain;
   }
 
-  async #attempt(chain: Chain<EngineCandidate>): Promise<AttemptEnd> {
+  /** Enters a chain's work at its engines; returns what takes it out again. */
+  #promise(chain: Chain<EngineCandidate>): () => void {
     const total = this.#tokens.prompt + this.#tokens.answer;
     const shares = chain.parts.map(({ engine, layers }) => ({
       load: engine.server.own,
@@ -186,55 +220,107 @@
       load.requests += 1;
       load.tokenLayers += tokenLayers;
     });
-    try {
-      return await this.#run(chain);
-    } finally {
+    return () => {
       shares.forEach(({ load, tokenLayers }) => {
         load.requests -= 1;
         load.tokenLayers -= tokenLayers;
       });
-    }
+    };
   }
 
-  async #run(chain: Chain<EngineCandidate>): Promise<AttemptEnd> {
+  async #attempt(chosen: Chain<EngineCandidate>): Promise<AttemptEnd> {
     const { stallWatch, logs } = this.#context;
     const { terms, signal } = this.#request;
-    const first = chain.parts[0]?.engine.server;
+    const first = chosen.parts[0]?.engine.server;
     if (!first) return { kind: 'notRun', culprits: [], message: 'The chain is empty.' };
-    logs('routing').info('Chain chosen.', {
-      requestId: terms.requestId,
-      chain: chain.parts.map(({ engine, layers }) => `${engine.id}=${layers.from}-${layers.to}`),
-      expectedMilliseconds: Math.round(chain.expectedMilliseconds),
-      isOverfull: chain.isOverfull,
-      fleetRevision: this.#context.fleet.revision,
-    });
+    logs('routing').info('Chain chosen.', this.#describe(chosen));
     const attempt = new AbortController();
     const abort = (): void => attempt.abort();
     signal.addEventListener('abort', abort, { once: true });
+    let release = this.#promise(chosen);
     let culprits: readonly string[] | undefined;
-    const watched = {
+    let isRepathing = false;
+    const serversOf = (chain: Chain<EngineCandidate>): FleetServer[] =>
+      chain.parts.map(({ engine }) => engine.server);
+    const watched: WatchedStream = {
       requestId: terms.requestId,
-      chain: chain.parts.map(({ engine }) => engine.server),
+      chain: serversOf(chosen),
       lastProgressAt: performance.now(),
       isBlocked: false,
-      giveUp: (found: readonly string[]): void => {
-        culprits = found;
-        attempt.abort();
+      avoid: (found) => {
+        if (isRepathing) return;
+        isRepathing = true;
+        found.forEach((id) => this.#avoided.add(id));
+        void this.#repath(chosen, found).then((chain) => {
+          isRepathing = false;
+          if (!chain) {
+            culprits = found;
+            attempt.abort();
+            return;
+          }
+          release();
+          release = this.#promise(chain);
+          watched.chain = serversOf(chain);
+          watched.lastProgressAt = performance.now();
+        });
       },
     };
     stallWatch.add(watched);
     try {
-      return await this.#converse(chain, first, watched, attempt.signal);
+      return await this.#converse(chosen, first, watched, attempt.signal);
     } catch (error) {
       if (culprits) return { kind: 'broken', culprits, message: 'The stream stalled.' };
       return this.#explain(first.entry, error);
     } finally {
+      release();
       stallWatch.remove(watched);
       signal.removeEventListener('abort', abort);
       attempt.abort();
     }
   }
 
+  #describe(chain: Chain<EngineCandidate>): Record<string, unknown> {
+    return {
+      requestId: this.#request.terms.requestId,
+      chain: chain.parts.map(({ engine, layers }) => `${engine.id}=${layers.from}-${layers.to}`),
+      expectedMilliseconds: Math.round(chain.expectedMilliseconds),
+      isOverfull: chain.isOverfull,
+      fleetRevision: this.#context.fleet.revision,
+    };
+  }
+
+  /** Leads the stream round engines at fault without running it anew; undefined when it can't be. */
+  async #repath(
+    chosen: Chain<EngineCandidate>,
+    culprits: readonly string[],
+  ): Promise<Chain<EngineCandidate> | undefined> {
+    const { dialect, fleet, logs, metrics } = this.#context;
+    const [pinned] = chosen.parts;
+    if (!pinned || culprits.length === 0 || culprits.includes(pinned.engine.id)) return undefined;
+    for (let tries = 0; tries < MAXIMUM_REPATHS; tries += 1) {
+      const chain = this.#choose(pinned);
+      if (!chain) return undefined;
+      const result = await dialect.repath(
+        pinned.engine.server.entry.address,
+        { requestId: this.#request.terms.requestId, chain: hopsOf(chain) },
+        REPATH_TIMEOUT_MILLISECONDS,
+      );
+      logs('routing').info('Chain changed under way.', {
+        ...this.#describe(chain),
+        culprits,
+        result: result.kind,
+        lastEventId: this.#lastEventId,
+      });
+      metrics.event(`repath_${result.kind}`);
+      if (result.kind === 'done') return chain;
+      if (result.kind === 'failed' || result.faultAddress === undefined) return undefined;
+      const fault = fleet.findByAddress(result.faultAddress);
+      if (!fault) return undefined;
+      this.#avoided.add(fault.entry.id);
+    }
+    return undefined;
+  }
+
   #explain(first: ServerEntry, error: unknown): AttemptEnd {
     const { suspicions, crashes } = this.#context;
     const culprits = [first.id];
@@ -254,7 +340,7 @@
   async #converse(
     chain: Chain<EngineCandidate>,
     first: FleetServer,
-    watched: { lastProgressAt: number; isBlocked: boolean },
+    watched: WatchedStream,
     signal: AbortSignal,
   ): Promise<AttemptEnd> {
     const { dialect, suspicions, fleet } = this.#context;
@@ -267,10 +353,7 @@
         remainingMilliseconds: deadline - performance.now(),
         account: account?.name,
         serverId: first.entry.id,
-        chain: chain.parts.map(({ engine, layers }) => ({
-          address: engine.server.entry.address,
-          layers,
-        })),
+        chain: hopsOf(chain),
         lastEventId: this.#lastEventId,
         urgency: Math.min(9, account?.priority ?? route.priority),
         bodyBytes: body.length,
@@ -284,9 +367,6 @@
       const culprit =
         said.faultAddress === undefined ? first : fleet.findByAddress(said.faultAddress);
       const id = culprit?.entry.id ?? first.entry.id;
-      if (status === 503 && said.faultAddress !== undefined) {
-        suspicions.noteFailure(id, `Status ${status}.`);
-      }
       return { kind: 'notRun', culprits: [id], message: `Status ${status}.` };
     }
     if (said.requestId !== terms.requestId) throw new Error('The answer is to another request.');
@@ -374,7 +454,7 @@
   #finish(outcome: string, answer: OwnAnswer): string {
     const { response, terms } = this.#request;
     // A stream that has begun ends without its last chunk, so that it doesn't look complete.
-    if (outcome === 'refused' && this.#runs > 0) {
+    if (outcome === 'refused' && this.#attempts > 0) {
       sendOwnAnswer(response, terms.requestId, { ...answer, status: 502 });
     } else {
       sendOwnAnswer(response, terms.requestId, answer);
--- a/src/entry/retry-allowance.ts
+++ b/src/entry/retry-allowance.ts
@@ -1,32 +1,40 @@
 /**
- * Bounds this instance's retries so that all instances together stay within the shared bound:
- * each has its part of the fixed slack and a share of its own first tries. Answers a fault that
- * fails many requests at once, which would otherwise be sent again all over the fleet.
+ * Bounds retries so that all instances together stay within the shared bound, each counting its
+ * own and what peers last told. Answers a fault that fails many requests at once, which would
+ * otherwise be sent again all over the fleet.
  */
 import type { RetryBudgetSettings } from './entry-settings.js';
 
+/** First tries and repeats of one service within the window. */
+export type RetryCounts = [first: number, repeated: number];
+
 /** Options of {@link RetryAllowance}. */
 export interface RetryAllowanceOptions {
   readonly budget: RetryBudgetSettings;
-  /** How many instances share the slack. */
-  readonly instances: () => number;
+  /** Other instances that are alive. */
+  readonly peers: () => number;
+  /** What peers last told of a service, summed. */
+  readonly othersOf: (service: string) => RetryCounts;
   readonly now?: () => number;
 }
 
-/** Instances may count the window differently, and may not know of each other yet. */
-const SAFETY_SHARE = 0.6;
-
-interface Window {
+interface Slice {
   first: number;
   repeated: number;
 }
 
+/** Kept back for what peers have not told yet. */
+const USED_SHARE = 0.75;
+const SLICES = 20;
+/** Repeats that an instance may add within a slice, whatever its part of what is left. */
+const LEAST_REPEATS_IN_SLICE = 2;
+
 export class RetryAllowance {
   readonly #options: RetryAllowanceOptions;
 
   readonly #now: () => number;
 
-  readonly #services = new Map<string, Map<number, Window>>();
+  readonly #services = new Map<string, Map<number, Slice>>();
 
   constructor(options: RetryAllowanceOptions) {
     this.#options = options;
@@ -45,23 +53,41 @@
    * @returns Whether it may be.
    */
   take(service: string): boolean {
-    const { budget, instances } = this.#options;
+    const { budget, othersOf, peers } = this.#options;
     const slice = this.#slice(service);
+    const [first, repeated] = this.#sum(service);
+    const [othersFirst, othersRepeated] = othersOf(service);
+    const allowed = USED_SHARE * (budget.ratio * (first + othersFirst) + budget.slack);
+    const left = allowed - repeated - othersRepeated;
+    const part = Math.max(LEAST_REPEATS_IN_SLICE, left / (1 + peers()));
+    if (left < 1 || slice.repeated + 1 > part) return false;
+    slice.repeated += 1;
+    return true;
+  }
+
+  /** What peers are told: the counts of each service within the window. */
+  get counts(): Record<string, RetryCounts> {
+    const entries = [...this.#services.keys()].map((service): [string, RetryCounts] => [
+      service,
+      this.#sum(service),
+    ]);
+    return Object.fromEntries(entries);
+  }
+
+  #sum(service: string): RetryCounts {
+    this.#slice(service);
     let first = 0;
     let repeated = 0;
-    this.#services.get(service)?.forEach((window) => {
-      first += window.first;
-      repeated += window.repeated;
+    this.#services.get(service)?.forEach((slice) => {
+      first += slice.first;
+      repeated += slice.repeated;
     });
-    const allowed = SAFETY_SHARE * (budget.ratio * first + budget.slack / Math.max(1, instances()));
-    if (repeated + 1 > allowed) return false;
-    slice.repeated += 1;
-    return true;
+    return [first, repeated];
   }
 
   /** The current slice of the window; older ones are dropped. */
-  #slice(service: string): Window {
-    const slices = this.#services.get(service) ?? new Map<number, Window>();
+  #slice(service: string): Slice {
+    const slices = this.#services.get(service) ?? new Map<number, Slice>();
     this.#services.set(service, slices);
     const length = this.#options.budget.windowMilliseconds / SLICES;
     const current = Math.floor(this.#now() / length);
@@ -71,5 +97,3 @@
     return slice;
   }
 }
-
-const SLICES = 10;
--- a/src/entry/stall-watch.ts
+++ b/src/entry/stall-watch.ts
@@ -11,13 +11,13 @@
 /** A stream under way over a chain. */
 export interface WatchedStream {
   readonly requestId: string;
-  readonly chain: readonly FleetServer[];
+  chain: readonly FleetServer[];
   /** When the last event came, or the request was sent, on the monotonic clock. */
   lastProgressAt: number;
   /** Whether its caller doesn't read, so that silence proves nothing. */
   isBlocked: boolean;
-  /** Ends the attempt; `culprits` are servers to avoid. */
-  readonly giveUp: (culprits: readonly string[]) => void;
+  /** Leads the stream round servers, or ends the attempt. */
+  readonly avoid: (culprits: readonly string[]) => void;
 }
 
 /** Options of {@link StallWatch}. */
@@ -36,6 +36,8 @@
 /** Between two reports of the same engine. */
 const REPORT_SPACING_MILLISECONDS = 300;
 const SLOW_REPORT_SPACING_MILLISECONDS = 1500;
+/** A report that took this much longer than allowed was held up by this process itself. */
+const OWN_DELAY_MILLISECONDS = 100;
 
 export class StallWatch {
   readonly #options: StallWatchOptions;
@@ -74,7 +76,7 @@
         .map(({ entry }) => entry.id)
         .filter((id) => suspicions.isSuspect(id));
       if (culprits.length > 0) {
-        stream.giveUp(culprits);
+        stream.avoid(culprits);
         return;
       }
       const [first] = stream.chain;
@@ -108,6 +110,7 @@
     const { id, address } = server.entry;
     if (!this.#mayAsk(id, REPORT_SPACING_MILLISECONDS)) return;
     const { dialect, fleet, suspicions, log } = this.#options;
+    const askedAt = this.#now();
     try {
       const report = await dialect.readReport(address, REPORT_TIMEOUT_MILLISECONDS);
       server.ownSlowFactor = report.pace;
@@ -117,22 +120,30 @@
         const stream = [...this.#streams].find((each) => each.requestId === requestId);
         if (!stream) return;
         log.info('Stream waits for an engine.', { requestId, faultAddress, first: id });
-        stream.giveUp(culprit ? [culprit.entry.id] : []);
+        stream.avoid(culprit ? [culprit.entry.id] : []);
       });
     } catch {
-      suspicions.raise(id, 'It gave no report.');
+      this.#suspectSilent(id, askedAt);
     }
   }
 
+  /** Suspects a server that gave no report, unless this process was too busy to read it. */
+  #suspectSilent(id: string, askedAt: number): void {
+    const waited = this.#now() - askedAt;
+    if (waited > REPORT_TIMEOUT_MILLISECONDS + OWN_DELAY_MILLISECONDS) return;
+    this.#options.suspicions.raise(id, 'It gave no report.');
+  }
+
   async #askPace(server: FleetServer): Promise<void> {
     const { id, address } = server.entry;
     if (!this.#mayAsk(`pace ${id}`, SLOW_REPORT_SPACING_MILLISECONDS)) return;
+    const askedAt = this.#now();
     try {
       const { pace } = await this.#options.dialect.readReport(address, REPORT_TIMEOUT_MILLISECONDS);
       if (pace !== server.ownSlowFactor) this.#options.log.info('Pace changed.', { id, pace });
       server.ownSlowFactor = pace;
     } catch {
-      this.#options.suspicions.raise(id, 'It gave no report.');
+      this.#suspectSilent(id, askedAt);
     }
   }
 }
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -4,6 +4,7 @@
  * gRPC, whose library takes longer to load than everything else an instance needs to serve.
  */
 import http from 'node:http';
+import { z } from 'zod';
 import type { Address } from '../common/address.js';
 import { sleep } from '../common/clock.js';
 import { callWhole, messageOf } from '../common/http-client.js';
@@ -14,6 +15,7 @@
 /** Options of {@link startGossip}. */
 export interface GossipOptions {
   readonly address: Address;
+  readonly dataCentre: string;
   readonly seeds: readonly Address[];
   readonly table: PeerTable;
   readonly ownRecord: () => PeerRecord;
@@ -24,9 +26,19 @@
   readonly signal: AbortSignal;
 }
 
-/** Peers exchanged with at each round. */
-const FANOUT = 3;
-const ROUND_MILLISECONDS = 250;
+/** What an instance knows, by instance: incarnation and counter. */
+const Digest = z.record(z.string(), z.tuple([z.number(), z.number()]));
+type Digest = z.infer<typeof Digest>;
+
+/** An instance tells its own record and what it knows; it is told what it lacks. */
+const Exchange = z.object({ own: PeerRecord, known: Digest });
+
+/** Peers of the own data centre, and of others, exchanged with at each round. */
+const NEAR_FANOUT = 2;
+const FAR_FANOUT = 1;
+/** Of rounds, in which a peer is tried that need not be alive. */
+const PROBE_SHARE = 0.3;
+const ROUND_MILLISECONDS = 300;
 const EXCHANGE_TIMEOUT_MILLISECONDS = 400;
 const DOCUMENT_TIMEOUT_MILLISECONDS = 1000;
 
@@ -96,15 +108,19 @@
   }
 
   #pickPeers(): Address[] {
-    const { table, seeds, address } = this.#options;
-    const alive = table.alive.map(({ peers }) => peers);
+    const { table, seeds, address, dataCentre } = this.#options;
+    const { alive } = table;
+    const near = shuffle(alive.filter((peer) => peer.dataCentre === dataCentre));
+    const far = shuffle(alive.filter((peer) => peer.dataCentre !== dataCentre));
+    const nearPicked = near.slice(0, NEAR_FANOUT);
+    const farCount = FAR_FANOUT + NEAR_FANOUT - nearPicked.length;
+    const picked = [...nearPicked, ...far.slice(0, farCount)].map(({ peers }) => peers);
+    // Alive or not, so that parts that lost each other meet again.
     const others = [...table.all.map(({ peers }) => peers), ...seeds].filter(
       (peer) => peer.host !== address.host || peer.port !== address.port,
     );
-    const picked = shuffle(alive).slice(0, FANOUT);
-    // One more, alive or not, so that parts that lost each other meet again.
     const [extra] = shuffle(others);
-    if (extra && (alive.length < FANOUT || Math.random() < 1 / FANOUT)) picked.push(extra);
+    if (extra && (picked.length === 0 || Math.random() < PROBE_SHARE)) picked.push(extra);
     return picked;
   }
 
@@ -116,7 +132,7 @@
         method: 'POST',
         path: '/records',
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(this.#records()),
+        body: JSON.stringify({ own: this.#options.ownRecord(), known: this.#digest() }),
         timeoutMilliseconds: EXCHANGE_TIMEOUT_MILLISECONDS,
       });
       this.#accept(JSON.parse(answer.body.toString()));
@@ -125,9 +141,22 @@
     }
   }
 
-  #records(): PeerRecord[] {
+  #digest(): Digest {
+    const { table } = this.#options;
+    return Object.fromEntries(
+      table.alive.map(({ instance, incarnation, counter }) => [instance, [incarnation, counter]]),
+    );
+  }
+
+  /** Records that are newer than what a peer knows. */
+  #lackedBy(peer: string, known: Digest): PeerRecord[] {
     const { ownRecord, table } = this.#options;
-    return [ownRecord(), ...table.alive];
+    return [ownRecord(), ...table.alive].filter(({ instance, incarnation, counter }) => {
+      if (instance === peer) return false;
+      const [knownIncarnation = 0, knownCounter = 0] = known[instance] ?? [];
+      if (incarnation !== knownIncarnation) return incarnation > knownIncarnation;
+      return counter > knownCounter;
+    });
   }
 
   #accept(value: unknown): void {
@@ -149,8 +178,9 @@
       for await (const chunk of request) parts.push(chunk as Buffer);
       let body: unknown;
       if (request.url === '/records') {
-        this.#accept(JSON.parse(Buffer.concat(parts).toString()));
-        body = this.#records();
+        const { own, known } = Exchange.parse(JSON.parse(Buffer.concat(parts).toString()));
+        this.#accept([own]);
+        body = this.#lackedBy(own.instance, known);
       } else {
         body = documents[request.url ?? '']?.();
       }
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -24,6 +24,8 @@
   loads: z.record(z.string(), z.tuple([z.number(), z.number()])),
   /** By server: how many times slower than its kind. */
   paces: z.record(z.string(), z.number()),
+  /** By service: first tries and repeats of late. */
+  retries: z.record(z.string(), z.tuple([z.number(), z.number()])),
   /** Deaths of servers by the content of requests. */
   crashes: z.record(z.string(), z.array(z.string())),
 });
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -75,6 +75,24 @@
     return [...this.#known.values()].map(({ record }) => record);
   }
 
+  /**
+   * Sums what peers tell of a service's retries.
+   *
+   * @param service - The service.
+   * @returns First tries and repeats within the window.
+   */
+  retriesOf(service: string): [first: number, repeated: number] {
+    let first = 0;
+    let repeated = 0;
+    this.#known.forEach(({ record, isAlive }) => {
+      const counts = record.retries[service];
+      if (!counts || !isAlive) return;
+      first += counts[0];
+      repeated += counts[1];
+    });
+    return [first, repeated];
+  }
+
   /** Finds a peer's record, if it is alive. */
   findAlive(instance: string): PeerRecord | undefined {
     const known = this.#known.get(instance);
--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -44,15 +44,16 @@
 export interface ChainRequest {
   readonly profile: EngineProfile;
   readonly tokens: RequestTokens;
-  /** Where the chain had better begin. */
-  readonly dataCentre: string;
+  /** The first part, when it must stay as it is. */
+  readonly pinned?: ChainPart;
+  /** Added to the cost of beginning in a data centre, in milliseconds. */
+  readonly startBias?: (dataCentre: string) => number;
 }
 
 /** Handing a token to the next engine, beside the link's delay. */
 const HOP_MILLISECONDS_PER_TOKEN = 0.15;
 /** A link between data centres is shared by all chains, so that crossing it must be worth it. */
-const CROSSING_MILLISECONDS = 250;
-const OTHER_START_MILLISECONDS = 10;
+const CROSSING_MILLISECONDS = 1000;
 /** Grows an engine's expected time with its use of memory. */
 const FILL_WEIGHT = 2;
 const OVERFULL_MILLISECONDS = 20_000;
@@ -64,8 +65,12 @@
   readonly previous: Step<T> | undefined;
 }
 
-function boundariesOf(candidates: readonly ChainCandidate[], layerCount: number): number[] {
-  const boundaries = new Set([0, layerCount]);
+function boundariesOf(
+  candidates: readonly ChainCandidate[],
+  layerCount: number,
+  pinned: ChainPart | undefined,
+): number[] {
+  const boundaries = new Set([0, pinned?.layers.to ?? 0, layerCount]);
   candidates.forEach(({ layers }) => {
     boundaries.add(layers.from);
     boundaries.add(Math.min(layers.to, layerCount));
@@ -101,10 +106,6 @@
   return hop + CROSSING_MILLISECONDS + bits / (1000 * profile.crossLinkMegabitsPerSecond);
 }
 
-function startMilliseconds(engine: ChainCandidate, request: ChainRequest): number {
-  return engine.dataCentre === request.dataCentre ? 0 : OTHER_START_MILLISECONDS;
-}
-
 /** Turns the steps into parts; where a chain comes back to an engine, it stays there throughout. */
 function toParts<T extends ChainCandidate>(last: Step<T>, layerCount: number): ChainPart<T>[] {
   const steps: Step<T>[] = [];
@@ -124,6 +125,21 @@
   return parts;
 }
 
+/** Whether an engine may run a stretch of layers; the pinned one runs its own and no other. */
+function mayHold(
+  engine: ChainCandidate,
+  from: number,
+  to: number,
+  pinned: ChainPart | undefined,
+): boolean {
+  if (pinned) {
+    const isPinned = engine.id === pinned.engine.id;
+    if (from < pinned.layers.to) return isPinned;
+    if (isPinned) return false;
+  }
+  return engine.layers.from <= from && engine.layers.to >= to;
+}
+
 /**
  * Chooses a chain.
  *
@@ -138,21 +154,19 @@
   const { layerCount } = request.profile;
   const requestTokens = request.tokens.prompt + request.tokens.answer;
   const weighed = candidates.map((engine) => weigh(engine, request));
-  const boundaries = boundariesOf(candidates, layerCount);
+  const boundaries = boundariesOf(candidates, layerCount, request.pinned);
   let reached: Step<T>[] = [];
   for (let index = 0; index + 1 < boundaries.length; index += 1) {
     const from = boundaries[index] ?? 0;
     const to = boundaries[index + 1] ?? layerCount;
-    const holders = weighed.filter(
-      ({ engine }) => engine.layers.from <= from && engine.layers.to >= to,
-    );
+    const holders = weighed.filter(({ engine }) => mayHold(engine, from, to, request.pinned));
     if (holders.length === 0) return { missingLayer: from };
     const earlier = reached;
     reached = holders.map(({ engine, milliseconds, room }) => {
       const isOver = room < requestTokens * (to - from);
       const own = milliseconds * (to - from) + (isOver ? OVERFULL_MILLISECONDS : 0);
       if (from === 0) {
-        const cost = own + startMilliseconds(engine, request);
+        const cost = own + (request.startBias?.(engine.dataCentre) ?? 0);
         return { cost, engine, from, previous: undefined };
       }
       let best: Step<T> | undefined;
--- a/src/layers/cover-plan.ts
+++ b/src/layers/cover-plan.ts
@@ -113,70 +113,128 @@
   return { from: best, to: best + count };
 }
 
-/** Fills a hole: empty engines first, then the neighbours on both sides, as far as they can. */
-function fillHole(
-  hole: LayerRange,
+/** What loading one more layer costs, against memory taken from KV cache. */
+const LOAD_COST = 1;
+const STRAIN_COST = 0.25;
+
+interface Shift {
+  readonly cost: number;
+  readonly range: LayerRange | undefined;
+  readonly covered: number;
+  readonly previous: Shift | undefined;
+}
+
+function newLayers(range: LayerRange, held: LayerRange | undefined): number {
+  if (!held) return lengthOf(range);
+  const kept = Math.min(range.to, held.to) - Math.max(range.from, held.from);
+  return lengthOf(range) - Math.max(0, kept);
+}
+
+function strain(engine: PlannedEngine, count: number, profile: EngineProfile): number {
+  const over = Math.max(0, count - comfortableLayers(engine, profile));
+  return STRAIN_COST * over * over;
+}
+
+/** The range of an engine that must reach from the covered layers to `to`, keeping what it can. */
+function reachingRange(
+  held: LayerRange | undefined,
+  covered: number,
+  to: number,
+  capacity: number,
+): LayerRange | undefined {
+  if (to - covered > capacity) return undefined;
+  const isTouching = held !== undefined && held.from <= covered && held.to > held.from;
+  const from = isTouching ? Math.max(held.from, to - capacity) : covered;
+  return { from, to };
+}
+
+/**
+ * Shifts engines, in the order of what they hold, so that they cover every layer with the fewest
+ * layers loaded and the least strain on KV cache.
+ */
+function shiftOver(
   engines: readonly PlannedEngine[],
-  ranges: Map<string, LayerRange>,
+  order: ReadonlyMap<string, number>,
   profile: EngineProfile,
-): void {
-  let { from, to } = hole;
+): Map<string, LayerRange> | undefined {
+  const { layerCount } = profile;
+  const sorted = [...engines].sort(
+    (left, right) => (order.get(left.id) ?? 0) - (order.get(right.id) ?? 0),
+  );
+  let best = new Map<number, Shift>([
+    [0, { cost: 0, range: undefined, covered: 0, previous: undefined }],
+  ]);
+  sorted.forEach((engine) => {
+    const { layers: held } = engine;
+    const capacity = layerCapacity(profile, engine.kind);
+    const next = new Map<number, Shift>();
+    const offer = (from: Shift, range: LayerRange | undefined, covered: number): void => {
+      const count = lengthOf(range);
+      const added = range ? newLayers(range, held) : 0;
+      const extra = added > 0 ? strain(engine, count, profile) + LOAD_COST * added : 0;
+      const cost = from.cost + extra;
+      if (cost >= (next.get(covered)?.cost ?? Number.POSITIVE_INFINITY)) return;
+      next.set(covered, { cost, range, covered, previous: from });
+    };
+    best.forEach((shift, covered) => {
+      const reach = held && held.from <= covered ? Math.max(covered, held.to) : covered;
+      offer(shift, held, reach);
+      for (let to = covered + 1; to <= Math.min(layerCount, covered + capacity); to += 1) {
+        const range = reachingRange(held, covered, to, capacity);
+        if (range) offer(shift, range, to);
+      }
+    });
+    best = next;
+  });
+  let last = best.get(layerCount);
+  if (!last) return undefined;
+  const ranges = new Map<string, LayerRange>();
+  for (let index = sorted.length - 1; index >= 0 && last; index -= 1) {
+    const engine = sorted[index];
+    if (engine && last.range) ranges.set(engine.id, last.range);
+    last = last.previous;
+  }
+  return ranges;
+}
+
+/** Where each engine stands in the order of layers; empty ones stand before holes, widest first. */
+function orderOf(
+  engines: readonly PlannedEngine[],
+  holes: readonly LayerRange[],
+  profile: EngineProfile,
+): Map<string, number> {
+  const order = new Map<string, number>();
+  engines.forEach(({ id, layers }) => {
+    if (layers) order.set(id, (layers.from + layers.to) / 2);
+  });
+  const left = holes.map(({ from, to }) => ({ from, to }));
   engines
-    .filter(({ id }) => !ranges.has(id))
-    .sort((left, right) => layerCapacity(profile, right.kind) - layerCapacity(profile, left.kind))
+    .filter(({ layers }) => !layers)
+    .sort((one, other) => layerCapacity(profile, other.kind) - layerCapacity(profile, one.kind))
     .forEach((engine) => {
-      if (from >= to) return;
-      const wanted = Math.max(comfortableLayers(engine, profile), to - from);
-      const count = Math.min(layerCapacity(profile, engine.kind), wanted);
-      const start = Math.max(0, Math.min(from, profile.layerCount - count));
-      ranges.set(engine.id, { from: start, to: start + count });
-      from = Math.max(from, start + count);
-    });
-  const spare = (engine: PlannedEngine): number =>
-    layerCapacity(profile, engine.kind) - lengthOf(ranges.get(engine.id));
-  while (from < to) {
-    // One layer at a time, from the side whose engine has more memory left.
-    let best: PlannedEngine | undefined;
-    let bestRoom = 0;
-    const [start, end] = [from, to];
-    engines.forEach((engine) => {
-      const range = ranges.get(engine.id);
-      if (!range || spare(engine) <= 0) return;
-      if (range.to !== start && range.from !== end) return;
-      const room = spare(engine) / layerCapacity(profile, engine.kind);
-      if (room <= bestRoom) return;
-      bestRoom = room;
-      best = engine;
+      const [widest] = left.sort((one, other) => lengthOf(other) - lengthOf(one));
+      if (!widest || lengthOf(widest) <= 0) return;
+      const taken = Math.min(lengthOf(widest), layerCapacity(profile, engine.kind));
+      order.set(engine.id, widest.from + taken / 2);
+      widest.from += taken;
     });
-    const range = best && ranges.get(best.id);
-    if (!best || !range) return;
-    if (range.to === from) {
-      ranges.set(best.id, { from: range.from, to: from + 1 });
-      from += 1;
-    } else {
-      ranges.set(best.id, { from: to - 1, to: range.to });
-      to -= 1;
-    }
-  }
+  return order;
 }
 
 function planDataCentre(
   engines: readonly PlannedEngine[],
   profile: EngineProfile,
 ): Map<string, LayerRange> {
-  const held = new Map<string, LayerRange>();
+  const ranges = new Map<string, LayerRange>();
   engines.forEach(({ id, layers }) => {
-    if (layers) held.set(id, layers);
+    if (layers) ranges.set(id, layers);
   });
-  const fresh = held.size === 0 ? layOut(engines, profile) : undefined;
-  if (fresh) return fresh;
-  const ranges = new Map(held);
-  holesIn([...ranges.values()], profile.layerCount).forEach((hole) =>
-    fillHole(hole, engines, ranges, profile),
-  );
-  if (holesIn([...ranges.values()], profile.layerCount).length > 0) {
-    const anew = layOut(engines, profile);
-    if (anew) return anew;
+  if (ranges.size === 0) return layOut(engines, profile) ?? ranges;
+  const holes = holesIn([...ranges.values()], profile.layerCount);
+  if (holes.length > 0) {
+    const order = orderOf(engines, holes, profile);
+    const taking = engines.filter(({ id }) => order.has(id));
+    shiftOver(taking, order, profile)?.forEach((range, id) => ranges.set(id, range));
   }
   engines
     .filter(({ id }) => !ranges.has(id))
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -17,7 +17,7 @@
   readonly signal: AbortSignal;
 }
 
-const DEFAULT_WAIT_MILLISECONDS = 4000;
+const DEFAULT_WAIT_MILLISECONDS = 10_000;
 const FIRST_PAUSE_MILLISECONDS = 40;
 const LONGEST_PAUSE_MILLISECONDS = 320;
 
@@ -80,6 +80,8 @@
         revision = undefined;
       } else if (!signal.aborted) {
         await noteFailure(watched.message);
+        // A store that lost its history meanwhile may let a watch from an old revision wait.
+        revision = undefined;
       }
     }
   }
