Lay an idle fleet out whole, and give up no layers that are in use

Ruled out: too little memory in the fleet (a whole layout leaves 124k tokens a chain). Change: a fleet without requests is laid out whole after 1 s without a change; strain on KV cache weighs in each shift; in use, engines only extend; a cut stream has the first engine asked instead.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -125,7 +125,7 @@
       crashes: new CrashRecords({ log: logs('routing') }),
       retries: new RetryAllowance({
         budget: settings.retryBudget,
-        peers: () => this.#peers.alive.length,
+        peers: () => this.#peers.all.length,
         othersOf: (service) => this.#peers.retriesOf(service),
       }),
       stallWatch: new StallWatch({
@@ -249,6 +249,7 @@
       lease: new PlannerLease({ store, holder: this.#holder, log: logs('placement') }),
       isPlanner: () => this.#isPlanner(),
       isHolderGone: (holder) => this.#isHolderGone(holder),
+      isIdle: (service) => this.#isIdle(service),
       metrics: this.#context.metrics,
       log: logs('placement'),
       signal,
@@ -287,6 +288,12 @@
     return String(peer.incarnation) !== incarnation || settings.instance < instance;
   }
 
+  #isIdle(service: string): boolean {
+    const [own] = this.#context.retries.counts[service] ?? [0];
+    const [others] = this.#peers.retriesOf(service);
+    return own + others === 0;
+  }
+
   #takeConfiguration(object: StoredObject): void {
     const { platform, logs } = this.#options;
     if (object.name !== platform.configurationName) return;
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -40,6 +40,8 @@
 /** Beginning in another data centre must be worth this, so that instances don't all agree. */
 const OTHER_START_MILLISECONDS = 80;
 const START_SPREAD_MILLISECONDS = 80;
+/** An engine that had no room is passed by for this long. */
+const FULL_MILLISECONDS = 200;
 const MAXIMUM_REPATHS = 3;
 const REPATH_TIMEOUT_MILLISECONDS = 300;
 const RETRY_AFTER_NO_CHAIN_SECONDS = 0.6;
@@ -171,12 +173,22 @@
     }
   }
 
+  /** Chooses a chain, over engines without room only where there is no other. */
   #choose(pinned?: ChainPart<EngineCandidate>): Chain<EngineCandidate> | undefined {
+    return this.#chooseAmong(false, pinned) ?? this.#chooseAmong(true, pinned);
+  }
+
+  #chooseAmong(
+    isFullAllowed: boolean,
+    pinned?: ChainPart<EngineCandidate>,
+  ): Chain<EngineCandidate> | undefined {
     const { fleet, suspicions, dataCentre, logs } = this.#context;
     const candidates: EngineCandidate[] = [];
+    const now = performance.now();
     fleet.ofService(this.#request.service.name).forEach((server) => {
       const { id, layers, kind } = server.entry;
-      const isAvoided = this.#avoided.has(id) || suspicions.isSuspect(id);
+      const isFull = server.fullUntil > now && !isFullAllowed;
+      const isAvoided = this.#avoided.has(id) || suspicions.isSuspect(id) || isFull;
       if (!layers || (isAvoided && id !== pinned?.engine.id)) return;
       candidates.push({
         id,
@@ -198,6 +210,7 @@
         Math.random() * START_SPREAD_MILLISECONDS,
     });
     if ('missingLayer' in chain) {
+      if (!isFullAllowed) return undefined;
       logs('routing').info('No chain.', {
         requestId: this.#request.terms.requestId,
         missingLayer: chain.missingLayer,
@@ -330,7 +343,8 @@
       suspicions.raise(first.id, message);
       return { kind: 'notRun', culprits, message };
     }
-    suspicions.noteFailure(first.id, message);
+    // Any engine of the chain may be at fault; the first one answers whether it lives.
+    void this.#context.stallWatch.check(first.id);
     if (error instanceof HttpCallError && error.phase === 'sent') {
       crashes.note(this.#request.content, first.id);
     }
@@ -367,6 +381,7 @@
       const culprit =
         said.faultAddress === undefined ? first : fleet.findByAddress(said.faultAddress);
       const id = culprit?.entry.id ?? first.entry.id;
+      if (culprit && status === 503) culprit.fullUntil = performance.now() + FULL_MILLISECONDS;
       return { kind: 'notRun', culprits: [id], message: `Status ${status}.` };
     }
     if (said.requestId !== terms.requestId) throw new Error('The answer is to another request.');
--- a/src/entry/retry-allowance.ts
+++ b/src/entry/retry-allowance.ts
@@ -11,7 +11,7 @@
 /** Options of {@link RetryAllowance}. */
 export interface RetryAllowanceOptions {
   readonly budget: RetryBudgetSettings;
-  /** Other instances that are alive. */
+  /** Other instances that may be alive, whether or not they can be heard. */
   readonly peers: () => number;
   /** What peers last told of a service, summed. */
   readonly othersOf: (service: string) => RetryCounts;
@@ -24,7 +24,7 @@
 }
 
 /** Kept back for what peers have not told yet. */
-const USED_SHARE = 0.75;
+const USED_SHARE = 0.65;
 const SLICES = 20;
 /** Repeats that an instance may add within a slice, whatever its part of what is left. */
 const LEAST_REPEATS_IN_SLICE = 2;
--- a/src/entry/stall-watch.ts
+++ b/src/entry/stall-watch.ts
@@ -85,6 +85,16 @@
     await Promise.all([...silent.values()].map((server) => this.#askAboutStalls(server)));
   }
 
+  /**
+   * Checks that an engine lives and which streams wait for others.
+   *
+   * @param id - The engine.
+   */
+  async check(id: string): Promise<void> {
+    const server = this.#options.fleet.find(id);
+    if (server) await this.#askAboutStalls(server);
+  }
+
   /** Reads the pace of engines that silent streams pass through or that were slow. */
   async reviewPaces(): Promise<void> {
     const now = this.#now();
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -21,6 +21,8 @@
   ownSlowFactor: number;
   /** The same, as peers have read. */
   othersSlowFactor: number;
+  /** Until when it is thought to have no room, on the monotonic clock. */
+  fullUntil: number;
   /** Since when it is gone from the store, on the monotonic clock; it may come back. */
   missingSince: number | undefined;
 }
@@ -134,6 +136,7 @@
         others: { requests: 0, tokenLayers: 0 },
         ownSlowFactor: 1,
         othersSlowFactor: 1,
+        fullUntil: 0,
         missingSince: undefined,
       });
       return;
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -18,6 +18,8 @@
 
 /** An instance that is silent for longer is taken for dead. */
 const SILENCE_MILLISECONDS = 1500;
+/** What a silent instance last told of its retries counts for this long. */
+const RETRIES_KEPT_MILLISECONDS = 10_000;
 const FORGET_MILLISECONDS = 60_000;
 
 export class PeerTable {
@@ -84,9 +86,10 @@
   retriesOf(service: string): [first: number, repeated: number] {
     let first = 0;
     let repeated = 0;
-    this.#known.forEach(({ record, isAlive }) => {
+    const oldest = this.#now() - RETRIES_KEPT_MILLISECONDS;
+    this.#known.forEach(({ record, heardAt }) => {
       const counts = record.retries[service];
-      if (!counts || !isAlive) return;
+      if (!counts || heardAt < oldest) return;
       first += counts[0];
       repeated += counts[1];
     });
--- a/src/layers/cover-plan.ts
+++ b/src/layers/cover-plan.ts
@@ -17,6 +17,8 @@
   readonly slots: number;
   /** What it holds or has been ordered to hold. */
   readonly layers: LayerRange | undefined;
+  /** Whether requests pass through it, which giving layers up would cut off. */
+  readonly isInUse: boolean;
 }
 
 /** New ranges by engine; engines that stay as they are aren't listed. */
@@ -113,9 +115,12 @@
   return { from: best, to: best + count };
 }
 
-/** What loading one more layer costs, against memory taken from KV cache. */
+/** What loading one more layer costs, against layers given up and memory taken from KV cache. */
 const LOAD_COST = 1;
-const STRAIN_COST = 0.25;
+const DROP_COST = 0.5;
+const STRAIN_COST = 4;
+/** An engine is strained once its KV cache serves no more than this share of its slots. */
+const STRAINED_SLOT_SHARE = 0.3;
 
 interface Shift {
   readonly cost: number;
@@ -130,18 +135,39 @@
   return lengthOf(range) - Math.max(0, kept);
 }
 
-function strain(engine: PlannedEngine, count: number, profile: EngineProfile): number {
-  const over = Math.max(0, count - comfortableLayers(engine, profile));
-  return STRAIN_COST * over * over;
+/** Grows steeply where an engine's KV cache would hold fewer requests than it should. */
+function strain(engine: PlannedEngine, range: LayerRange, profile: EngineProfile): number {
+  const requestTokens = profile.usualPromptTokens + profile.usualAnswerTokens;
+  const needed = STRAINED_SLOT_SHARE * engine.slots * requestTokens;
+  const tokens = cacheCapacity(profile, engine.kind, range) / lengthOf(range);
+  return STRAIN_COST * (needed / Math.max(1, tokens)) ** 2;
 }
 
-/** The range of an engine that must reach from the covered layers to `to`, keeping what it can. */
+function changeCost(
+  engine: PlannedEngine,
+  range: LayerRange | undefined,
+  profile: EngineProfile,
+): number {
+  if (!range) return 0;
+  const added = newLayers(range, engine.layers);
+  const dropped = engine.layers ? newLayers(engine.layers, range) : 0;
+  return LOAD_COST * added + DROP_COST * dropped + strain(engine, range, profile);
+}
+
+/**
+ * The range of an engine that must reach from the covered layers to `to`, keeping what it can, and
+ * all that it holds while it is in use.
+ */
 function reachingRange(
-  held: LayerRange | undefined,
+  { layers: held, isInUse }: PlannedEngine,
   covered: number,
   to: number,
   capacity: number,
 ): LayerRange | undefined {
+  if (held && isInUse) {
+    const range = { from: Math.min(held.from, covered), to: Math.max(held.to, to) };
+    return lengthOf(range) <= capacity ? range : undefined;
+  }
   if (to - covered > capacity) return undefined;
   const isTouching = held !== undefined && held.from <= covered && held.to > held.from;
   const from = isTouching ? Math.max(held.from, to - capacity) : covered;
@@ -169,19 +195,17 @@
     const capacity = layerCapacity(profile, engine.kind);
     const next = new Map<number, Shift>();
     const offer = (from: Shift, range: LayerRange | undefined, covered: number): void => {
-      const count = lengthOf(range);
-      const added = range ? newLayers(range, held) : 0;
-      const extra = added > 0 ? strain(engine, count, profile) + LOAD_COST * added : 0;
-      const cost = from.cost + extra;
+      const cost = from.cost + (range === held ? 0 : changeCost(engine, range, profile));
       if (cost >= (next.get(covered)?.cost ?? Number.POSITIVE_INFINITY)) return;
       next.set(covered, { cost, range, covered, previous: from });
     };
     best.forEach((shift, covered) => {
       const reach = held && held.from <= covered ? Math.max(covered, held.to) : covered;
       offer(shift, held, reach);
-      for (let to = covered + 1; to <= Math.min(layerCount, covered + capacity); to += 1) {
-        const range = reachingRange(held, covered, to, capacity);
-        if (range) offer(shift, range, to);
+      const least = held && held.from <= covered ? Math.max(covered, held.to) + 1 : covered + 1;
+      for (let to = least; to <= Math.min(layerCount, covered + capacity); to += 1) {
+        const range = reachingRange(engine, covered, to, capacity);
+        if (range) offer(shift, range, Math.max(to, range.to));
       }
     });
     best = next;
@@ -224,7 +248,10 @@
 function planDataCentre(
   engines: readonly PlannedEngine[],
   profile: EngineProfile,
+  isIdle: boolean,
 ): Map<string, LayerRange> {
+  const anew = isIdle ? layOut(engines, profile) : undefined;
+  if (anew) return anew;
   const ranges = new Map<string, LayerRange>();
   engines.forEach(({ id, layers }) => {
     if (layers) ranges.set(id, layers);
@@ -250,9 +277,14 @@
  *
  * @param engines - The engines that live and stay.
  * @param profile - The service's profile.
+ * @param isIdle - Whether no request has been served of late, so that all may be laid out anew.
  * @returns The ranges that change.
  */
-export function planCover(engines: readonly PlannedEngine[], profile: EngineProfile): CoverPlan {
+export function planCover(
+  engines: readonly PlannedEngine[],
+  profile: EngineProfile,
+  isIdle: boolean,
+): CoverPlan {
   const groups = new Map<string, PlannedEngine[]>();
   [...engines]
     .sort((left, right) => (left.id < right.id ? -1 : 1))
@@ -263,7 +295,7 @@
     });
   const changes = new Map<string, LayerRange>();
   groups.forEach((group) => {
-    const planned = planDataCentre(group, profile);
+    const planned = planDataCentre(group, profile, isIdle);
     group.forEach(({ id, layers }) => {
       const range = planned.get(id);
       if (!range || (layers && layers.from === range.from && layers.to === range.to)) return;
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -22,6 +22,8 @@
   readonly lease: PlannerLease;
   /** Whether this instance is the one to plan. */
   readonly isPlanner: () => boolean;
+  /** Whether no request to a service has come to any instance of late. */
+  readonly isIdle: (service: string) => boolean;
   /** Whether a life of an instance, named by its lease, is gone. */
   readonly isHolderGone: (holder: string) => boolean;
   readonly metrics: EntryMetrics;
@@ -36,11 +38,13 @@
 
 const REVIEW_MILLISECONDS = 100;
 /** Servers register within moments of each other; the fleet is laid out once it stands still. */
-const SETTLE_MILLISECONDS = 300;
+const SETTLE_MILLISECONDS = 1000;
 /** A suspect engine's layers are placed again after this long. */
 const SUSPECT_KEPT_MILLISECONDS = 700;
 const REPORT_TIMEOUT_MILLISECONDS = 400;
 const ORDER_TIMEOUT_MILLISECONDS = 500;
+/** An engine that is busy with an order is left alone for this long. */
+const BUSY_PAUSE_MILLISECONDS = 400;
 /** Beside the time to load, until an order without an effect is given again. */
 const ORDER_MARGIN_MILLISECONDS = 2500;
 
@@ -88,7 +92,7 @@
     return this.#options.fleet
       .ofService(service)
       .filter(({ entry }) => !this.#isLost(entry.id))
-      .map(({ entry }) => {
+      .map(({ entry, own, others }) => {
         const pending = this.#pending.get(entry.id);
         if (pending && (pending.until < now || isSame(pending.layers, entry.layers))) {
           this.#pending.delete(entry.id);
@@ -99,6 +103,7 @@
           kind: entry.kind,
           slots: entry.slots,
           layers: this.#pending.get(entry.id)?.layers ?? entry.layers,
+          isInUse: own.requests + others.requests > 0,
         };
       });
   }
@@ -110,9 +115,11 @@
       this.#fleetKey = key;
       this.#changedAt = performance.now();
     }
+    const isIdle = this.#options.isIdle(service);
     const isEmpty = engines.every(({ layers }) => layers === undefined);
-    if (isEmpty && performance.now() - this.#changedAt < SETTLE_MILLISECONDS) return;
-    const plan = planCover(engines, profile);
+    const isSettled = performance.now() - this.#changedAt >= SETTLE_MILLISECONDS;
+    if ((isEmpty || isIdle) && !isSettled) return;
+    const plan = planCover(engines, profile, isIdle);
     if (plan.size === 0) return;
     const { lease, isHolderGone, log } = this.#options;
     if (!(await lease.acquire(isHolderGone))) return;
@@ -144,11 +151,17 @@
         this.#pending.delete(id);
         return;
       }
+      if (report.isBusy) {
+        this.#pending.set(id, { layers, until: performance.now() + BUSY_PAUSE_MILLISECONDS });
+        return;
+      }
       const order = { ...layers, expectedSequence: report.orderSequence };
       const result = await dialect.sendOrder(address, order, ORDER_TIMEOUT_MILLISECONDS);
       log.info('Order given.', { id, ...order, result, isBusy: report.isBusy });
       metrics.event(`order_${result}`);
-      if (result === 'conflict' || result === 'refused') this.#pending.delete(id);
+      if (result === 'conflict' || result === 'refused') {
+        this.#pending.set(id, { layers, until: performance.now() + BUSY_PAUSE_MILLISECONDS });
+      }
     } catch (error) {
       this.#pending.delete(id);
       this.#options.suspicions.raise(id, messageOf(error));
