Plan without the store, follow orders by reports, and keep detours off full links

Ruled out: fencing as the guard of orders (each carries the count of orders its engine must have). Change: LeaseState unconfirmed lets the last planner go on; reports tell what engines hold, spread to peers; suspicions told at once; a late first event moves a request once; busy engines are planned around; links in use beyond 45 in 100 are crossed only where nothing else is left.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -17,6 +17,7 @@
 import { Gossip } from '../gossip/gossip.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import { PeerTable } from '../gossip/peer-table.js';
+import { CrossLinkLoad } from '../layers/cross-link-load.js';
 import { PlannerLease } from '../layers/planner-lease.js';
 import { runPlanner } from '../layers/planner-task.js';
 import { followObjects } from '../store/follow-objects.js';
@@ -43,6 +44,8 @@
 const FLEET_PATH = '/fleet';
 
 const HEARTBEAT_MILLISECONDS = 300;
+/** What an engine said is told to peers for this long; its entry shows it by then. */
+const HOLDING_TOLD_MILLISECONDS = 3000;
 const STALL_REVIEW_MILLISECONDS = 70;
 const PACE_REVIEW_MILLISECONDS = 500;
 const HEALTH_REVIEW_MILLISECONDS = 200;
@@ -78,6 +81,8 @@
 
   readonly #context: EntryContext;
 
+  readonly #lease: PlannerLease;
+
   #counter = 0;
 
   /** What peers are told, made anew at each heartbeat. */
@@ -100,7 +105,7 @@
     setMaxListeners(0, this.#tasks.signal);
     this.#configuration = new ConfigurationHolder({ log: logs('configuration') });
     this.#fleet = new BackendFleet({ log: logs('backend') });
-    this.#suspicions = new Suspicions({ log: logs('backend') });
+    this.#suspicions = new Suspicions({ log: logs('backend'), onRaise: () => this.#tellAtOnce() });
     this.#peers = new PeerTable({ instance: settings.instance, log: logs('peer') });
     this.#gossip = new Gossip({
       address: settings.listen.peers,
@@ -128,6 +133,7 @@
         peers: () => this.#peers.all.length,
         othersOf: (service) => this.#peers.retriesOf(service),
       }),
+      crossLinks: new CrossLinkLoad({ instances: () => this.#peers.alive.length + 1 }),
       stallWatch: new StallWatch({
         dialect: platform.dialect,
         fleet: this.#fleet,
@@ -137,6 +143,11 @@
       metrics: new EntryMetrics(),
       logs,
     };
+    this.#lease = new PlannerLease({
+      store: platform.store,
+      holder: this.#holder,
+      log: logs('placement'),
+    });
     this.#record = this.#makeRecord();
   }
 
@@ -175,8 +186,7 @@
     const startedAt = performance.now();
     const end = startedAt + settings.stopMilliseconds - STOP_MARGIN_MILLISECONDS;
     log.info('Stopping: no longer offered to callers.', { open: this.#server?.openRequests() });
-    this.#record = this.#makeRecord();
-    void this.#gossip.round();
+    this.#tellAtOnce();
     void platform.store.remove(INSTANCE_KIND, settings.instance);
     const keptUntil = startedAt + KEPT_LIFETIMES * ADDRESS_LIFETIME_SECONDS * 1000;
     while (performance.now() < end) {
@@ -246,7 +256,7 @@
       suspicions: this.#suspicions,
       configuration: this.#configuration,
       dialect: platform.dialect,
-      lease: new PlannerLease({ store, holder: this.#holder, log: logs('placement') }),
+      lease: this.#lease,
       isPlanner: () => this.#isPlanner(),
       isHolderGone: (holder) => this.#isHolderGone(holder),
       isIdle: (service) => this.#isIdle(service),
@@ -256,6 +266,12 @@
     });
   }
 
+  /** Tells peers without waiting for the next heartbeat. */
+  #tellAtOnce(): void {
+    this.#record = this.#makeRecord();
+    void this.#gossip.round();
+  }
+
   async #repeat(milliseconds: number, work: () => Promise<void>): Promise<void> {
     const { signal } = this.#tasks;
     while (!signal.aborted) {
@@ -268,14 +284,18 @@
     return `${this.#options.settings.instance}/${this.#incarnation}`;
   }
 
-  /** The first by name of the instances that reach the store plans. */
+  /** The holder of the newest lease plans; without one, the first by name that may take it. */
   #isPlanner(): boolean {
-    if (!this.#isReady || !this.#isStoreReachable) return false;
+    if (!this.#isReady) return false;
     const { instance } = this.#options.settings;
-    return !this.#peers.alive.some(
-      (peer) =>
-        peer.instance < instance && peer.isReady && !peer.isStopping && peer.isStoreReachable,
-    );
+    const able = this.#peers.alive.filter(({ isReady, isStopping }) => isReady && !isStopping);
+    const isStoreHeard = this.#isStoreReachable || able.some((peer) => peer.isStoreReachable);
+    const rivals = able.filter((peer) => peer.isStoreReachable || !isStoreHeard);
+    if (isStoreHeard && !this.#isStoreReachable) return false;
+    const ownTerm = this.#lease.isHolder ? this.#lease.term : 0;
+    const term = Math.max(0, ...rivals.map(({ plannerTerm }) => plannerTerm));
+    if (ownTerm !== term) return ownTerm > term;
+    return !rivals.some((peer) => peer.plannerTerm === term && peer.instance < instance);
   }
 
   #isHolderGone(holder: string): boolean {
@@ -284,8 +304,8 @@
     if (instance === settings.instance) return true;
     const peer = this.#peers.findAlive(instance);
     if (!peer || peer.isStopping || !peer.isStoreReachable) return true;
-    // The holder lives, but another is to plan now: it comes first by name.
-    return String(peer.incarnation) !== incarnation || settings.instance < instance;
+    // A holder that lives and no longer says so has lost it, or has not said so yet.
+    return String(peer.incarnation) !== incarnation;
   }
 
   #isIdle(service: string): boolean {
@@ -338,6 +358,8 @@
       ...this.#record,
       loads: {},
       retries: {},
+      holdings: {},
+      plannerTerm: 0,
       paces: {},
       suspects: [],
       crashes: {},
@@ -358,7 +380,12 @@
     this.#counter += 1;
     const loads: PeerRecord['loads'] = {};
     const paces: PeerRecord['paces'] = {};
-    this.#fleet.servers.forEach(({ entry, own, ownSlowFactor }) => {
+    const holdings: PeerRecord['holdings'] = {};
+    const oldest = performance.now() - HOLDING_TOLD_MILLISECONDS;
+    this.#fleet.servers.forEach(({ entry, own, ownSlowFactor, ownHolding }) => {
+      if (ownHolding && ownHolding.at > oldest) {
+        holdings[entry.id] = [ownHolding.layers.from, ownHolding.layers.to];
+      }
       if (own.requests > 0) loads[entry.id] = [own.requests, Math.round(own.tokenLayers)];
       if (ownSlowFactor > 1) {
         paces[entry.id] = Math.round(ownSlowFactor * PACE_RESOLUTION) / PACE_RESOLUTION;
@@ -379,6 +406,8 @@
       suspects: this.#suspicions.own,
       loads,
       paces,
+      holdings,
+      plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
       retries: this.#context.retries.counts,
       crashes: this.#context.crashes.list,
     };
@@ -404,7 +433,12 @@
       server.others.tokenLayers = 0;
       server.othersSlowFactor = 1;
     });
-    this.#peers.alive.forEach(({ loads, paces }) => {
+    const now = performance.now();
+    this.#peers.alive.forEach(({ loads, paces, holdings }) => {
+      Object.entries(holdings).forEach(([id, [from, to]]) => {
+        const server = this.#fleet.find(id);
+        if (server) server.othersHolding = { layers: { from, to }, at: now };
+      });
       Object.entries(loads).forEach(([id, [requests, tokenLayers]]) => {
         const server = this.#fleet.find(id);
         if (!server) return;
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -2,6 +2,7 @@
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { CallTimes } from '../fleet/call-times.js';
 import type { Suspicions } from '../fleet/suspicions.js';
+import type { CrossLinkLoad } from '../layers/cross-link-load.js';
 import type { LogFactory } from '../telemetry/log.js';
 import type { CrashRecords } from './crash-records.js';
 import type { Dialect } from './dialect.js';
@@ -17,6 +18,7 @@
   readonly callTimes: CallTimes;
   readonly crashes: CrashRecords;
   readonly retries: RetryAllowance;
+  readonly crossLinks: CrossLinkLoad;
   readonly stallWatch: StallWatch;
   readonly metrics: EntryMetrics;
   readonly logs: LogFactory;
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { sleep } from '../common/clock.js';
 import { HttpCallError, messageOf } from '../common/http-client.js';
-import type { FleetServer } from '../fleet/backend-fleet.js';
+import { holdingOf, noteRefusal, noteTaken, type FleetServer } from '../fleet/backend-fleet.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import {
   chooseChain,
@@ -26,6 +26,8 @@
   /** The engine answered with a failure of its own, which the caller has been given. */
   | { readonly kind: 'answered'; readonly status: number }
   | { readonly kind: 'notRun'; readonly culprits: readonly string[]; readonly message: string }
+  /** No event came in time; an engine begins to run a request with its first event. */
+  | { readonly kind: 'late'; readonly culprits: readonly string[]; readonly message: string }
   | { readonly kind: 'broken'; readonly culprits: readonly string[]; readonly message: string };
 
 interface EngineCandidate extends ChainCandidate {
@@ -40,8 +42,9 @@
 /** Beginning in another data centre must be worth this, so that instances don't all agree. */
 const OTHER_START_MILLISECONDS = 80;
 const START_SPREAD_MILLISECONDS = 80;
-/** An engine that had no room is passed by for this long. */
-const FULL_MILLISECONDS = 200;
+/** Of a route's target, after which a first event is late enough to look elsewhere. */
+const PATIENCE_SHARE = 0.7;
+const MAXIMUM_MOVES = 1;
 const MAXIMUM_REPATHS = 3;
 const REPATH_TIMEOUT_MILLISECONDS = 300;
 const RETRY_AFTER_NO_CHAIN_SECONDS = 0.6;
@@ -77,6 +80,9 @@
 
   #lastEventId: number | undefined;
 
+  /** Times that the request was led elsewhere because its first event was late. */
+  #moves = 0;
+
   #hasBegun = false;
 
   #firstEventAt: number | undefined;
@@ -123,7 +129,7 @@
 
   /** Decides whether to try again after a fault; gives the outcome when not. */
   #afterFault(
-    end: Extract<AttemptEnd, { kind: 'notRun' | 'broken' }>,
+    end: Extract<AttemptEnd, { kind: 'notRun' | 'late' | 'broken' }>,
     chain: Chain<EngineCandidate>,
   ): string | undefined {
     const { retries, logs, metrics } = this.#context;
@@ -182,11 +188,12 @@
     isFullAllowed: boolean,
     pinned?: ChainPart<EngineCandidate>,
   ): Chain<EngineCandidate> | undefined {
-    const { fleet, suspicions, dataCentre, logs } = this.#context;
+    const { fleet, suspicions, dataCentre, crossLinks, logs } = this.#context;
     const candidates: EngineCandidate[] = [];
     const now = performance.now();
     fleet.ofService(this.#request.service.name).forEach((server) => {
-      const { id, layers, kind } = server.entry;
+      const { id, kind } = server.entry;
+      const layers = holdingOf(server);
       const isFull = server.fullUntil > now && !isFullAllowed;
       const isAvoided = this.#avoided.has(id) || suspicions.isSuspect(id) || isFull;
       if (!layers || (isAvoided && id !== pinned?.engine.id)) return;
@@ -205,6 +212,8 @@
       profile: this.#profile,
       tokens: this.#tokens,
       ...(pinned ? { pinned } : {}),
+      linkUse: (from, to) =>
+        crossLinks.utilisation(from, to, this.#profile.crossLinkMegabitsPerSecond),
       startBias: (place) =>
         (place === dataCentre ? 0 : OTHER_START_MILLISECONDS) +
         Math.random() * START_SPREAD_MILLISECONDS,
@@ -229,6 +238,7 @@
       load: engine.server.own,
       tokenLayers: total * (layers.to - layers.from),
     }));
+    this.#noteCrossings(chain);
     shares.forEach(({ load, tokenLayers }) => {
       load.requests += 1;
       load.tokenLayers += tokenLayers;
@@ -241,6 +251,14 @@
     };
   }
 
+  #noteCrossings(chain: Chain<EngineCandidate>): void {
+    const bits = 8 * this.#tokens.prompt * this.#profile.activationBytesPerToken;
+    chain.parts.forEach(({ engine }, index) => {
+      const next = chain.parts[index + 1]?.engine.dataCentre ?? engine.dataCentre;
+      if (next !== engine.dataCentre) this.#context.crossLinks.note(engine.dataCentre, next, bits);
+    });
+  }
+
   async #attempt(chosen: Chain<EngineCandidate>): Promise<AttemptEnd> {
     const { stallWatch, logs } = this.#context;
     const { terms, signal } = this.#request;
@@ -253,6 +271,7 @@
     let release = this.#promise(chosen);
     let culprits: readonly string[] | undefined;
     let isRepathing = false;
+    let isEnded = false;
     const serversOf = (chain: Chain<EngineCandidate>): FleetServer[] =>
       chain.parts.map(({ engine }) => engine.server);
     const watched: WatchedStream = {
@@ -260,12 +279,23 @@
       chain: serversOf(chosen),
       lastProgressAt: performance.now(),
       isBlocked: false,
+      hasEvents: false,
+      patienceMilliseconds: this.#request.route.targetMilliseconds * PATIENCE_SHARE,
+      moveAway: () => {
+        if (isRepathing || this.#moves >= MAXIMUM_MOVES) return;
+        this.#moves += 1;
+        const passed = chosen.parts.map(({ engine }) => engine.id);
+        if (!this.#hasOther(passed)) return;
+        culprits = passed;
+        attempt.abort();
+      },
       avoid: (found) => {
         if (isRepathing) return;
         isRepathing = true;
         found.forEach((id) => this.#avoided.add(id));
         void this.#repath(chosen, found).then((chain) => {
           isRepathing = false;
+          if (isEnded) return;
           if (!chain) {
             culprits = found;
             attempt.abort();
@@ -282,9 +312,13 @@
     try {
       return await this.#converse(chosen, first, watched, attempt.signal);
     } catch (error) {
+      if (culprits && !watched.hasEvents) {
+        return { kind: 'late', culprits, message: 'The first event is late.' };
+      }
       if (culprits) return { kind: 'broken', culprits, message: 'The stream stalled.' };
       return this.#explain(first.entry, error);
     } finally {
+      isEnded = true;
       release();
       stallWatch.remove(watched);
       signal.removeEventListener('abort', abort);
@@ -292,6 +326,16 @@
     }
   }
 
+  /** Whether there is a chain with room that leaves some engines out. */
+  #hasOther(passed: readonly string[]): boolean {
+    const added = passed.filter((id) => !this.#avoided.has(id));
+    added.forEach((id) => this.#avoided.add(id));
+    const other = this.#chooseAmong(false);
+    if (other && !other.isOverfull) return true;
+    added.forEach((id) => this.#avoided.delete(id));
+    return false;
+  }
+
   #describe(chain: Chain<EngineCandidate>): Record<string, unknown> {
     return {
       requestId: this.#request.terms.requestId,
@@ -381,17 +425,21 @@
       const culprit =
         said.faultAddress === undefined ? first : fleet.findByAddress(said.faultAddress);
       const id = culprit?.entry.id ?? first.entry.id;
-      if (culprit && status === 503) culprit.fullUntil = performance.now() + FULL_MILLISECONDS;
+      if (culprit && status === 503) noteRefusal(culprit, performance.now());
       return { kind: 'notRun', culprits: [id], message: `Status ${status}.` };
     }
     if (said.requestId !== terms.requestId) throw new Error('The answer is to another request.');
     if (status >= 300) return this.#passFailure(answer, status);
     if (!said.isSigned || said.isEncoded) throw new Error('The answer is not the engine’s.');
+    let isTaken = false;
     const splitter = new EventSplitter(this.#lastEventId);
     for await (const chunk of answer) {
       const events = splitter.push(chunk as Buffer);
       watched.lastProgressAt = performance.now();
       if (events.bytes.length > 0) {
+        if (!isTaken) watched.chain.forEach(noteTaken);
+        isTaken = true;
+        watched.hasEvents = true;
         if (!this.#hasBegun) this.#begin(answerHeaders(answer), status);
         this.#lastEventId = events.lastEventId;
         watched.isBlocked = true;
--- a/src/entry/stall-watch.ts
+++ b/src/entry/stall-watch.ts
@@ -16,6 +16,12 @@
   lastProgressAt: number;
   /** Whether its caller doesn't read, so that silence proves nothing. */
   isBlocked: boolean;
+  /** Whether an event has come. */
+  hasEvents: boolean;
+  /** How long the first event may take. */
+  readonly patienceMilliseconds: number;
+  /** Leads a stream without events elsewhere. */
+  readonly moveAway: () => void;
   /** Leads the stream round servers, or ends the attempt. */
   readonly avoid: (culprits: readonly string[]) => void;
 }
@@ -29,12 +35,12 @@
   readonly now?: () => number;
 }
 
-const QUIET_MILLISECONDS = 280;
+const QUIET_MILLISECONDS = 200;
 /** A stream over a suspect engine is given up sooner. */
 const QUIET_OVER_SUSPECT_MILLISECONDS = 140;
 const REPORT_TIMEOUT_MILLISECONDS = 250;
 /** Between two reports of the same engine. */
-const REPORT_SPACING_MILLISECONDS = 300;
+const REPORT_SPACING_MILLISECONDS = 150;
 const SLOW_REPORT_SPACING_MILLISECONDS = 1500;
 /** A report that took this much longer than allowed was held up by this process itself. */
 const OWN_DELAY_MILLISECONDS = 100;
@@ -79,6 +85,7 @@
         stream.avoid(culprits);
         return;
       }
+      if (!stream.hasEvents && quiet >= stream.patienceMilliseconds) stream.moveAway();
       const [first] = stream.chain;
       if (first && quiet >= QUIET_MILLISECONDS) silent.set(first.entry.id, first);
     });
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -1,7 +1,7 @@
 /** Every backend server that is registered, with what this instance and its peers know of it. */
 import { formatAddress } from '../common/address.js';
 import type { PartLog } from '../telemetry/log.js';
-import type { ServerEntry } from './server-entry.js';
+import type { LayerRange, ServerEntry } from './server-entry.js';
 
 /** Work under way at a server. */
 export interface ServerLoad {
@@ -10,6 +10,13 @@
   tokenLayers: number;
 }
 
+/** Layers that an engine has said to hold. */
+export interface Holding {
+  readonly layers: LayerRange;
+  /** When, on the monotonic clock. */
+  readonly at: number;
+}
+
 /** A registered server and what is known of it. */
 export interface FleetServer {
   entry: ServerEntry;
@@ -21,8 +28,16 @@
   ownSlowFactor: number;
   /** The same, as peers have read. */
   othersSlowFactor: number;
+  /** What it has said to hold, ahead of its entry. */
+  ownHolding: Holding | undefined;
+  /** What it has said to peers. */
+  othersHolding: Holding | undefined;
   /** Until when it is thought to have no room, on the monotonic clock. */
   fullUntil: number;
+  /** Since when it has refused every request. */
+  refusingSince: number | undefined;
+  /** Requests refused since it last served one. */
+  refusals: number;
   /** Since when it is gone from the store, on the monotonic clock; it may come back. */
   missingSince: number | undefined;
 }
@@ -36,6 +51,48 @@
 /** While a store comes back, entries of servers that live may be missing for this long. */
 const MISSING_GRACE_MILLISECONDS = 1900;
 
+/** An engine's entry shows what it has said for certain after this long. */
+const HOLDING_KEPT_MILLISECONDS = 6000;
+const FIRST_FULL_MILLISECONDS = 150;
+const LONGEST_FULL_MILLISECONDS = 1200;
+
+/**
+ * Tells what an engine holds.
+ *
+ * @param server - The engine.
+ * @returns What it has last said, or else what it has registered.
+ */
+export function holdingOf(server: FleetServer): LayerRange | undefined {
+  const { ownHolding, othersHolding, entry } = server;
+  const newest = (ownHolding?.at ?? 0) >= (othersHolding?.at ?? 0) ? ownHolding : othersHolding;
+  if (!newest || performance.now() - newest.at > HOLDING_KEPT_MILLISECONDS) return entry.layers;
+  return newest.layers;
+}
+
+/**
+ * Notes that a server refused a request for want of room or because it leaves.
+ *
+ * @param server - The server.
+ * @param now - The monotonic clock.
+ */
+export function noteRefusal(server: FleetServer, now: number): void {
+  const pause = Math.min(LONGEST_FULL_MILLISECONDS, FIRST_FULL_MILLISECONDS * 2 ** server.refusals);
+  server.refusals += 1;
+  server.refusingSince ??= now;
+  server.fullUntil = now + pause;
+}
+
+/**
+ * Notes that a server took a request.
+ *
+ * @param server - The server.
+ */
+export function noteTaken(server: FleetServer): void {
+  server.refusals = 0;
+  server.refusingSince = undefined;
+  server.fullUntil = 0;
+}
+
 export class BackendFleet {
   readonly #servers = new Map<string, FleetServer>();
 
@@ -136,7 +193,11 @@
         others: { requests: 0, tokenLayers: 0 },
         ownSlowFactor: 1,
         othersSlowFactor: 1,
+        ownHolding: undefined,
+        othersHolding: undefined,
         fullUntil: 0,
+        refusingSince: undefined,
+        refusals: 0,
         missingSince: undefined,
       });
       return;
@@ -144,6 +205,10 @@
     if (known.entry.isLeaving !== entry.isLeaving) {
       this.#log.info('Server leaves.', { id: entry.id, revision: this.revision });
     }
+    if (hasOtherLayers(known.entry, entry)) {
+      known.ownHolding = undefined;
+      known.othersHolding = undefined;
+    }
     known.entry = entry;
     known.missingSince = undefined;
   }
@@ -169,3 +234,7 @@
     });
   }
 }
+
+function hasOtherLayers(before: ServerEntry, after: ServerEntry): boolean {
+  return before.layers?.from !== after.layers?.from || before.layers?.to !== after.layers?.to;
+}
--- a/src/fleet/suspicions.ts
+++ b/src/fleet/suspicions.ts
@@ -9,6 +9,8 @@
 /** Options of {@link Suspicions}. */
 export interface SuspicionsOptions {
   readonly log: PartLog;
+  /** Called when this instance begins to suspect a server. */
+  readonly onRaise?: () => void;
   readonly now?: () => number;
 }
 
@@ -29,6 +31,8 @@
 export class Suspicions {
   readonly #log: PartLog;
 
+  readonly #onRaise: () => void;
+
   readonly #now: () => number;
 
   readonly #own = new Map<string, Suspicion>();
@@ -39,6 +43,7 @@
 
   constructor(options: SuspicionsOptions) {
     this.#log = options.log;
+    this.#onRaise = options.onRaise ?? (() => undefined);
     this.#now = options.now ?? (() => performance.now());
   }
 
@@ -63,6 +68,7 @@
       endedAt: now,
     });
     this.#log.warn('Server suspected.', { id, reason, holdMilliseconds });
+    this.#onRaise();
   }
 
   /** Notes a request that a server failed. */
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -24,6 +24,10 @@
   loads: z.record(z.string(), z.tuple([z.number(), z.number()])),
   /** By server: how many times slower than its kind. */
   paces: z.record(z.string(), z.number()),
+  /** By engine: layers that it has said to hold, ahead of its entry. */
+  holdings: z.record(z.string(), z.tuple([z.number(), z.number()])),
+  /** The term of the planner's lease, while this instance holds it; else 0. */
+  plannerTerm: z.number(),
   /** By service: first tries and repeats of late. */
   retries: z.record(z.string(), z.tuple([z.number(), z.number()])),
   /** Deaths of servers by the content of requests. */
--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -46,6 +46,8 @@
   readonly tokens: RequestTokens;
   /** The first part, when it must stay as it is. */
   readonly pinned?: ChainPart;
+  /** The share in use of the link between two data centres. */
+  readonly linkUse?: (from: string, to: string) => number;
   /** Added to the cost of beginning in a data centre, in milliseconds. */
   readonly startBias?: (dataCentre: string) => number;
 }
@@ -54,9 +56,12 @@
 const HOP_MILLISECONDS_PER_TOKEN = 0.15;
 /** A link between data centres is shared by all chains, so that crossing it must be worth it. */
 const CROSSING_MILLISECONDS = 1000;
+/** A link in use beyond this share is crossed only where nothing else is left. */
+const BUSY_LINK_SHARE = 0.45;
+const BUSY_LINK_MILLISECONDS = 15_000;
 /** Grows an engine's expected time with its use of memory. */
 const FILL_WEIGHT = 2;
-const OVERFULL_MILLISECONDS = 20_000;
+const OVERFULL_MILLISECONDS = 100_000;
 
 interface Step<T extends ChainCandidate> {
   readonly cost: number;
@@ -103,7 +108,10 @@
   const hop = HOP_MILLISECONDS_PER_TOKEN * tokens.answer;
   if (from.dataCentre === to.dataCentre) return hop;
   const bits = 8 * tokens.prompt * profile.activationBytesPerToken;
-  return hop + CROSSING_MILLISECONDS + bits / (1000 * profile.crossLinkMegabitsPerSecond);
+  const transfer = bits / (1000 * profile.crossLinkMegabitsPerSecond);
+  const use = request.linkUse?.(from.dataCentre, to.dataCentre) ?? 0;
+  const queueing = use > BUSY_LINK_SHARE ? BUSY_LINK_MILLISECONDS : CROSSING_MILLISECONDS * use;
+  return hop + CROSSING_MILLISECONDS + transfer + queueing;
 }
 
 /** Turns the steps into parts; where a chain comes back to an engine, it stays there throughout. */
--- a/src/layers/cover-plan.ts
+++ b/src/layers/cover-plan.ts
@@ -19,6 +19,8 @@
   readonly layers: LayerRange | undefined;
   /** Whether requests pass through it, which giving layers up would cut off. */
   readonly isInUse: boolean;
+  /** Whether it is busy with an order, so that it takes no other. */
+  readonly isFixed: boolean;
 }
 
 /** New ranges by engine; engines that stay as they are aren't listed. */
@@ -202,6 +204,7 @@
     best.forEach((shift, covered) => {
       const reach = held && held.from <= covered ? Math.max(covered, held.to) : covered;
       offer(shift, held, reach);
+      if (engine.isFixed) return;
       const least = held && held.from <= covered ? Math.max(covered, held.to) + 1 : covered + 1;
       for (let to = least; to <= Math.min(layerCount, covered + capacity); to += 1) {
         const range = reachingRange(engine, covered, to, capacity);
@@ -264,7 +267,7 @@
     shiftOver(taking, order, profile)?.forEach((range, id) => ranges.set(id, range));
   }
   engines
-    .filter(({ id }) => !ranges.has(id))
+    .filter(({ id, isFixed }) => !ranges.has(id) && !isFixed)
     .forEach((engine) => {
       const count = comfortableLayers(engine, profile);
       ranges.set(engine.id, neediestWindow(engines, ranges, count, profile));
--- a/src/layers/planner-lease.ts
+++ b/src/layers/planner-lease.ts
@@ -8,6 +8,9 @@
 import type { ObjectStore, StoredObject, WriteObjectResult } from '../store/object-store.js';
 import type { PartLog } from '../telemetry/log.js';
 
+/** Whether the lease is held. `unconfirmed`: the store can't say, and nobody else can have it said. */
+export type LeaseState = 'held' | 'lost' | 'unconfirmed';
+
 /** Options of {@link PlannerLease}. */
 export interface PlannerLeaseOptions {
   readonly store: ObjectStore;
@@ -41,11 +44,16 @@
     this.#now = options.now ?? (() => performance.now());
   }
 
-  /** Whether orders may be given now. */
+  /** Whether a renewal is recent enough to give orders by. */
   get isValid(): boolean {
     return this.#now() < this.#validUntil;
   }
 
+  /** Whether this instance held the lease when it last asked. */
+  get isHolder(): boolean {
+    return this.#revision !== undefined && this.#validUntil > Number.NEGATIVE_INFINITY;
+  }
+
   /** The term of this holder; each change of holder raises it. */
   get term(): number {
     return this.#term;
@@ -57,9 +65,12 @@
    * @param isHolderGone - Tells whether a holder may be superseded.
    * @returns Whether this instance holds the lease now.
    */
-  async acquire(isHolderGone: (holder: string) => boolean): Promise<boolean> {
+  async acquire(isHolderGone: (holder: string) => boolean): Promise<LeaseState> {
     const askedAt = this.#now();
-    if (this.#revision === undefined && !(await this.#look(isHolderGone))) return false;
+    if (this.#revision === undefined) {
+      const found = await this.#look(isHolderGone);
+      if (found !== 'held') return found;
+    }
     const value: LeaseValue = {
       holder: this.#options.holder,
       token: randomUUID(),
@@ -67,40 +78,42 @@
     };
     const result = await this.#write(value);
     if (result.kind === 'written') return this.#hold(result.object.revision, askedAt);
+    if (result.kind === 'unavailable') return 'unconfirmed';
     if (result.kind === 'unknown') {
       // Settled by reading one's own token back.
       const found = await this.#read();
       if (found && found.value.token === value.token) return this.#hold(found.revision, askedAt);
+      if (!found) return 'unconfirmed';
     }
     if (result.kind === 'conflict') this.#options.log.info('Lease lost.', { term: this.#term });
     this.#revision = undefined;
     this.#validUntil = Number.NEGATIVE_INFINITY;
-    return false;
+    return 'lost';
   }
 
-  #hold(revision: number, askedAt: number): boolean {
+  #hold(revision: number, askedAt: number): LeaseState {
     this.#revision = revision;
     this.#validUntil = askedAt + VALID_MILLISECONDS;
-    return true;
+    return 'held';
   }
 
   /** Looks whether the lease may be taken, and under which revision. */
-  async #look(isHolderGone: (holder: string) => boolean): Promise<boolean> {
+  async #look(isHolderGone: (holder: string) => boolean): Promise<LeaseState> {
     const { store, holder, log } = this.#options;
     const result = await store.read(LEASE_KIND, LEASE_NAME);
-    if (result.kind === 'unavailable') return false;
+    if (result.kind === 'unavailable') return 'unconfirmed';
     if (result.kind === 'absent') {
       this.#revision = 0;
       this.#term = 1;
-      return true;
+      return 'held';
     }
     const lease = LeaseValue.safeParse(result.object.value);
     const held = lease.success ? lease.data : { holder: '', token: '', term: 0 };
-    if (held.holder !== holder && !isHolderGone(held.holder)) return false;
+    if (held.holder !== holder && !isHolderGone(held.holder)) return 'lost';
     this.#revision = result.object.revision;
     this.#term = held.holder === holder ? held.term : held.term + 1;
     log.info('Lease sought.', { before: held.holder, term: this.#term });
-    return true;
+    return 'held';
   }
 
   #write(value: LeaseValue): Promise<WriteObjectResult> {
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -5,13 +5,13 @@
 import type { Dialect } from '../entry/dialect.js';
 import type { EntryMetrics } from '../entry/entry-metrics.js';
 import type { EngineProfile } from '../entry/serving-configuration.js';
-import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
+import { holdingOf, type BackendFleet, type FleetServer } from '../fleet/backend-fleet.js';
 import type { LayerRange } from '../fleet/server-entry.js';
 import type { Suspicions } from '../fleet/suspicions.js';
 import type { PartLog } from '../telemetry/log.js';
 import { layerCapacity } from './engine-times.js';
 import { planCover, type PlannedEngine } from './cover-plan.js';
-import type { PlannerLease } from './planner-lease.js';
+import type { LeaseState, PlannerLease } from './planner-lease.js';
 
 /** Options of {@link runPlanner}. */
 export interface PlannerOptions {
@@ -42,9 +42,15 @@
 /** A suspect engine's layers are placed again after this long. */
 const SUSPECT_KEPT_MILLISECONDS = 700;
 const REPORT_TIMEOUT_MILLISECONDS = 400;
+/** Between two looks at whether an order has been carried out. */
+const FOLLOW_MILLISECONDS = 300;
+/** An engine that has refused requests for this long is taken for lost. */
+const REFUSING_MILLISECONDS = 1200;
 const ORDER_TIMEOUT_MILLISECONDS = 500;
 /** An engine that is busy with an order is left alone for this long. */
-const BUSY_PAUSE_MILLISECONDS = 400;
+const BUSY_PAUSE_MILLISECONDS = 1000;
+/** An order without an answer may be carried out within this time. */
+const LATE_ORDER_MILLISECONDS = 4000;
 /** Beside the time to load, until an order without an effect is given again. */
 const ORDER_MARGIN_MILLISECONDS = 2500;
 
@@ -53,6 +59,9 @@
 
   readonly #pending = new Map<string, PendingOrder>();
 
+  /** Engines that take no order, until when. */
+  readonly #busyUntil = new Map<string, number>();
+
   readonly #suspectSince = new Map<string, number>();
 
   #fleetKey = '';
@@ -82,19 +91,25 @@
     });
   }
 
-  #isLost(id: string): boolean {
-    const since = this.#suspectSince.get(id);
-    return since !== undefined && performance.now() - since > SUSPECT_KEPT_MILLISECONDS;
+  #isLost({ entry, refusingSince }: FleetServer): boolean {
+    const now = performance.now();
+    if (refusingSince !== undefined && now - refusingSince > REFUSING_MILLISECONDS) return true;
+    const since = this.#suspectSince.get(entry.id);
+    return since !== undefined && now - since > SUSPECT_KEPT_MILLISECONDS;
   }
 
   #engines(service: string): PlannedEngine[] {
     const now = performance.now();
+    [...this.#busyUntil]
+      .filter(([, until]) => until < now)
+      .forEach(([id]) => this.#busyUntil.delete(id));
     return this.#options.fleet
       .ofService(service)
-      .filter(({ entry }) => !this.#isLost(entry.id))
-      .map(({ entry, own, others }) => {
+      .filter((server) => !this.#isLost(server))
+      .map((server) => {
+        const { entry, own, others } = server;
         const pending = this.#pending.get(entry.id);
-        if (pending && (pending.until < now || isSame(pending.layers, entry.layers))) {
+        if (pending && (pending.until < now || isSame(pending.layers, holdingOf(server)))) {
           this.#pending.delete(entry.id);
         }
         return {
@@ -102,7 +117,8 @@
           dataCentre: entry.dataCentre,
           kind: entry.kind,
           slots: entry.slots,
-          layers: this.#pending.get(entry.id)?.layers ?? entry.layers,
+          layers: this.#pending.get(entry.id)?.layers ?? holdingOf(server),
+          isFixed: this.#busyUntil.get(entry.id) !== undefined,
           isInUse: own.requests + others.requests > 0,
         };
       });
@@ -122,9 +138,11 @@
     const plan = planCover(engines, profile, isIdle);
     if (plan.size === 0) return;
     const { lease, isHolderGone, log } = this.#options;
-    if (!(await lease.acquire(isHolderGone))) return;
+    const state = await lease.acquire(isHolderGone);
+    if (state === 'lost') return;
     log.info('Placing layers.', {
       service,
+      lease: state,
       term: lease.term,
       fleetRevision: this.#options.fleet.revision,
       plan: [...plan].map(([id, { from, to }]) => `${id}=${from}-${to}`),
@@ -132,12 +150,38 @@
     await Promise.all(
       [...plan].map(async ([id, layers]) => {
         const server = this.#options.fleet.find(id);
-        if (server) await this.#order(server, layers, profile);
+        if (server) await this.#order(server, layers, profile, state);
       }),
     );
   }
 
-  async #order(server: FleetServer, layers: LayerRange, profile: EngineProfile): Promise<void> {
+  /** Reads an engine's reports until it holds what it was ordered to. */
+  async #followOrder(server: FleetServer, layers: LayerRange, until: number): Promise<void> {
+    const { dialect, signal, log } = this.#options;
+    const { id, address } = server.entry;
+    while (performance.now() < until && !signal.aborted) {
+      await sleep(FOLLOW_MILLISECONDS, signal);
+      if (isSame(layers, holdingOf(server))) return;
+      try {
+        const report = await dialect.readReport(address, REPORT_TIMEOUT_MILLISECONDS);
+        noteHolding(server, report.layers);
+        if (isSame(layers, report.layers) && !report.isBusy) {
+          log.info('Order carried out.', { id, ...layers });
+          return;
+        }
+      } catch (error) {
+        log.info('Order not followed.', { id, message: messageOf(error) });
+        return;
+      }
+    }
+  }
+
+  async #order(
+    server: FleetServer,
+    layers: LayerRange,
+    profile: EngineProfile,
+    state: LeaseState,
+  ): Promise<void> {
     const { dialect, lease, log, metrics } = this.#options;
     const { id, address, kind } = server.entry;
     if (layers.to - layers.from > layerCapacity(profile, kind)) return;
@@ -147,12 +191,15 @@
     this.#pending.set(id, { layers, until });
     try {
       const report = await dialect.readReport(address, REPORT_TIMEOUT_MILLISECONDS);
-      if (!lease.isValid) {
+      noteHolding(server, report.layers);
+      // Without the store, the count of orders that each engine checks keeps planners apart.
+      if (state === 'held' && !lease.isValid) {
         this.#pending.delete(id);
         return;
       }
       if (report.isBusy) {
-        this.#pending.set(id, { layers, until: performance.now() + BUSY_PAUSE_MILLISECONDS });
+        this.#pending.delete(id);
+        this.#busyUntil.set(id, performance.now() + BUSY_PAUSE_MILLISECONDS);
         return;
       }
       const order = { ...layers, expectedSequence: report.orderSequence };
@@ -160,7 +207,15 @@
       log.info('Order given.', { id, ...order, result, isBusy: report.isBusy });
       metrics.event(`order_${result}`);
       if (result === 'conflict' || result === 'refused') {
-        this.#pending.set(id, { layers, until: performance.now() + BUSY_PAUSE_MILLISECONDS });
+        this.#pending.delete(id);
+        this.#busyUntil.set(id, performance.now() + BUSY_PAUSE_MILLISECONDS);
+      } else if (result === 'unknown') {
+        // It may be carried out seconds later; until then the engine holds what it held.
+        this.#pending.delete(id);
+        this.#busyUntil.set(id, performance.now() + LATE_ORDER_MILLISECONDS);
+        void this.#followOrder(server, layers, until);
+      } else {
+        void this.#followOrder(server, layers, until);
       }
     } catch (error) {
       this.#pending.delete(id);
@@ -169,6 +224,13 @@
   }
 }
 
+/** Notes what an engine says that it holds, ahead of what it has registered. */
+function noteHolding(server: FleetServer, layers: LayerRange | undefined): void {
+  if (layers && !isSame(layers, server.entry.layers)) {
+    server.ownHolding = { layers, at: performance.now() };
+  }
+}
+
 function isSame(left: LayerRange, right: LayerRange | undefined): boolean {
   return left.from === right?.from && left.to === right.to;
 }
