Test the platform path with stand-ins that speak the published protocol; shift engines in use

Cause: a data centre that lost its first or last engine could not be covered again, since engines in use were never allowed to give layers up. Change: shifting in use costs more instead of being forbidden, and a change that uncovers a layer waits until another engine holds it. A request may fall back on engines that failed it once.

--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -30,6 +30,12 @@
   | { readonly kind: 'late'; readonly culprits: readonly string[]; readonly message: string }
   | { readonly kind: 'broken'; readonly culprits: readonly string[]; readonly message: string };
 
+/** Which engines may be used beside those in good order. */
+interface Allowance {
+  readonly isFullAllowed: boolean;
+  readonly isAvoidedAllowed: boolean;
+}
+
 interface EngineCandidate extends ChainCandidate {
   readonly server: FleetServer;
 }
@@ -179,13 +185,17 @@
     }
   }
 
-  /** Chooses a chain, over engines without room only where there is no other. */
+  /** Chooses a chain, over engines without room or that failed this request only for want of others. */
   #choose(pinned?: ChainPart<EngineCandidate>): Chain<EngineCandidate> | undefined {
-    return this.#chooseAmong(false, pinned) ?? this.#chooseAmong(true, pinned);
+    return (
+      this.#chooseAmong({ isFullAllowed: false, isAvoidedAllowed: false }, pinned) ??
+      this.#chooseAmong({ isFullAllowed: true, isAvoidedAllowed: false }, pinned) ??
+      this.#chooseAmong({ isFullAllowed: true, isAvoidedAllowed: true }, pinned)
+    );
   }
 
   #chooseAmong(
-    isFullAllowed: boolean,
+    { isFullAllowed, isAvoidedAllowed }: Allowance,
     pinned?: ChainPart<EngineCandidate>,
   ): Chain<EngineCandidate> | undefined {
     const { fleet, suspicions, dataCentre, crossLinks, logs } = this.#context;
@@ -195,7 +205,8 @@
       const { id, kind } = server.entry;
       const layers = holdingOf(server);
       const isFull = server.fullUntil > now && !isFullAllowed;
-      const isAvoided = this.#avoided.has(id) || suspicions.isSuspect(id) || isFull;
+      const hasFailed = this.#avoided.has(id) && !isAvoidedAllowed;
+      const isAvoided = hasFailed || suspicions.isSuspect(id) || isFull;
       if (!layers || (isAvoided && id !== pinned?.engine.id)) return;
       candidates.push({
         id,
@@ -219,7 +230,7 @@
         Math.random() * START_SPREAD_MILLISECONDS,
     });
     if ('missingLayer' in chain) {
-      if (!isFullAllowed) return undefined;
+      if (!isAvoidedAllowed) return undefined;
       logs('routing').info('No chain.', {
         requestId: this.#request.terms.requestId,
         missingLayer: chain.missingLayer,
@@ -330,7 +341,7 @@
   #hasOther(passed: readonly string[]): boolean {
     const added = passed.filter((id) => !this.#avoided.has(id));
     added.forEach((id) => this.#avoided.add(id));
-    const other = this.#chooseAmong(false);
+    const other = this.#chooseAmong({ isFullAllowed: false, isAvoidedAllowed: false });
     if (other && !other.isOverfull) return true;
     added.forEach((id) => this.#avoided.delete(id));
     return false;
--- /dev/null
+++ b/src/layers/chain-choice.test.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { EngineProfile } from '../entry/serving-configuration.js';
+import { chooseChain, type Chain, type ChainCandidate } from './chain-choice.js';
+
+const PROFILE: EngineProfile = {
+  layerCount: 80,
+  layerMegabytes: 1750,
+  modelName: 'model',
+  loadMilliseconds: 14_000,
+  concurrentLoads: 6,
+  stepMilliseconds: 0.85,
+  stepMillisecondsPerRequest: 0.004,
+  readTokensPerMillisecond: 252,
+  cacheBytesPerToken: 657_671,
+  activationBytesPerToken: 32_811,
+  crossLinkMegabitsPerSecond: 7900,
+  usualPromptTokens: 772,
+  usualAnswerTokens: 154,
+  kinds: new Map([
+    ['fast', { name: 'fast', memoryMegabytes: 36_000, stepFactor: 3, readFactor: 3 }],
+    ['slow', { name: 'slow', memoryMegabytes: 21_600, stepFactor: 16, readFactor: 8 }],
+  ]),
+};
+const REQUEST = { profile: PROFILE, tokens: { prompt: 700, answer: 150 } };
+
+function engine(id: string, from: number, to: number, more: Partial<ChainCandidate> = {}) {
+  return {
+    id,
+    dataCentre: 'here',
+    kind: 'slow',
+    layers: { from, to },
+    running: 0,
+    promised: 0,
+    slowFactor: 1,
+    ...more,
+  };
+}
+
+function partsOf(result: ReturnType<typeof chooseChain>): string[] {
+  assert.ok('parts' in result);
+  return result.parts.map(({ engine: { id }, layers }) => `${id}=${layers.from}-${layers.to}`);
+}
+
+test('chain: every layer once and in order', () => {
+  const result = chooseChain([engine('b', 40, 80), engine('a', 0, 40)], REQUEST);
+  assert.deepEqual(partsOf(result), ['a=0-40', 'b=40-80']);
+});
+
+test('chain: a hole is named', () => {
+  const result = chooseChain([engine('a', 0, 40), engine('b', 50, 80)], REQUEST);
+  assert.deepEqual(result, { missingLayer: 40 });
+});
+
+test('chain: parts of overlapping ranges are used', () => {
+  const result = chooseChain([engine('a', 0, 50), engine('b', 30, 80, { kind: 'fast' })], REQUEST);
+  assert.deepEqual(partsOf(result), ['a=0-30', 'b=30-80']);
+});
+
+test('chain: a hole is led round through another data centre', () => {
+  const result = chooseChain(
+    [engine('a', 0, 30), engine('c', 50, 80), engine('far', 20, 60, { dataCentre: 'there' })],
+    REQUEST,
+  );
+  assert.deepEqual(partsOf(result), ['a=0-30', 'far=30-50', 'c=50-80']);
+});
+
+test('chain: a full link is crossed only where nothing else is left', () => {
+  const engines = [
+    engine('a', 0, 40),
+    engine('b', 40, 80, { slowFactor: 5 }),
+    engine('far', 40, 80, { dataCentre: 'there' }),
+  ];
+  const free = chooseChain(engines, { ...REQUEST, linkUse: () => 0 });
+  const full = chooseChain(engines, { ...REQUEST, linkUse: () => 0.9 });
+  assert.deepEqual(partsOf(free), ['a=0-40', 'far=40-80']);
+  assert.deepEqual(partsOf(full), ['a=0-40', 'b=40-80']);
+});
+
+test('chain: an engine without memory is passed by', () => {
+  const result = chooseChain(
+    [
+      engine('a', 0, 10, { promised: 1e9 }),
+      engine('b', 0, 10, { slowFactor: 3 }),
+      engine('c', 10, 80, { kind: 'fast' }),
+    ],
+    REQUEST,
+  );
+  assert.deepEqual(partsOf(result), ['b=0-10', 'c=10-80']);
+  assert.ok('parts' in result && result.isOverfull, 'engine c is over its memory by its layers');
+});
+
+test('chain: the pinned first part stays', () => {
+  const a = engine('a', 0, 40, { slowFactor: 9 });
+  const result = chooseChain([a, engine('b', 0, 40), engine('c', 40, 80)], {
+    ...REQUEST,
+    pinned: { engine: a, layers: { from: 0, to: 20 } },
+  });
+  assert.deepEqual(partsOf(result), ['a=0-20', 'b=20-40', 'c=40-80']);
+});
+
+const RANGES = fc.array(
+  fc.record({
+    from: fc.integer({ min: 0, max: 79 }),
+    length: fc.integer({ min: 1, max: 40 }),
+    dataCentre: fc.constantFrom('here', 'there'),
+    kind: fc.constantFrom('fast', 'slow'),
+    promised: fc.integer({ min: 0, max: 1_000_000 }),
+    slowFactor: fc.constantFrom(1, 5),
+  }),
+  { minLength: 1, maxLength: 30 },
+);
+
+test('chain: whatever engines hold, a chain runs every layer once, in order, no engine twice', () => {
+  fc.assert(
+    fc.property(RANGES, (ranges) => {
+      const engines = ranges.map(({ from, length, ...more }, index) =>
+        engine(`e${index}`, from, Math.min(80, from + length), more),
+      );
+      const result: Chain | { missingLayer: number } = chooseChain(engines, REQUEST);
+      const holds = (layer: number): boolean =>
+        engines.some(({ layers }) => layers.from <= layer && layer < layers.to);
+      if ('missingLayer' in result) {
+        assert.ok(!holds(result.missingLayer));
+        return;
+      }
+      let next = 0;
+      result.parts.forEach(({ engine: { layers: held }, layers }) => {
+        assert.equal(layers.from, next);
+        assert.ok(held.from <= layers.from && layers.to <= held.to && layers.to > layers.from);
+        next = layers.to;
+      });
+      assert.equal(next, 80);
+      assert.equal(new Set(result.parts.map(({ engine: { id } }) => id)).size, result.parts.length);
+    }),
+    { seed: 7, numRuns: 500 },
+  );
+});
--- /dev/null
+++ b/src/layers/cover-plan.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { EngineProfile } from '../entry/serving-configuration.js';
+import type { LayerRange } from '../fleet/server-entry.js';
+import { holesIn, planCover, type PlannedEngine } from './cover-plan.js';
+import { cacheCapacity, layerCapacity } from './engine-times.js';
+
+const PROFILE: EngineProfile = {
+  layerCount: 80,
+  layerMegabytes: 1750,
+  modelName: 'model',
+  loadMilliseconds: 14_000,
+  concurrentLoads: 6,
+  stepMilliseconds: 0.85,
+  stepMillisecondsPerRequest: 0.004,
+  readTokensPerMillisecond: 252,
+  cacheBytesPerToken: 657_671,
+  activationBytesPerToken: 32_811,
+  crossLinkMegabitsPerSecond: 7900,
+  usualPromptTokens: 772,
+  usualAnswerTokens: 154,
+  kinds: new Map([
+    ['large', { name: 'large', memoryMegabytes: 36_000, stepFactor: 3, readFactor: 3 }],
+    ['middle', { name: 'middle', memoryMegabytes: 21_600, stepFactor: 16, readFactor: 8 }],
+    ['small', { name: 'small', memoryMegabytes: 14_400, stepFactor: 15, readFactor: 15 }],
+  ]),
+};
+const KINDS = [...Array(3).fill('large'), ...Array(3).fill('middle'), ...Array(5).fill('small')];
+
+function engine(index: number, more: Partial<PlannedEngine> = {}): PlannedEngine {
+  return {
+    id: `e${String(index).padStart(2, '0')}`,
+    dataCentre: 'here',
+    kind: String(KINDS[index % KINDS.length]),
+    slots: 134,
+    layers: undefined,
+    isInUse: false,
+    isFixed: false,
+    ...more,
+  };
+}
+
+function apply(
+  engines: readonly PlannedEngine[],
+  plan: ReadonlyMap<string, LayerRange>,
+): PlannedEngine[] {
+  return engines.map((each) => ({ ...each, layers: plan.get(each.id) ?? each.layers }));
+}
+
+function rangesOf(engines: readonly PlannedEngine[]): LayerRange[] {
+  return engines.flatMap(({ layers }) => (layers ? [layers] : []));
+}
+
+const FLEET = KINDS.map((_, index) => engine(index));
+const PLACED = apply(FLEET, planCover(FLEET, PROFILE, true)).map((each) => ({
+  ...each,
+  isInUse: true,
+}));
+
+test('plan: an empty data centre is covered, with KV cache for a third of the slots', () => {
+  assert.deepEqual(holesIn(rangesOf(PLACED), 80), []);
+  PLACED.forEach(({ kind, layers, slots }) => {
+    assert.ok(layers);
+    const tokens = cacheCapacity(PROFILE, kind, layers) / (layers.to - layers.from);
+    assert.ok(tokens > (slots / 3) * (772 + 154));
+  });
+});
+
+test('plan: what covers the model stays as it is', () => {
+  assert.equal(planCover(PLACED, PROFILE, false).size, 0);
+});
+
+test('plan: engines that register while the fleet is idle are laid out with the others', () => {
+  const some = FLEET.slice(0, 6);
+  const placed = apply(some, planCover(some, PROFILE, true));
+  const whole = [...placed, ...FLEET.slice(6)];
+  const after = apply(whole, planCover(whole, PROFILE, true));
+  const fresh = apply(FLEET, planCover(FLEET, PROFILE, true));
+  assert.deepEqual(rangesOf(after), rangesOf(fresh));
+});
+
+test('plan: after any one loss the rest covers the model again', () => {
+  PLACED.forEach((lost) => {
+    const rest = PLACED.filter(({ id }) => id !== lost.id);
+    const after = apply(rest, planCover(rest, PROFILE, false));
+    assert.deepEqual(holesIn(rangesOf(after), 80), [], `without ${lost.id}`);
+  });
+});
+
+test('plan: an engine that is busy with an order is planned around', () => {
+  const [first, second, third, ...others] = PLACED;
+  assert.ok(first && second && third);
+  const rest = [first, { ...third, isFixed: true }, ...others];
+  const plan = planCover(rest, PROFILE, false);
+  assert.ok(!plan.has(third.id));
+});
+
+test('plan: an engine that comes empty takes layers at once', () => {
+  const fleet = [...PLACED, engine(11)];
+  const plan = planCover(fleet, PROFILE, false);
+  assert.deepEqual([...plan.keys()], ['e11']);
+});
+
+test('plan: whatever engines hold, no order is over an engine’s memory', () => {
+  const held = fc.option(
+    fc.record({ from: fc.integer({ min: 0, max: 72 }), length: fc.integer({ min: 1, max: 8 }) }),
+  );
+  const fleets = fc.array(fc.record({ held, isInUse: fc.boolean(), isFixed: fc.boolean() }), {
+    minLength: 1,
+    maxLength: 14,
+  });
+  fc.assert(
+    fc.property(fleets, fc.boolean(), (drawn, isIdle) => {
+      const fleet = drawn.map(({ held: range, ...more }, index) =>
+        engine(index, {
+          ...more,
+          layers: range ? { from: range.from, to: range.from + range.length } : undefined,
+        }),
+      );
+      planCover(fleet, PROFILE, isIdle).forEach((range, id) => {
+        const kind = fleet.find((each) => each.id === id)?.kind;
+        assert.ok(range.from >= 0 && range.to <= 80 && range.to > range.from);
+        assert.ok(range.to - range.from <= layerCapacity(PROFILE, kind));
+      });
+    }),
+    { seed: 11, numRuns: 300 },
+  );
+});
--- a/src/layers/cover-plan.ts
+++ b/src/layers/cover-plan.ts
@@ -17,7 +17,7 @@
   readonly slots: number;
   /** What it holds or has been ordered to hold. */
   readonly layers: LayerRange | undefined;
-  /** Whether requests pass through it, which giving layers up would cut off. */
+  /** Whether requests pass through it, for which it waits before it gives layers up. */
   readonly isInUse: boolean;
   /** Whether it is busy with an order, so that it takes no other. */
   readonly isFixed: boolean;
@@ -28,13 +28,20 @@
 
 const BYTES_PER_MEGABYTE = 1_000_000;
 
+/**
+ * The share of an engine's slots that its KV cache is to serve. A lower one leaves memory for more
+ * layers, which makes chains faster and covers the loss of engines.
+ */
+const COMFORTABLE_SLOT_SHARE = 1;
+
 function lengthOf(range: LayerRange | undefined): number {
   return range ? range.to - range.from : 0;
 }
 
-/** The layers that an engine holds when its KV cache is to serve as many requests as its slots. */
+/** The most layers beside which an engine's KV cache serves enough requests. */
 function comfortableLayers(engine: PlannedEngine, profile: EngineProfile): number {
-  const tokens = engine.slots * (profile.usualPromptTokens + profile.usualAnswerTokens);
+  const tokens =
+    COMFORTABLE_SLOT_SHARE * engine.slots * (profile.usualPromptTokens + profile.usualAnswerTokens);
   const cacheBytes = (tokens * profile.cacheBytesPerToken) / profile.layerCount;
   const perLayer = profile.layerMegabytes + cacheBytes / BYTES_PER_MEGABYTE;
   const { memoryMegabytes } = acceleratorOf(profile, engine.kind);
@@ -120,6 +127,7 @@
 /** What loading one more layer costs, against layers given up and memory taken from KV cache. */
 const LOAD_COST = 1;
 const DROP_COST = 0.5;
+const DROP_IN_USE_COST = 3;
 const STRAIN_COST = 4;
 /** An engine is strained once its KV cache serves no more than this share of its slots. */
 const STRAINED_SLOT_SHARE = 0.3;
@@ -153,22 +161,20 @@
   if (!range) return 0;
   const added = newLayers(range, engine.layers);
   const dropped = engine.layers ? newLayers(engine.layers, range) : 0;
-  return LOAD_COST * added + DROP_COST * dropped + strain(engine, range, profile);
+  const dropCost = engine.isInUse ? DROP_IN_USE_COST : DROP_COST;
+  return LOAD_COST * added + dropCost * dropped + strain(engine, range, profile);
 }
 
-/**
- * The range of an engine that must reach from the covered layers to `to`, keeping what it can, and
- * all that it holds while it is in use.
- */
+/** The range of an engine that must reach from the covered layers to `to`, keeping what it can. */
 function reachingRange(
-  { layers: held, isInUse }: PlannedEngine,
+  held: LayerRange | undefined,
   covered: number,
   to: number,
   capacity: number,
 ): LayerRange | undefined {
-  if (held && isInUse) {
-    const range = { from: Math.min(held.from, covered), to: Math.max(held.to, to) };
-    return lengthOf(range) <= capacity ? range : undefined;
+  if (held) {
+    const whole = { from: Math.min(held.from, covered), to: Math.max(held.to, to) };
+    if (lengthOf(whole) <= capacity) return whole;
   }
   if (to - covered > capacity) return undefined;
   const isTouching = held !== undefined && held.from <= covered && held.to > held.from;
@@ -207,7 +213,7 @@
       if (engine.isFixed) return;
       const least = held && held.from <= covered ? Math.max(covered, held.to) + 1 : covered + 1;
       for (let to = least; to <= Math.min(layerCount, covered + capacity); to += 1) {
-        const range = reachingRange(engine, covered, to, capacity);
+        const range = reachingRange(held, covered, to, capacity);
         if (range) offer(shift, range, Math.max(to, range.to));
       }
     });
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -135,8 +135,10 @@
     const isEmpty = engines.every(({ layers }) => layers === undefined);
     const isSettled = performance.now() - this.#changedAt >= SETTLE_MILLISECONDS;
     if ((isEmpty || isIdle) && !isSettled) return;
-    const plan = planCover(engines, profile, isIdle);
-    if (plan.size === 0) return;
+    const plan = [...planCover(engines, profile, isIdle)].filter(
+      ([id, range]) => isIdle || !this.#uncovers(id, range, service),
+    );
+    if (plan.length === 0) return;
     const { lease, isHolderGone, log } = this.#options;
     const state = await lease.acquire(isHolderGone);
     if (state === 'lost') return;
@@ -145,16 +147,34 @@
       lease: state,
       term: lease.term,
       fleetRevision: this.#options.fleet.revision,
-      plan: [...plan].map(([id, { from, to }]) => `${id}=${from}-${to}`),
+      plan: plan.map(([id, { from, to }]) => `${id}=${from}-${to}`),
     });
     await Promise.all(
-      [...plan].map(async ([id, layers]) => {
+      plan.map(async ([id, layers]) => {
         const server = this.#options.fleet.find(id);
         if (server) await this.#order(server, layers, profile, state);
       }),
     );
   }
 
+  /** Whether a change takes away layers that no other engine holds yet. */
+  #uncovers(id: string, range: LayerRange, service: string): boolean {
+    const held = this.#options.fleet.find(id);
+    const before = held && holdingOf(held);
+    if (!before) return false;
+    const others = this.#options.fleet
+      .ofService(service)
+      .filter((server) => server.entry.id !== id && !this.#isLost(server))
+      .filter(({ entry }) => entry.dataCentre === held.entry.dataCentre)
+      .flatMap((server) => holdingOf(server) ?? []);
+    for (let layer = before.from; layer < before.to; layer += 1) {
+      const isKept = range.from <= layer && layer < range.to;
+      const isElsewhere = others.some(({ from, to }) => from <= layer && layer < to);
+      if (!isKept && !isElsewhere) return true;
+    }
+    return false;
+  }
+
   /** Reads an engine's reports until it holds what it was ordered to. */
   async #followOrder(server: FleetServer, layers: LayerRange, until: number): Promise<void> {
     const { dialect, signal, log } = this.#options;
--- /dev/null
+++ b/tests/platform.test.ts
@@ -0,0 +1,333 @@
+/** Instances on a stand-in of the platform: placement, chains, refusals, faults of servers and store. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import http from 'node:http';
+import { test, type TestContext } from 'node:test';
+import { sleep } from '../src/common/clock.js';
+import { holesIn } from '../src/layers/cover-plan.js';
+import {
+  call,
+  CONFIGURATION,
+  eventually,
+  PlatformGroup,
+  type Answer,
+  type PlatformInstance,
+} from '../tools/platform-group.js';
+
+const LAYERS = 8;
+let requests = 0;
+
+function nextId(): string {
+  requests += 1;
+  return `request-${requests}`;
+}
+
+async function startGroup(
+  context: TestContext,
+  options: { readonly instances?: number; readonly pauseMilliseconds?: number } = {},
+): Promise<PlatformGroup> {
+  const { instances = 1, pauseMilliseconds = 20 } = options;
+  const group = new PlatformGroup();
+  context.after(() => group.stop());
+  await group.start();
+  for (let index = 0; index < 4; index += 1) {
+    const id = `engine-${index}`;
+    await group.addServer({ id, service: 'drafter', kind: 'card', pauseMilliseconds });
+  }
+  await group.addServer({ id: 'case-0', service: 'casebook' });
+  await group.addServer({ id: 'case-1', service: 'casebook' });
+  for (let index = 0; index < instances; index += 1) await group.addReadyInstance(`entry-${index}`);
+  await eventually(() => {
+    const held = group.servers.flatMap(({ layers }) => layers ?? []);
+    return held.length === 4 && holesIn(held, LAYERS).length === 0;
+  }, 'every layer is held');
+  // The entries reach the instances within a moment.
+  await sleep(300);
+  return group;
+}
+
+function send(
+  instance: PlatformInstance,
+  path: string,
+  more: { readonly method?: string; readonly key?: string; readonly headers?: object } = {},
+): Promise<Answer> {
+  const { method = 'POST', key = 'key-1', headers = {} } = more;
+  return call({
+    port: instance.ports.front,
+    method,
+    path,
+    headers: {
+      host: 'site.example',
+      'request-id': nextId(),
+      'deadline-ms': '4000',
+      'api-key': key,
+      ...headers,
+    },
+  });
+}
+
+function eventIds(answer: Answer): number[] {
+  return [...answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+}
+
+function first(group: PlatformGroup): PlatformInstance {
+  const [instance] = group.instances;
+  assert.ok(instance);
+  return instance;
+}
+
+function runsOf(group: PlatformGroup, id: string | undefined) {
+  return group.servers.flatMap(({ runs }) => runs).filter(({ requestId }) => requestId === id);
+}
+
+test('platform: an empty fleet is placed; streams and calls are served, with the account and without the key', async (context) => {
+  const group = await startGroup(context);
+  const forged = { tenant: 'forged', 'hop-count': 'forged', 'expect-instance': 'forged' };
+  const stream = await send(first(group), '/drafts/1', { headers: forged });
+  assert.equal(stream.status, 200);
+  assert.deepEqual(eventIds(stream), [1, 2, 3, 4, 5, 6, 7, 8]);
+  const booked = await send(first(group), '/bookings/1', { key: 'key-3' });
+  assert.equal(booked.status, 200);
+  const runs = group.servers.flatMap((server) => server.runs);
+  assert.deepEqual(
+    runs.map(({ tenant, apiKey }) => [tenant, apiKey]),
+    [
+      ['planner', undefined],
+      ['dealer', undefined],
+    ],
+  );
+  const hops = runs[0]?.hops
+    ?.split(',')
+    .map((hop) => /=(\d+)-(\d+)$/.exec(hop)?.slice(1).map(Number));
+  assert.ok(hops && hops[0]?.[0] === 0 && hops.at(-1)?.[1] === LAYERS);
+  hops.slice(1).forEach((hop, index) => assert.equal(hop?.[0], hops[index]?.[1]));
+});
+
+test('platform: addresses name the ready instances, until one stops', async (context) => {
+  const group = await startGroup(context, { instances: 3 });
+  const resolve = async (instance: PlatformInstance): Promise<number> => {
+    const answer = await call({ port: instance.ports.directory, path: '/resolve?name=x' });
+    return (JSON.parse(answer.body) as { addresses: string[] }).addresses.length;
+  };
+  const [one, two] = group.instances;
+  assert.ok(one && two);
+  await eventually(async () => (await resolve(one)) === 3, 'all three are named');
+  two.process.kill('SIGTERM');
+  await eventually(async () => (await resolve(one)) === 2, 'the stopping one is not named');
+  const ready = await call({ port: two.ports.ready, path: '/ready' });
+  assert.notEqual(ready.status, 200);
+  const late = await send(two, '/bookings/1');
+  assert.equal(late.status, 200, 'it still serves those who kept its address');
+  assert.equal(late.headers.connection, 'close');
+  await once(two.process, 'exit');
+  assert.equal(two.process.exitCode, 0);
+});
+
+test('platform: a stop cuts no stream', async (context) => {
+  const group = await startGroup(context, { pauseMilliseconds: 250 });
+  const streams = Array.from({ length: 5 }, () => send(first(group), '/drafts/1'));
+  await sleep(300);
+  first(group).process.kill('SIGTERM');
+  const answers = await Promise.all(streams);
+  assert.ok(answers.every(({ status }) => status === 200));
+});
+
+test('platform: a stream that breaks off within an event goes on at another run, each event once', async (context) => {
+  const group = await startGroup(context);
+  group.servers.forEach(({ faults }) => {
+    faults.cutsAfter = 3;
+  });
+  const answer = await send(first(group), '/drafts/1');
+  // Two runs of three events: the route's maximum, and no end that looks complete.
+  assert.deepEqual(eventIds(answer), [1, 2, 3, 4, 5, 6]);
+  assert.equal(answer.status, 0);
+  group.servers.forEach(({ faults }) => {
+    faults.cutsAfter = 5;
+  });
+  const whole = await send(first(group), '/drafts/1');
+  assert.equal(whole.status, 200);
+  assert.deepEqual(eventIds(whole), [1, 2, 3, 4, 5, 6, 7, 8]);
+});
+
+test('platform: an engine that dies is led round and its layers are placed anew', async (context) => {
+  const group = await startGroup(context);
+  const [dead] = group.servers;
+  assert.ok(dead);
+  await dead.close();
+  group.store.remove('servers', 'engine-0');
+  const alive = group.servers.slice(1);
+  await eventually(
+    () =>
+      holesIn(
+        alive.flatMap(({ layers }) => layers ?? []),
+        LAYERS,
+      ).length === 0,
+    'the others hold every layer',
+  );
+  await eventually(async () => {
+    const answer = await send(first(group), '/drafts/1');
+    return answer.status === 200;
+  }, 'a stream is served');
+});
+
+test('platform: a booking whose answer is lost ran once and is not called "not run"', async (context) => {
+  const group = await startGroup(context);
+  group.servers.forEach(({ faults }) => {
+    faults.losesAnswers = true;
+  });
+  const id = nextId();
+  const answer = await send(first(group), '/bookings/1', { headers: { 'request-id': id } });
+  assert.equal(answer.status, 502);
+  assert.equal(runsOf(group, id).length, 1);
+});
+
+test('platform: a lookup whose answer is lost is asked of another server', async (context) => {
+  const group = await startGroup(context);
+  const [, , , , unlucky] = group.servers;
+  assert.ok(unlucky);
+  unlucky.faults.losesAnswers = true;
+  for (let count = 0; count < 6; count += 1) {
+    const answer = await send(first(group), '/lookups/1', { method: 'GET' });
+    assert.equal(answer.status, 200);
+  }
+});
+
+test('platform: an answer to another request reaches nobody', async (context) => {
+  const group = await startGroup(context);
+  group.servers.forEach(({ faults }) => {
+    faults.mixesAnswers = true;
+  });
+  const answers = [
+    await send(first(group), '/bookings/1'),
+    await send(first(group), '/lookups/1', { method: 'GET' }),
+    await send(first(group), '/drafts/1'),
+  ];
+  answers.forEach(({ status, body }) => {
+    assert.equal(status, 502);
+    assert.ok(!body.includes('ran'));
+  });
+});
+
+test('platform: bytes after an answer belong to no request', async (context) => {
+  const group = await startGroup(context);
+  group.servers.forEach(({ faults }) => {
+    faults.sendsExtra = true;
+  });
+  for (let count = 0; count < 10; count += 1) {
+    const id = nextId();
+    const answer = await send(first(group), '/bookings/1', { headers: { 'request-id': id } });
+    assert.equal(answer.body, `ran ${id}`);
+  }
+});
+
+test('platform: full servers make a refusal with a time to come back, and nothing has run', async (context) => {
+  const group = await startGroup(context);
+  group.servers.forEach(({ faults }) => {
+    faults.full = true;
+  });
+  for (const path of ['/bookings/1', '/drafts/1']) {
+    const id = nextId();
+    const answer = await send(first(group), path, { headers: { 'request-id': id } });
+    assert.equal(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+    assert.equal(runsOf(group, id).length, 0);
+  }
+});
+
+test('platform: a silent server doesn’t hold a request past its route’s time', async (context) => {
+  const group = await startGroup(context);
+  group.servers.forEach(({ faults }) => {
+    faults.silent = true;
+  });
+  const answer = await send(first(group), '/bookings/1');
+  assert.equal(answer.status, 504);
+});
+
+test('platform: a caller that leaves has its work dropped', async (context) => {
+  const group = await startGroup(context, { pauseMilliseconds: 300 });
+  const headers = { host: 'site.example', 'request-id': nextId(), 'api-key': 'key-1' };
+  const { front: port } = first(group).ports;
+  const request = http.request({ port, method: 'POST', path: '/drafts/1', headers, agent: false });
+  request.on('error', () => undefined);
+  request.end();
+  await once(request, 'response');
+  request.destroy();
+  await eventually(
+    () => first(group).log.join('').includes('"outcome":"callerGone"'),
+    'the instance drops it',
+  );
+});
+
+test('platform: configuration, unknown routes and keys', async (context) => {
+  const group = await startGroup(context, { instances: 2 });
+  const [one, two] = group.instances;
+  assert.ok(one && two);
+  assert.equal((await send(one, '/nowhere/1')).status, 404);
+  assert.equal((await send(one, '/bookings/1', { key: 'no-key' })).status, 401);
+  const [planner, dealer] = CONFIGURATION.tenants;
+  const revoked = {
+    ...CONFIGURATION,
+    version: 7,
+    tenants: [{ ...planner, 'api-keys': ['key-2'] }, dealer],
+  };
+  group.store.put('config', 'main', revoked);
+  await eventually(
+    async () => (await send(two, '/bookings/1')).status === 401,
+    'the key is revoked',
+  );
+  // An older version is never put back into force.
+  group.store.put('config', 'main', { ...CONFIGURATION, version: 5 });
+  await sleep(300);
+  assert.equal((await send(two, '/bookings/1')).status, 401);
+});
+
+test('platform: a key that is revoked while the store drops its history', async (context) => {
+  const group = await startGroup(context);
+  group.store.faults.hidesLostHistory = true;
+  group.store.put('config', 'main', { ...CONFIGURATION, version: 9, tenants: [] });
+  group.store.dropHistory();
+  const changedAt = Date.now();
+  await eventually(
+    async () => (await send(first(group), '/bookings/1')).status === 401,
+    'it is refused',
+  );
+  assert.ok(Date.now() - changedAt < 2000);
+});
+
+test('platform: an outage of the store changes nothing for callers', async (context) => {
+  const group = await startGroup(context);
+  group.store.faults.status = 503;
+  await sleep(600);
+  assert.equal((await send(first(group), '/drafts/1')).status, 200);
+  assert.equal((await send(first(group), '/bookings/1')).status, 200);
+});
+
+test('platform: an instance without a configuration refuses, and denies nothing', async (context) => {
+  const group = new PlatformGroup();
+  context.after(() => group.stop());
+  await group.start();
+  group.store.faults.status = 503;
+  const instance = await group.addInstance('entry-0');
+  let answer: Answer = { status: 0, headers: {}, body: '' };
+  await eventually(async () => {
+    answer = await send(instance, '/bookings/1');
+    return answer.status !== 0;
+  }, 'it listens');
+  assert.equal(answer.status, 503);
+});
+
+test('platform: entries that name no server to use are passed over', async (context) => {
+  const group = await startGroup(context);
+  const forged: unknown[] = [
+    null,
+    'text',
+    [],
+    { service: 'casebook' },
+    { service: 'casebook', address: 7 },
+  ];
+  forged.forEach((value, index) => group.store.put('servers', `forged-${index}`, value));
+  await sleep(300);
+  for (let count = 0; count < 6; count += 1) {
+    assert.equal((await send(first(group), '/bookings/1')).status, 200);
+  }
+});
--- /dev/null
+++ b/tools/platform-group.ts
@@ -0,0 +1,267 @@
+/** Instances of the daemon on a stand-in of the platform, as processes of their own. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import http from 'node:http';
+import os from 'node:os';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { sleep } from '../src/common/clock.js';
+import { findFreePorts } from './ports.js';
+import { PlatformServer, type PlatformServerOptions } from './stand-ins/platform-server.js';
+import { PlatformStore } from './stand-ins/platform-store.js';
+
+const PROGRAM = fileURLToPath(new URL('../platform/main.js', import.meta.url));
+const READY_TRIES = 400;
+const READY_PAUSE_MILLISECONDS = 50;
+
+/** One instance and its ports. */
+export interface PlatformInstance {
+  readonly name: string;
+  readonly process: ChildProcess;
+  readonly ports: Readonly<Record<'front' | 'ready' | 'control' | 'directory', number>>;
+  /** Everything that it has logged. */
+  readonly log: string[];
+}
+
+/** A whole answer. */
+export interface Answer {
+  /** 0 when the connection broke off. */
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+/** One call to an instance. */
+export interface Call {
+  readonly port: number;
+  readonly method?: string;
+  readonly path: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: string;
+}
+
+/**
+ * Makes a call.
+ *
+ * @param options - The call.
+ * @returns The answer; status 0 when there was no whole one.
+ */
+export function call(options: Call): Promise<Answer> {
+  const { port, method = 'GET', path: target, headers = {}, body = '' } = options;
+  return new Promise((resolve) => {
+    const request = http.request(
+      { host: '127.0.0.1', port, method, path: target, headers, agent: false },
+      (response) => {
+        let text = '';
+        response.setEncoding('utf8');
+        response.on('data', (part: string) => {
+          text += part;
+        });
+        const finish = (): void => {
+          const status = response.complete ? (response.statusCode ?? 0) : 0;
+          resolve({ status, headers: response.headers, body: text });
+        };
+        response.on('end', finish);
+        response.on('error', finish);
+      },
+    );
+    request.on('error', () => resolve({ status: 0, headers: {}, body: '' }));
+    request.end(body);
+  });
+}
+
+const ENGINE = {
+  slots: 20,
+  'kv-token-bytes': 1000,
+  models: [{ name: 'model', 'load-s': 0.1 }],
+  step_ms: 1,
+  per_seq_ms: 0.01,
+  read_per_s: 100_000,
+  loads_at_once: 6,
+  usual: { prompt: 100, answer: 20 },
+  layers: 8,
+  'layer-mb': 100,
+  'activation-bytes': 100,
+  'pipe-mbps': 1000,
+  kinds: [{ name: 'card', 'size-mb': 700, pace: 1, 'read-factor': 1 }],
+};
+
+/** The configuration that tests begin with. */
+export const CONFIGURATION = {
+  version: 1,
+  routes: [
+    {
+      name: 'drafts',
+      host: 'site.example',
+      'path-prefix': '/drafts/',
+      kind: 'streaming',
+      'timeout-ms': 5000,
+      'goal-ms': 500,
+      priority: 1,
+      service: 'drafter',
+      'max-attempts': 2,
+      'session-affinity': true,
+      'stream-resume': true,
+      'gap-target-ms': 200,
+    },
+    {
+      name: 'bookings',
+      host: 'site.example',
+      'path-prefix': '/bookings/',
+      kind: 'unsafe',
+      'timeout-ms': 1000,
+      'goal-ms': 200,
+      priority: 2,
+      service: 'casebook',
+      'max-attempts': 1,
+    },
+    {
+      name: 'lookups',
+      host: 'site.example',
+      'path-prefix': '/lookups/',
+      kind: 'safe',
+      'timeout-ms': 1000,
+      'goal-ms': 200,
+      priority: 2,
+      service: 'casebook',
+      'max-attempts': 2,
+    },
+  ],
+  services: [
+    { name: 'drafter', 'health-path': '/health', 'max-conns': 100, engine: ENGINE },
+    { name: 'casebook', 'health-path': '/health', 'max-conns': 100 },
+  ],
+  limits: {
+    'max-header-bytes': 16_384,
+    'max-body-bytes': 100_000,
+    'header-timeout-ms': 3000,
+    'idle-timeout-ms': 15_000,
+  },
+  tenants: [
+    { name: 'planner', 'api-keys': ['key-1', 'key-2'] },
+    { name: 'dealer', 'api-keys': ['key-3'] },
+  ],
+};
+
+function settingsOf(
+  name: string,
+  ports: PlatformInstance['ports'],
+  storePort: number,
+  seed: number,
+): string {
+  return `node = "${name}"
+zone = "zone-a"
+region = "region"
+unknown-field = "ignored"
+seeds = ["127.0.0.1:${seed}"]
+[listen]
+front = "127.0.0.1:${ports.front}"
+ready = "127.0.0.1:${ports.ready}"
+control = "127.0.0.1:${ports.control}"
+directory = "127.0.0.1:${ports.directory}"
+[bounds]
+grace-s = 8
+budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 200
+ttl_max_s = 5
+[platform]
+address = "127.0.0.1:${storePort}"
+form = "objects"
+`;
+}
+
+/** A store, servers and instances that tests drive. */
+export class PlatformGroup {
+  readonly store = new PlatformStore();
+
+  readonly servers: PlatformServer[] = [];
+
+  readonly instances: PlatformInstance[] = [];
+
+  #storePort = 0;
+
+  #seed = 0;
+
+  #folder = '';
+
+  /** Starts the store with the configuration. */
+  async start(): Promise<void> {
+    [this.#storePort = 0] = await findFreePorts(1);
+    this.#folder = await mkdtemp(path.join(os.tmpdir(), 'platform-group-'));
+    this.store.put('config', 'main', CONFIGURATION);
+    await this.store.listen(this.#storePort);
+  }
+
+  /** Starts a server. */
+  async addServer(
+    options: Omit<PlatformServerOptions, 'port' | 'store' | 'zone'>,
+  ): Promise<PlatformServer> {
+    const [port = 0] = await findFreePorts(1);
+    const server = new PlatformServer({ ...options, port, zone: 'zone-a', store: this.store });
+    await server.start();
+    this.servers.push(server);
+    return server;
+  }
+
+  /** Starts an instance; it need not be ready yet. */
+  async addInstance(name: string): Promise<PlatformInstance> {
+    const [front = 0, ready = 0, control = 0, directory = 0] = await findFreePorts(4);
+    const ports = { front, ready, control, directory };
+    this.#seed ||= control;
+    const file = path.join(this.#folder, `${name}.toml`);
+    await writeFile(file, settingsOf(name, ports, this.#storePort, this.#seed));
+    const child = spawn(process.execPath, [PROGRAM], {
+      env: { ...process.env, SESAMEDYKE_NODE_FILE: file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const log: string[] = [];
+    child.stdout.on('data', (part: Buffer) => log.push(part.toString()));
+    child.stderr.on('data', (part: Buffer) => log.push(part.toString()));
+    const instance = { name, process: child, ports, log };
+    this.instances.push(instance);
+    return instance;
+  }
+
+  /** Starts an instance and waits until it is ready. */
+  async addReadyInstance(name: string): Promise<PlatformInstance> {
+    const instance = await this.addInstance(name);
+    await eventually(async () => {
+      const answer = await call({ port: instance.ports.ready, path: '/ready' });
+      return answer.status === 200;
+    }, `${name} is ready`);
+    return instance;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(
+      this.instances.map(async ({ process: child }) => {
+        if (child.exitCode !== null || child.signalCode !== null) return;
+        child.kill('SIGKILL');
+        await once(child, 'exit');
+      }),
+    );
+    await Promise.all(this.servers.map((server) => server.close()));
+    await this.store.close();
+    await rm(this.#folder, { recursive: true, force: true });
+  }
+}
+
+/**
+ * Waits until something comes to pass.
+ *
+ * @param check - Whether it has.
+ * @param what - For the error.
+ * @throws Error when it doesn't in 20 s.
+ */
+export async function eventually(
+  check: () => boolean | Promise<boolean>,
+  what: string,
+): Promise<void> {
+  for (let tries = 0; tries < READY_TRIES; tries += 1) {
+    if (await check()) return;
+    await sleep(READY_PAUSE_MILLISECONDS);
+  }
+  throw new Error(`It did not come to pass: ${what}.`);
+}
--- /dev/null
+++ b/tools/stand-ins/platform-server.ts
@@ -0,0 +1,201 @@
+/** Stand-in of the platform's replicas: engines that hold layers, and plain services. */
+import type http from 'node:http';
+import { sleep } from '../../src/common/clock.js';
+import { sendJson, startStandIn, type StandInRequest, type StandInServer } from './http-server.js';
+import type { PlatformStore } from './platform-store.js';
+
+/** Options of {@link PlatformServer}. */
+export interface PlatformServerOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly port: number;
+  readonly zone: string;
+  readonly store: PlatformStore;
+  /** The accelerator's kind, for engines. */
+  readonly kind?: string;
+  /** Events of a stream and the pause between two of them. */
+  readonly events?: number;
+  readonly pauseMilliseconds?: number;
+}
+
+/** What goes wrong at a server. */
+export interface ServerFaults {
+  /** Takes requests and says nothing more. */
+  silent: boolean;
+  /** Refuses every request as not run. */
+  full: boolean;
+  /** Breaks each stream off, without an end, after this many events. */
+  cutsAfter: number;
+  /** Runs a call and closes the connection without an answer. */
+  losesAnswers: boolean;
+  /** Answers with the id of another request. */
+  mixesAnswers: boolean;
+  /** Sends a second answer after the first. */
+  sendsExtra: boolean;
+}
+
+/** One run of a request. */
+export interface Run {
+  readonly requestId: string;
+  readonly tenant: string | undefined;
+  readonly apiKey: string | undefined;
+  readonly lastEventId: number;
+  readonly hops: string | undefined;
+}
+
+const DEFAULT_EVENTS = 8;
+const DEFAULT_PAUSE_MILLISECONDS = 20;
+
+export class PlatformServer {
+  readonly faults: ServerFaults = {
+    silent: false,
+    full: false,
+    cutsAfter: Number.POSITIVE_INFINITY,
+    losesAnswers: false,
+    mixesAnswers: false,
+    sendsExtra: false,
+  };
+
+  readonly runs: Run[] = [];
+
+  readonly orders: { readonly from: number; readonly to: number }[] = [];
+
+  layers: { from: number; to: number; version: number } | null = null;
+
+  readonly #options: PlatformServerOptions;
+
+  #server: StandInServer | undefined;
+
+  #sequence = 0;
+
+  constructor(options: PlatformServerOptions) {
+    this.#options = options;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${this.#options.port}`;
+  }
+
+  /** Listens and registers. */
+  async start(): Promise<void> {
+    this.#server = await startStandIn(this.#options.port, (request) => this.#answer(request));
+    this.register('ready');
+  }
+
+  /** Writes the server's entry. */
+  register(state: string): void {
+    const { id, service, zone, kind, store } = this.#options;
+    const engine = kind === undefined ? {} : { kind, layers: this.layers, phase: 'both' };
+    store.put('servers', id, {
+      service,
+      address: this.address,
+      zone,
+      version: 'v1',
+      slots: 20,
+      state,
+      seq: 1,
+      ...engine,
+    });
+  }
+
+  /** Stops at once, as a crash would. */
+  async close(): Promise<void> {
+    await this.#server?.close();
+  }
+
+  async #answer(request: StandInRequest): Promise<void> {
+    const { path, response, headers } = request;
+    if (this.faults.silent) {
+      await new Promise<void>((resolve) => {
+        response.on('close', resolve);
+      });
+      return;
+    }
+    if (path === '/health') response.writeHead(200, { 'instance-id': this.#options.id }).end();
+    else if (path === '/report') sendJson(response, 200, this.#report());
+    else if (path === '/order') this.#order(request);
+    else if (headers['expect-instance'] !== this.#options.id) {
+      response.writeHead(421, { 'instance-id': this.#options.id }).end();
+    } else if (this.faults.full) {
+      response.writeHead(503, { 'not-executed': '1', 'at-server': this.address }).end();
+    } else await this.#run(request);
+  }
+
+  #report(): Record<string, unknown> {
+    return { busy: false, seq: this.#sequence, layers: this.layers, pace: 1, stalled: [] };
+  }
+
+  #order({ body, response }: StandInRequest): void {
+    const { op, from, to, expected } = JSON.parse(body) as Record<string, number | string>;
+    if (op !== 'place') {
+      response.writeHead(404).end();
+      return;
+    }
+    if (expected !== undefined && expected !== this.#sequence) {
+      response.writeHead(409).end();
+      return;
+    }
+    this.#sequence += 1;
+    this.layers = { from: Number(from), to: Number(to), version: 1 };
+    this.orders.push({ from: Number(from), to: Number(to) });
+    this.register('ready');
+    response.writeHead(202).end();
+  }
+
+  async #run({ headers, response }: StandInRequest): Promise<void> {
+    const requestId = String(headers['request-id']);
+    this.runs.push({
+      requestId,
+      tenant: headers.tenant as string | undefined,
+      apiKey: headers['api-key'] as string | undefined,
+      lastEventId: Number(headers['last-event-id'] ?? 0),
+      hops: headers['hop-count'] as string | undefined,
+    });
+    const answerId = this.faults.mixesAnswers ? 'another' : requestId;
+    const head = { 'request-id': answerId, 'response-signature': this.#options.id };
+    if (this.#options.kind === undefined) this.#answerCall(response, head, requestId);
+    else await this.#stream(response, head, Number(headers['last-event-id'] ?? 0));
+  }
+
+  #answerCall(
+    response: http.ServerResponse,
+    head: Record<string, string>,
+    requestId: string,
+  ): void {
+    if (this.faults.losesAnswers) {
+      response.socket?.destroy();
+      return;
+    }
+    const body = `ran ${requestId}`;
+    response.writeHead(200, { ...head, 'content-length': body.length });
+    response.end(body);
+    if (this.faults.sendsExtra) {
+      const { socket } = response;
+      response.on('finish', () => {
+        socket?.write('HTTP/1.1 200 OK\r\nRequest-Id: extra\r\nContent-Length: 5\r\n\r\nextra');
+      });
+    }
+  }
+
+  async #stream(
+    response: http.ServerResponse,
+    head: Record<string, string>,
+    lastEventId: number,
+  ): Promise<void> {
+    const { events = DEFAULT_EVENTS, pauseMilliseconds = DEFAULT_PAUSE_MILLISECONDS } =
+      this.#options;
+    response.writeHead(200, { ...head, 'content-type': 'text/event-stream' });
+    for (let id = lastEventId + 1; id <= events; id += 1) {
+      if (response.destroyed) return;
+      if (id - lastEventId > this.faults.cutsAfter) {
+        response.write(`id: ${id}\nda`);
+        await sleep(1);
+        response.destroy();
+        return;
+      }
+      response.write(`id: ${id}\ndata: ${id}\n\n`);
+      await sleep(pauseMilliseconds);
+    }
+    response.end();
+  }
+}
