--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -44,6 +44,7 @@
 const FLEET_PATH = '/fleet';
 
 const HEARTBEAT_MILLISECONDS = 300;
+const SERVER_CHANGES_PAUSE_MILLISECONDS = 200;
 /** What an engine said is told to peers for this long; its entry shows it by then. */
 const HOLDING_TOLD_MILLISECONDS = 3000;
 const STALL_REVIEW_MILLISECONDS = 70;
@@ -233,6 +234,7 @@
     void followObjects({
       store,
       objectKind: platform.serverKind,
+      pauseMilliseconds: SERVER_CHANGES_PAUSE_MILLISECONDS,
       onList: (objects, revision) => this.#takeServers(objects, revision),
       onChanges: (changes, revision) =>
         changes.forEach(({ object, isDeleted }) => {
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -7,6 +7,8 @@
 export interface FollowOptions {
   readonly store: ObjectStore;
   readonly objectKind: string;
+  /** Between two watches, so that changes in quick succession come together, in milliseconds. */
+  readonly pauseMilliseconds?: number;
   /** How long one watch may wait, in milliseconds. */
   readonly waitMilliseconds?: number;
   readonly onList: (objects: readonly StoredObject[], revision: number) => void;
@@ -46,7 +48,7 @@
  */
 export async function followObjects(options: FollowOptions): Promise<void> {
   const { store, objectKind, onList, onChanges, onContact, log, signal } = options;
-  const { waitMilliseconds = DEFAULT_WAIT_MILLISECONDS } = options;
+  const { waitMilliseconds = DEFAULT_WAIT_MILLISECONDS, pauseMilliseconds = 0 } = options;
   const pause = new Pause();
   let revision: number | undefined;
   const noteContact = (): void => {
@@ -73,7 +75,10 @@
       if (watched.kind === 'changed') {
         noteContact();
         revision = Math.max(revision, watched.revision);
-        if (watched.changes.length > 0) onChanges(watched.changes, revision);
+        if (watched.changes.length > 0) {
+          onChanges(watched.changes, revision);
+          if (pauseMilliseconds > 0) await sleep(pauseMilliseconds, signal);
+        }
       } else if (watched.kind === 'historyLost') {
         log.info('History of the store is gone; reading it whole.', { objectKind, revision });
         noteContact();
