Match a report of stalls with the chain that it speaks of

Ruled out: a second death (the engine named was the same and not in the chain). Change: only streams over the reporting first engine, with the engine at fault in their chain.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,7 +23,7 @@
 };
 
 export default defineConfig([
-  { ignores: ['dist/**', 'node_modules/**', 'reports/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'reports/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/entry/stall-watch.ts
+++ b/src/entry/stall-watch.ts
@@ -134,7 +134,7 @@
       report.stalled.forEach(({ requestId, faultAddress }) => {
         const culprit = fleet.findByAddress(faultAddress);
         if (culprit) suspicions.raise(culprit.entry.id, 'A stream waits for it.');
-        const stream = [...this.#streams].find((each) => each.requestId === requestId);
+        const stream = this.#find(requestId, server, culprit);
         if (!stream) return;
         log.info('Stream waits for an engine.', { requestId, faultAddress, first: id });
         stream.avoid(culprit ? [culprit.entry.id] : []);
@@ -144,6 +144,23 @@
     }
   }
 
+  /**
+   * Finds the stream that a report speaks of. Reports lag: a stream that runs over another first
+   * engine by now, or past the engine at fault already, is not meant.
+   */
+  #find(
+    requestId: string,
+    first: FleetServer,
+    culprit: FleetServer | undefined,
+  ): WatchedStream | undefined {
+    return [...this.#streams].find(
+      (stream) =>
+        stream.requestId === requestId &&
+        stream.chain[0] === first &&
+        (culprit === undefined || stream.chain.includes(culprit)),
+    );
+  }
+
   /** Suspects a server that gave no report, unless this process was too busy to read it. */
   #suspectSilent(id: string, askedAt: number): void {
     const waited = this.#now() - askedAt;
