Drop a dead peer's suspicions; judge the store by failures; split two large files

Cause, found by reading: (1) a killed instance's suspicions stayed with its peers for good, so a sound server got no work; (2) a watch may wait 10 s, but the store counted as away 5.5 s after an answer, so that planning, freshness and the grace for missing entries followed the watch's rhythm. Ruled out: nothing else reads the time of contact. Change: a lost peer's suspicions are dropped; the store is away when a call fails or 11.5 s have passed. relay-stream.ts loses the finding of chains, entry-daemon.ts planner role, peer views, health. Test: the lost peer is told of (failed before: there was no such call); planner role by cases.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -1,7 +1,6 @@
 /** One entry instance on a platform: its parts, put together. */
 import { setMaxListeners } from 'node:events';
 import { sleep } from '../common/clock.js';
-import { callWhole } from '../common/http-client.js';
 import { ConfigurationHolder } from '../entry/configuration-holder.js';
 import { CrashRecords } from '../entry/crash-records.js';
 import type { EntryContext } from '../entry/entry-context.js';
@@ -12,6 +11,8 @@
 import { StallWatch } from '../entry/stall-watch.js';
 import { BackendFleet } from '../fleet/backend-fleet.js';
 import { CallTimes } from '../fleet/call-times.js';
+import { isHealthy } from '../fleet/health-check.js';
+import { gatherServerViews, sumPeerViews } from '../fleet/peer-views.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import { Suspicions } from '../fleet/suspicions.js';
 import { Gossip } from '../gossip/gossip.js';
@@ -24,6 +25,7 @@
 import type { StoredObject } from '../store/object-store.js';
 import type { LogFactory } from '../telemetry/log.js';
 import type { AddressAnswer, EntryPlatform } from './entry-platform.js';
+import { isHolderGone, isPlanner } from './planner-role.js';
 
 /** Options of {@link startEntryDaemon}. */
 export interface EntryDaemonOptions {
@@ -45,23 +47,19 @@
 
 const HEARTBEAT_MILLISECONDS = 300;
 const SERVER_CHANGES_PAUSE_MILLISECONDS = 200;
-/** What an engine said is told to peers for this long; its entry shows it by then. */
-const HOLDING_TOLD_MILLISECONDS = 3000;
 const STALL_REVIEW_MILLISECONDS = 70;
 const PACE_REVIEW_MILLISECONDS = 500;
 const HEALTH_REVIEW_MILLISECONDS = 200;
-const HEALTH_TIMEOUT_MILLISECONDS = 300;
 const ADDRESS_LIFETIME_SECONDS = 1;
 const MAXIMUM_ADDRESSES = 64;
-/** The store counts as reachable for this long after an answer. */
-const STORE_CONTACT_MILLISECONDS = 5500;
+/** The store counts as reachable for this long after an answer, unless a call fails. */
+const STORE_CONTACT_MILLISECONDS = 11_500;
 /** Before the end of the time to stop, so that what is left ends in order. */
 const STOP_MARGIN_MILLISECONDS = 600;
 const STOP_REVIEW_MILLISECONDS = 50;
 /** How long callers may still come with addresses that they keep, in lifetimes of an answer. */
 const KEPT_LIFETIMES = 3;
 const REGISTER_RETRY_MILLISECONDS = 500;
-const PACE_RESOLUTION = 10;
 
 class EntryInstance {
   readonly #options: EntryDaemonOptions;
@@ -107,7 +105,12 @@
     this.#configuration = new ConfigurationHolder({ log: logs('configuration') });
     this.#fleet = new BackendFleet({ log: logs('backend') });
     this.#suspicions = new Suspicions({ log: logs('backend'), onRaise: () => this.#tellAtOnce() });
-    this.#peers = new PeerTable({ instance: settings.instance, log: logs('peer') });
+    this.#peers = new PeerTable({
+      instance: settings.instance,
+      log: logs('peer'),
+      // A dead instance can't take its suspicions back.
+      onLost: (instance) => this.#suspicions.acceptFrom(instance, []),
+    });
     this.#gossip = new Gossip({
       address: settings.listen.peers,
       dataCentre: settings.dataCentre,
@@ -215,9 +218,11 @@
     const { signal } = this.#tasks;
     const { store } = platform;
     const onContact = (): void => {
-      const now = performance.now();
-      if (now - this.#storeContactAt > STORE_CONTACT_MILLISECONDS) this.#fleet.disturbedAt = now;
-      this.#storeContactAt = now;
+      if (!this.#isStoreReachable) this.#fleet.disturbedAt = performance.now();
+      this.#storeContactAt = performance.now();
+    };
+    const onLost = (): void => {
+      this.#storeContactAt = Number.NEGATIVE_INFINITY;
     };
     void followObjects({
       store,
@@ -228,6 +233,7 @@
         onContact();
         this.#configuration.confirm();
       },
+      onLost,
       log: logs('configuration'),
       signal,
     });
@@ -243,11 +249,13 @@
           else this.#fleet.remove(object.name, revision);
         }),
       onContact,
+      onLost,
       log: logs('backend'),
       signal,
     });
     void this.#register();
     void this.#repeat(HEARTBEAT_MILLISECONDS, async () => {
+      if (this.#isStoreReachable) this.#configuration.confirm();
       this.#record = this.#makeRecord();
     });
     void this.#repeat(STALL_REVIEW_MILLISECONDS, () => this.#context.stallWatch.review());
@@ -259,7 +267,7 @@
       configuration: this.#configuration,
       dialect: platform.dialect,
       lease: this.#lease,
-      isPlanner: () => this.#isPlanner(),
+      isPlanner: () => isPlanner(this.#record, this.#peers.alive),
       isHolderGone: (holder) => this.#isHolderGone(holder),
       isIdle: (service) => this.#isIdle(service),
       metrics: this.#context.metrics,
@@ -286,28 +294,9 @@
     return `${this.#options.settings.instance}/${this.#incarnation}`;
   }
 
-  /** The holder of the newest lease plans; without one, the first by name that may take it. */
-  #isPlanner(): boolean {
-    if (!this.#isReady) return false;
-    const { instance } = this.#options.settings;
-    const able = this.#peers.alive.filter(({ isReady, isStopping }) => isReady && !isStopping);
-    const isStoreHeard = this.#isStoreReachable || able.some((peer) => peer.isStoreReachable);
-    const rivals = able.filter((peer) => peer.isStoreReachable || !isStoreHeard);
-    if (isStoreHeard && !this.#isStoreReachable) return false;
-    const ownTerm = this.#lease.isHolder ? this.#lease.term : 0;
-    const term = Math.max(0, ...rivals.map(({ plannerTerm }) => plannerTerm));
-    if (ownTerm !== term) return ownTerm > term;
-    return !rivals.some((peer) => peer.plannerTerm === term && peer.instance < instance);
-  }
-
   #isHolderGone(holder: string): boolean {
-    const [instance = '', incarnation] = holder.split('/');
-    const { settings } = this.#options;
-    if (instance === settings.instance) return true;
-    const peer = this.#peers.findAlive(instance);
-    if (!peer || peer.isStopping || !peer.isStoreReachable) return true;
-    // A holder that lives and no longer says so has lost it, or has not said so yet.
-    return String(peer.incarnation) !== incarnation;
+    const [instance = ''] = holder.split('/');
+    return isHolderGone(holder, this.#options.settings.instance, this.#peers.findAlive(instance));
   }
 
   #isIdle(service: string): boolean {
@@ -380,19 +369,6 @@
   #makeRecord(): PeerRecord {
     const { settings } = this.#options;
     this.#counter += 1;
-    const loads: PeerRecord['loads'] = {};
-    const paces: PeerRecord['paces'] = {};
-    const holdings: PeerRecord['holdings'] = {};
-    const oldest = performance.now() - HOLDING_TOLD_MILLISECONDS;
-    this.#fleet.servers.forEach(({ entry, own, ownSlowFactor, ownHolding }) => {
-      if (ownHolding && ownHolding.at > oldest) {
-        holdings[entry.id] = [ownHolding.layers.from, ownHolding.layers.to];
-      }
-      if (own.requests > 0) loads[entry.id] = [own.requests, Math.round(own.tokenLayers)];
-      if (ownSlowFactor > 1) {
-        paces[entry.id] = Math.round(ownSlowFactor * PACE_RESOLUTION) / PACE_RESOLUTION;
-      }
-    });
     return {
       instance: settings.instance,
       dataCentre: settings.dataCentre,
@@ -406,9 +382,7 @@
       fleetRevision: this.#fleet.revision,
       isStoreReachable: this.#isStoreReachable,
       suspects: this.#suspicions.own,
-      loads,
-      paces,
-      holdings,
+      ...gatherServerViews(this.#fleet),
       plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
       retries: this.#context.retries.counts,
       crashes: this.#context.crashes.list,
@@ -418,7 +392,7 @@
   #acceptRecord(record: PeerRecord): void {
     this.#suspicions.acceptFrom(record.instance, record.suspects);
     this.#context.crashes.accept(record.crashes);
-    this.#sumLoads();
+    sumPeerViews(this.#fleet, this.#peers.alive);
     const version = this.#configuration.current?.version ?? -1;
     if (record.configurationVersion > version) void this.#fetchConfiguration(record);
     else if (record.isStoreReachable && record.configurationVersion === version) {
@@ -428,32 +402,6 @@
     if (isBehind && (!this.#isStoreReachable || !this.#hasFleet)) void this.#fetchFleet(record);
   }
 
-  #sumLoads(): void {
-    const { servers } = this.#fleet;
-    servers.forEach((server) => {
-      server.others.requests = 0;
-      server.others.tokenLayers = 0;
-      server.othersSlowFactor = 1;
-    });
-    const now = performance.now();
-    this.#peers.alive.forEach(({ loads, paces, holdings }) => {
-      Object.entries(holdings).forEach(([id, [from, to]]) => {
-        const server = this.#fleet.find(id);
-        if (server) server.othersHolding = { layers: { from, to }, at: now };
-      });
-      Object.entries(loads).forEach(([id, [requests, tokenLayers]]) => {
-        const server = this.#fleet.find(id);
-        if (!server) return;
-        server.others.requests += requests;
-        server.others.tokenLayers += tokenLayers;
-      });
-      Object.entries(paces).forEach(([id, pace]) => {
-        const server = this.#fleet.find(id);
-        if (server) server.othersSlowFactor = Math.max(server.othersSlowFactor, pace);
-      });
-    });
-  }
-
   async #fetchConfiguration(record: PeerRecord): Promise<void> {
     const value = await this.#gossip.fetch(record.peers, CONFIGURATION_PATH);
     if (value === undefined) return;
@@ -500,17 +448,8 @@
     const server = this.#fleet.find(id);
     if (!server) return;
     const service = this.#configuration.current?.services.get(server.entry.service);
-    try {
-      const answer = await callWhole({
-        address: server.entry.address,
-        method: 'GET',
-        path: service?.healthPath ?? '/health',
-        timeoutMilliseconds: HEALTH_TIMEOUT_MILLISECONDS,
-      });
-      if (answer.status === 200) this.#suspicions.clear(id);
-    } catch {
-      // It stays suspected and is asked again at the next review.
-    }
+    const path = service?.healthPath ?? '/health';
+    if (await isHealthy(server.entry.address, path)) this.#suspicions.clear(id);
   }
 
   #metricsPage(): Promise<string> {
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -2,16 +2,8 @@
 import type { IncomingMessage } from 'node:http';
 import { sleep } from '../common/clock.js';
 import { HttpCallError, messageOf } from '../common/http-client.js';
-import { holdingOf, noteRefusal, noteTaken, type FleetServer } from '../fleet/backend-fleet.js';
+import { noteRefusal, noteTaken, type FleetServer } from '../fleet/backend-fleet.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
-import {
-  chooseChain,
-  type Chain,
-  type ChainCandidate,
-  type ChainPart,
-} from '../layers/chain-choice.js';
-import type { RequestTokens } from '../layers/engine-times.js';
-import type { Hop } from './dialect.js';
 import { answerHeaders, sendOwnAnswer, setHeaders, type OwnAnswer } from './entry-answer.js';
 import type { EntryContext } from './entry-context.js';
 import { endReasonOf, isIdempotent, type EntryRequest } from './entry-request.js';
@@ -19,6 +11,7 @@
 import { sendExchange } from './exchange.js';
 import type { EngineProfile } from './serving-configuration.js';
 import type { WatchedStream } from './stall-watch.js';
+import { hopsOf, StreamChains, type EngineChain } from './stream-chains.js';
 
 /** How one attempt ended. */
 type AttemptEnd =
@@ -30,24 +23,11 @@
   | { readonly kind: 'late'; readonly culprits: readonly string[]; readonly message: string }
   | { readonly kind: 'broken'; readonly culprits: readonly string[]; readonly message: string };
 
-/** Which engines may be used beside those in good order. */
-interface Allowance {
-  readonly isFullAllowed: boolean;
-  readonly isAvoidedAllowed: boolean;
-}
-
-interface EngineCandidate extends ChainCandidate {
-  readonly server: FleetServer;
-}
-
 const LONGEST_WAIT_FOR_CHAIN_MILLISECONDS = 1700;
 const CHAIN_REVIEW_MILLISECONDS = 60;
 /** Tries beyond the route's maximum that engines have refused to run. */
 const MAXIMUM_REFUSED_TRIES = 4;
 const MAXIMUM_ATTEMPTS = 4;
-/** Beginning in another data centre must be worth this, so that instances don't all agree. */
-const OTHER_START_MILLISECONDS = 80;
-const START_SPREAD_MILLISECONDS = 80;
 /** Of a route's target, after which a first event is late enough to look elsewhere. */
 const PATIENCE_SHARE = 0.7;
 const MAXIMUM_MOVES = 1;
@@ -56,33 +36,13 @@
 const RETRY_AFTER_NO_CHAIN_SECONDS = 0.6;
 const RETRY_AFTER_CONVICTED_SECONDS = 30;
 
-function tokensOf(request: EntryRequest, profile: EngineProfile): RequestTokens {
-  const { promptTokens, maximumAnswerTokens, expectedAnswerTokens } = request.terms;
-  const answer = expectedAnswerTokens ?? profile.usualAnswerTokens;
-  return {
-    prompt: promptTokens ?? profile.usualPromptTokens,
-    answer: Math.min(answer, maximumAnswerTokens ?? answer),
-  };
-}
-
-function hopsOf(chain: Chain<EngineCandidate>): Hop[] {
-  return chain.parts.map(({ engine, layers }) => ({
-    address: engine.server.entry.address,
-    layers,
-  }));
-}
-
 /** One streaming request from its first attempt to its end. */
 class StreamRelay {
   readonly #context: EntryContext;
 
   readonly #request: EntryRequest;
 
-  readonly #profile: EngineProfile;
-
-  readonly #tokens: RequestTokens;
-
-  readonly #avoided = new Set<string>();
+  readonly #chains: StreamChains;
 
   #lastEventId: number | undefined;
 
@@ -104,8 +64,7 @@
   constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
     this.#context = context;
     this.#request = request;
-    this.#profile = profile;
-    this.#tokens = tokensOf(request, profile);
+    this.#chains = new StreamChains(context, request, profile);
     this.#lastEventId = request.terms.lastEventId;
   }
 
@@ -136,11 +95,11 @@
   /** Decides whether to try again after a fault; gives the outcome when not. */
   #afterFault(
     end: Extract<AttemptEnd, { kind: 'notRun' | 'late' | 'broken' }>,
-    chain: Chain<EngineCandidate>,
+    chain: EngineChain,
   ): string | undefined {
     const { retries, logs, metrics } = this.#context;
     const { route, service, terms } = this.#request;
-    end.culprits.forEach((id) => this.#avoided.add(id));
+    end.culprits.forEach((id) => this.#chains.avoided.add(id));
     if (end.kind === 'notRun') this.#refusedTries += 1;
     else this.#attempts += 1;
     const first = chain.parts[0]?.engine.id;
@@ -174,10 +133,10 @@
   }
 
   /** Finds a chain; a stream that has begun waits a little for one. */
-  async #findChain(): Promise<Chain<EngineCandidate> | undefined> {
+  async #findChain(): Promise<EngineChain | undefined> {
     const until = performance.now() + LONGEST_WAIT_FOR_CHAIN_MILLISECONDS;
     for (;;) {
-      const chain = this.#choose();
+      const chain = this.#chains.choose();
       if (chain) return chain;
       if (!this.#hasBegun || performance.now() > until) return undefined;
       if (this.#request.signal.aborted) return undefined;
@@ -185,105 +144,20 @@
     }
   }
 
-  /** Chooses a chain, over engines without room or that failed this request only for want of others. */
-  #choose(pinned?: ChainPart<EngineCandidate>): Chain<EngineCandidate> | undefined {
-    return (
-      this.#chooseAmong({ isFullAllowed: false, isAvoidedAllowed: false }, pinned) ??
-      this.#chooseAmong({ isFullAllowed: true, isAvoidedAllowed: false }, pinned) ??
-      this.#chooseAmong({ isFullAllowed: true, isAvoidedAllowed: true }, pinned)
-    );
-  }
-
-  #chooseAmong(
-    { isFullAllowed, isAvoidedAllowed }: Allowance,
-    pinned?: ChainPart<EngineCandidate>,
-  ): Chain<EngineCandidate> | undefined {
-    const { fleet, suspicions, dataCentre, crossLinks, logs } = this.#context;
-    const candidates: EngineCandidate[] = [];
-    const now = performance.now();
-    fleet.ofService(this.#request.service.name).forEach((server) => {
-      const { id, kind } = server.entry;
-      const layers = holdingOf(server);
-      const isFull = server.fullUntil > now && !isFullAllowed;
-      const hasFailed = this.#avoided.has(id) && !isAvoidedAllowed;
-      const isAvoided = hasFailed || suspicions.isSuspect(id) || isFull;
-      if (!layers || (isAvoided && id !== pinned?.engine.id)) return;
-      candidates.push({
-        id,
-        dataCentre: server.entry.dataCentre,
-        kind,
-        layers,
-        running: server.own.requests + server.others.requests,
-        promised: server.own.tokenLayers + server.others.tokenLayers,
-        slowFactor: Math.max(server.ownSlowFactor, server.othersSlowFactor),
-        server,
-      });
-    });
-    const chain = chooseChain(candidates, {
-      profile: this.#profile,
-      tokens: this.#tokens,
-      ...(pinned ? { pinned } : {}),
-      linkUse: (from, to) =>
-        crossLinks.utilisation(from, to, this.#profile.crossLinkMegabitsPerSecond),
-      startBias: (place) =>
-        (place === dataCentre ? 0 : OTHER_START_MILLISECONDS) +
-        Math.random() * START_SPREAD_MILLISECONDS,
-    });
-    if ('missingLayer' in chain) {
-      if (!isAvoidedAllowed) return undefined;
-      logs('routing').info('No chain.', {
-        requestId: this.#request.terms.requestId,
-        missingLayer: chain.missingLayer,
-        engines: candidates.length,
-        fleetRevision: fleet.revision,
-      });
-      return undefined;
-    }
-    return chain;
-  }
-
-  /** Enters a chain's work at its engines; returns what takes it out again. */
-  #promise(chain: Chain<EngineCandidate>): () => void {
-    const total = this.#tokens.prompt + this.#tokens.answer;
-    const shares = chain.parts.map(({ engine, layers }) => ({
-      load: engine.server.own,
-      tokenLayers: total * (layers.to - layers.from),
-    }));
-    this.#noteCrossings(chain);
-    shares.forEach(({ load, tokenLayers }) => {
-      load.requests += 1;
-      load.tokenLayers += tokenLayers;
-    });
-    return () => {
-      shares.forEach(({ load, tokenLayers }) => {
-        load.requests -= 1;
-        load.tokenLayers -= tokenLayers;
-      });
-    };
-  }
-
-  #noteCrossings(chain: Chain<EngineCandidate>): void {
-    const bits = 8 * this.#tokens.prompt * this.#profile.activationBytesPerToken;
-    chain.parts.forEach(({ engine }, index) => {
-      const next = chain.parts[index + 1]?.engine.dataCentre ?? engine.dataCentre;
-      if (next !== engine.dataCentre) this.#context.crossLinks.note(engine.dataCentre, next, bits);
-    });
-  }
-
-  async #attempt(chosen: Chain<EngineCandidate>): Promise<AttemptEnd> {
+  async #attempt(chosen: EngineChain): Promise<AttemptEnd> {
     const { stallWatch, logs } = this.#context;
     const { terms, signal } = this.#request;
     const first = chosen.parts[0]?.engine.server;
     if (!first) return { kind: 'notRun', culprits: [], message: 'The chain is empty.' };
-    logs('routing').info('Chain chosen.', this.#describe(chosen));
+    logs('routing').info('Chain chosen.', this.#chains.describe(chosen));
     const attempt = new AbortController();
     const abort = (): void => attempt.abort();
     signal.addEventListener('abort', abort, { once: true });
-    let release = this.#promise(chosen);
+    let release = this.#chains.promise(chosen);
     let culprits: readonly string[] | undefined;
     let isRepathing = false;
     let isEnded = false;
-    const serversOf = (chain: Chain<EngineCandidate>): FleetServer[] =>
+    const serversOf = (chain: EngineChain): FleetServer[] =>
       chain.parts.map(({ engine }) => engine.server);
     const watched: WatchedStream = {
       requestId: terms.requestId,
@@ -296,14 +170,14 @@
         if (isRepathing || this.#moves >= MAXIMUM_MOVES) return;
         this.#moves += 1;
         const passed = chosen.parts.map(({ engine }) => engine.id);
-        if (!this.#hasOther(passed)) return;
+        if (!this.#chains.hasOther(passed)) return;
         culprits = passed;
         attempt.abort();
       },
       avoid: (found) => {
         if (isRepathing) return;
         isRepathing = true;
-        found.forEach((id) => this.#avoided.add(id));
+        found.forEach((id) => this.#chains.avoided.add(id));
         void this.#repath(chosen, found).then((chain) => {
           isRepathing = false;
           if (isEnded) return;
@@ -313,7 +187,7 @@
             return;
           }
           release();
-          release = this.#promise(chain);
+          release = this.#chains.promise(chain);
           watched.chain = serversOf(chain);
           watched.lastProgressAt = performance.now();
         });
@@ -337,36 +211,16 @@
     }
   }
 
-  /** Whether there is a chain with room that leaves some engines out. */
-  #hasOther(passed: readonly string[]): boolean {
-    const added = passed.filter((id) => !this.#avoided.has(id));
-    added.forEach((id) => this.#avoided.add(id));
-    const other = this.#chooseAmong({ isFullAllowed: false, isAvoidedAllowed: false });
-    if (other && !other.isOverfull) return true;
-    added.forEach((id) => this.#avoided.delete(id));
-    return false;
-  }
-
-  #describe(chain: Chain<EngineCandidate>): Record<string, unknown> {
-    return {
-      requestId: this.#request.terms.requestId,
-      chain: chain.parts.map(({ engine, layers }) => `${engine.id}=${layers.from}-${layers.to}`),
-      expectedMilliseconds: Math.round(chain.expectedMilliseconds),
-      isOverfull: chain.isOverfull,
-      fleetRevision: this.#context.fleet.revision,
-    };
-  }
-
   /** Leads the stream round engines at fault without running it anew; undefined when it can't be. */
   async #repath(
-    chosen: Chain<EngineCandidate>,
+    chosen: EngineChain,
     culprits: readonly string[],
-  ): Promise<Chain<EngineCandidate> | undefined> {
+  ): Promise<EngineChain | undefined> {
     const { dialect, fleet, logs, metrics } = this.#context;
     const [pinned] = chosen.parts;
     if (!pinned || culprits.length === 0 || culprits.includes(pinned.engine.id)) return undefined;
     for (let tries = 0; tries < MAXIMUM_REPATHS; tries += 1) {
-      const chain = this.#choose(pinned);
+      const chain = this.#chains.choose(pinned);
       if (!chain) return undefined;
       const result = await dialect.repath(
         pinned.engine.server.entry.address,
@@ -374,7 +228,7 @@
         REPATH_TIMEOUT_MILLISECONDS,
       );
       logs('routing').info('Chain changed under way.', {
-        ...this.#describe(chain),
+        ...this.#chains.describe(chain),
         culprits,
         result: result.kind,
         lastEventId: this.#lastEventId,
@@ -384,7 +238,7 @@
       if (result.kind === 'failed' || result.faultAddress === undefined) return undefined;
       const fault = fleet.findByAddress(result.faultAddress);
       if (!fault) return undefined;
-      this.#avoided.add(fault.entry.id);
+      this.#chains.avoided.add(fault.entry.id);
     }
     return undefined;
   }
@@ -407,7 +261,7 @@
   }
 
   async #converse(
-    chain: Chain<EngineCandidate>,
+    chain: EngineChain,
     first: FleetServer,
     watched: WatchedStream,
     signal: AbortSignal,
--- /dev/null
+++ b/src/entry/stream-chains.ts
@@ -0,0 +1,194 @@
+/** Finds chains for one streaming request, and enters its work at their engines. */
+import { holdingOf, type FleetServer } from '../fleet/backend-fleet.js';
+import {
+  chooseChain,
+  type Chain,
+  type ChainCandidate,
+  type ChainPart,
+} from '../layers/chain-choice.js';
+import type { RequestTokens } from '../layers/engine-times.js';
+import type { Hop } from './dialect.js';
+import type { EntryContext } from './entry-context.js';
+import type { EntryRequest } from './entry-request.js';
+import type { EngineProfile } from './serving-configuration.js';
+
+/** Which engines may be used beside those in good order. */
+interface Allowance {
+  readonly isFullAllowed: boolean;
+  readonly isAvoidedAllowed: boolean;
+}
+
+/** An engine that may take part in a chain, with what is known of it. */
+export interface EngineCandidate extends ChainCandidate {
+  readonly server: FleetServer;
+}
+
+/** A chain over known engines. */
+export type EngineChain = Chain<EngineCandidate>;
+
+/** Beginning in another data centre must be worth this, so that instances don't all agree. */
+const OTHER_START_MILLISECONDS = 80;
+const START_SPREAD_MILLISECONDS = 80;
+
+function tokensOf(request: EntryRequest, profile: EngineProfile): RequestTokens {
+  const { promptTokens, maximumAnswerTokens, expectedAnswerTokens } = request.terms;
+  const answer = expectedAnswerTokens ?? profile.usualAnswerTokens;
+  return {
+    prompt: promptTokens ?? profile.usualPromptTokens,
+    answer: Math.min(answer, maximumAnswerTokens ?? answer),
+  };
+}
+
+/**
+ * Lists a chain's parts by address.
+ *
+ * @param chain - The chain.
+ * @returns Its hops in order.
+ */
+export function hopsOf(chain: EngineChain): Hop[] {
+  return chain.parts.map(({ engine, layers }) => ({
+    address: engine.server.entry.address,
+    layers,
+  }));
+}
+
+export class StreamChains {
+  readonly #context: EntryContext;
+
+  readonly #request: EntryRequest;
+
+  readonly #profile: EngineProfile;
+
+  readonly #tokens: RequestTokens;
+
+  /** Engines that have failed this request. */
+  readonly avoided = new Set<string>();
+
+  constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
+    this.#context = context;
+    this.#request = request;
+    this.#profile = profile;
+    this.#tokens = tokensOf(request, profile);
+  }
+
+  /**
+   * Chooses a chain, over engines without room or that failed this request only for want of others.
+   *
+   * @param pinned - The first part, when it must stay.
+   * @returns The chain, or undefined when some layer is held by no engine that may be used.
+   */
+  choose(pinned?: ChainPart<EngineCandidate>): EngineChain | undefined {
+    return (
+      this.#chooseAmong({ isFullAllowed: false, isAvoidedAllowed: false }, pinned) ??
+      this.#chooseAmong({ isFullAllowed: true, isAvoidedAllowed: false }, pinned) ??
+      this.#chooseAmong({ isFullAllowed: true, isAvoidedAllowed: true }, pinned)
+    );
+  }
+
+  #chooseAmong(
+    { isFullAllowed, isAvoidedAllowed }: Allowance,
+    pinned?: ChainPart<EngineCandidate>,
+  ): EngineChain | undefined {
+    const { fleet, suspicions, dataCentre, crossLinks, logs } = this.#context;
+    const candidates: EngineCandidate[] = [];
+    const now = performance.now();
+    fleet.ofService(this.#request.service.name).forEach((server) => {
+      const { id, kind } = server.entry;
+      const layers = holdingOf(server);
+      const isFull = server.fullUntil > now && !isFullAllowed;
+      const hasFailed = this.avoided.has(id) && !isAvoidedAllowed;
+      const isAvoided = hasFailed || suspicions.isSuspect(id) || isFull;
+      if (!layers || (isAvoided && id !== pinned?.engine.id)) return;
+      candidates.push({
+        id,
+        dataCentre: server.entry.dataCentre,
+        kind,
+        layers,
+        running: server.own.requests + server.others.requests,
+        promised: server.own.tokenLayers + server.others.tokenLayers,
+        slowFactor: Math.max(server.ownSlowFactor, server.othersSlowFactor),
+        server,
+      });
+    });
+    const chain = chooseChain(candidates, {
+      profile: this.#profile,
+      tokens: this.#tokens,
+      ...(pinned ? { pinned } : {}),
+      linkUse: (from, to) =>
+        crossLinks.utilisation(from, to, this.#profile.crossLinkMegabitsPerSecond),
+      startBias: (place) =>
+        (place === dataCentre ? 0 : OTHER_START_MILLISECONDS) +
+        Math.random() * START_SPREAD_MILLISECONDS,
+    });
+    if ('missingLayer' in chain) {
+      if (!isAvoidedAllowed) return undefined;
+      logs('routing').info('No chain.', {
+        requestId: this.#request.terms.requestId,
+        missingLayer: chain.missingLayer,
+        engines: candidates.length,
+        fleetRevision: fleet.revision,
+      });
+      return undefined;
+    }
+    return chain;
+  }
+
+  /**
+   * Enters a chain's work at its engines.
+   *
+   * @param chain - The chain that the request is sent over.
+   * @returns What takes the work out again.
+   */
+  promise(chain: EngineChain): () => void {
+    const total = this.#tokens.prompt + this.#tokens.answer;
+    const shares = chain.parts.map(({ engine, layers }) => ({
+      load: engine.server.own,
+      tokenLayers: total * (layers.to - layers.from),
+    }));
+    this.#noteCrossings(chain);
+    shares.forEach(({ load, tokenLayers }) => {
+      load.requests += 1;
+      load.tokenLayers += tokenLayers;
+    });
+    return () => {
+      shares.forEach(({ load, tokenLayers }) => {
+        load.requests -= 1;
+        load.tokenLayers -= tokenLayers;
+      });
+    };
+  }
+
+  #noteCrossings(chain: EngineChain): void {
+    const bits = 8 * this.#tokens.prompt * this.#profile.activationBytesPerToken;
+    chain.parts.forEach(({ engine }, index) => {
+      const next = chain.parts[index + 1]?.engine.dataCentre ?? engine.dataCentre;
+      if (next !== engine.dataCentre) this.#context.crossLinks.note(engine.dataCentre, next, bits);
+    });
+  }
+
+  /**
+   * Tells whether there is a chain with room that leaves some engines out; they are avoided then.
+   *
+   * @param passed - The engines to leave out.
+   * @returns Whether there is one.
+   */
+  hasOther(passed: readonly string[]): boolean {
+    const added = passed.filter((id) => !this.avoided.has(id));
+    added.forEach((id) => this.avoided.add(id));
+    const other = this.#chooseAmong({ isFullAllowed: false, isAvoidedAllowed: false });
+    if (other && !other.isOverfull) return true;
+    added.forEach((id) => this.avoided.delete(id));
+    return false;
+  }
+
+  /** Describes a chain for the log. */
+  describe(chain: EngineChain): Record<string, unknown> {
+    return {
+      requestId: this.#request.terms.requestId,
+      chain: chain.parts.map(({ engine, layers }) => `${engine.id}=${layers.from}-${layers.to}`),
+      expectedMilliseconds: Math.round(chain.expectedMilliseconds),
+      isOverfull: chain.isOverfull,
+      fleetRevision: this.#context.fleet.revision,
+    };
+  }
+}
--- /dev/null
+++ b/src/fleet/peer-views.ts
@@ -0,0 +1,63 @@
+/** What peers tell of the servers: their load, how slow they are, what they hold. */
+import type { PeerRecord } from '../gossip/peer-record.js';
+import type { BackendFleet } from './backend-fleet.js';
+
+/** A server's part of an instance's record. */
+export type ServerViews = Pick<PeerRecord, 'loads' | 'paces' | 'holdings'>;
+
+/** What an engine said is told to peers for this long; its entry shows it by then. */
+const HOLDING_TOLD_MILLISECONDS = 3000;
+const PACE_RESOLUTION = 10;
+
+/**
+ * Gathers what this instance knows of the servers, for its record.
+ *
+ * @param fleet - The servers.
+ * @returns Loads, paces and holdings by server; servers with nothing to tell aren't listed.
+ */
+export function gatherServerViews(fleet: BackendFleet): ServerViews {
+  const views: ServerViews = { loads: {}, paces: {}, holdings: {} };
+  const oldest = performance.now() - HOLDING_TOLD_MILLISECONDS;
+  fleet.servers.forEach(({ entry: { id }, own, ownSlowFactor, ownHolding }) => {
+    if (ownHolding && ownHolding.at > oldest) {
+      views.holdings[id] = [ownHolding.layers.from, ownHolding.layers.to];
+    }
+    if (own.requests > 0) views.loads[id] = [own.requests, Math.round(own.tokenLayers)];
+    if (ownSlowFactor > 1) {
+      views.paces[id] = Math.round(ownSlowFactor * PACE_RESOLUTION) / PACE_RESOLUTION;
+    }
+  });
+  return views;
+}
+
+/**
+ * Sums what all peers know of the servers.
+ *
+ * @param fleet - The servers; their view of others is changed in place.
+ * @param peers - Records of the peers that are alive.
+ */
+export function sumPeerViews(fleet: BackendFleet, peers: readonly PeerRecord[]): void {
+  const { servers } = fleet;
+  servers.forEach((server) => {
+    server.others.requests = 0;
+    server.others.tokenLayers = 0;
+    server.othersSlowFactor = 1;
+  });
+  const now = performance.now();
+  peers.forEach(({ loads, paces, holdings }) => {
+    Object.entries(holdings).forEach(([id, [from, to]]) => {
+      const server = fleet.find(id);
+      if (server) server.othersHolding = { layers: { from, to }, at: now };
+    });
+    Object.entries(loads).forEach(([id, [requests, tokenLayers]]) => {
+      const server = fleet.find(id);
+      if (!server) return;
+      server.others.requests += requests;
+      server.others.tokenLayers += tokenLayers;
+    });
+    Object.entries(paces).forEach(([id, pace]) => {
+      const server = fleet.find(id);
+      if (server) server.othersSlowFactor = Math.max(server.othersSlowFactor, pace);
+    });
+  });
+}
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -6,6 +6,8 @@
 export interface PeerTableOptions {
   readonly instance: string;
   readonly log: PartLog;
+  /** Called when an instance is taken for dead. */
+  readonly onLost?: (instance: string) => void;
   readonly now?: () => number;
 }
 
@@ -27,6 +29,8 @@
 
   readonly #log: PartLog;
 
+  readonly #onLost: (instance: string) => void;
+
   readonly #now: () => number;
 
   readonly #known = new Map<string, Known>();
@@ -34,6 +38,7 @@
   constructor(options: PeerTableOptions) {
     this.#instance = options.instance;
     this.#log = options.log;
+    this.#onLost = options.onLost ?? (() => undefined);
     this.#now = options.now ?? (() => performance.now());
   }
 
@@ -62,6 +67,7 @@
       if (known.isAlive && silence > SILENCE_MILLISECONDS) {
         known.isAlive = false;
         this.#log.warn('Peer lost.', { peer: instance, silenceMilliseconds: Math.round(silence) });
+        this.#onLost(instance);
       }
       if (silence > FORGET_MILLISECONDS) this.#known.delete(instance);
     });
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -15,6 +15,8 @@
   readonly onChanges: (changes: readonly ObjectChange[], revision: number) => void;
   /** Called after each answer of the store. */
   readonly onContact: () => void;
+  /** Called when a call fails. */
+  readonly onLost?: () => void;
   readonly log: PartLog;
   readonly signal: AbortSignal;
 }
@@ -48,6 +50,7 @@
  */
 export async function followObjects(options: FollowOptions): Promise<void> {
   const { store, objectKind, onList, onChanges, onContact, log, signal } = options;
+  const { onLost = () => undefined } = options;
   const { waitMilliseconds = DEFAULT_WAIT_MILLISECONDS, pauseMilliseconds = 0 } = options;
   const pause = new Pause();
   let revision: number | undefined;
@@ -58,6 +61,7 @@
   };
   const noteFailure = async (message: string): Promise<void> => {
     if (!pause.isFailing) log.warn('Store lost.', { objectKind, revision, message });
+    onLost();
     await pause.wait(signal);
   };
   while (!signal.aborted) {
