--- a/src/layers/chain-choice.test.ts
+++ b/src/layers/chain-choice.test.ts
@@ -1,35 +1,16 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import type { EngineProfile } from '../entry/serving-configuration.js';
+import { ENGINE_PROFILE } from '../../tools/engine-profile.js';
 import { chooseChain, type Chain, type ChainCandidate } from './chain-choice.js';
 
-const PROFILE: EngineProfile = {
-  layerCount: 80,
-  layerMegabytes: 1750,
-  modelName: 'model',
-  loadMilliseconds: 14_000,
-  concurrentLoads: 6,
-  stepMilliseconds: 0.85,
-  stepMillisecondsPerRequest: 0.004,
-  readTokensPerMillisecond: 252,
-  cacheBytesPerToken: 657_671,
-  activationBytesPerToken: 32_811,
-  crossLinkMegabitsPerSecond: 7900,
-  usualPromptTokens: 772,
-  usualAnswerTokens: 154,
-  kinds: new Map([
-    ['fast', { name: 'fast', memoryMegabytes: 36_000, stepFactor: 3, readFactor: 3 }],
-    ['slow', { name: 'slow', memoryMegabytes: 21_600, stepFactor: 16, readFactor: 8 }],
-  ]),
-};
-const REQUEST = { profile: PROFILE, tokens: { prompt: 700, answer: 150 } };
+const REQUEST = { profile: ENGINE_PROFILE, tokens: { prompt: 700, answer: 150 } };
 
 function engine(id: string, from: number, to: number, more: Partial<ChainCandidate> = {}) {
   return {
     id,
     dataCentre: 'here',
-    kind: 'slow',
+    kind: 'middle',
     layers: { from, to },
     running: 0,
     promised: 0,
@@ -54,7 +35,7 @@
 });
 
 test('chain: parts of overlapping ranges are used', () => {
-  const result = chooseChain([engine('a', 0, 50), engine('b', 30, 80, { kind: 'fast' })], REQUEST);
+  const result = chooseChain([engine('a', 0, 50), engine('b', 30, 80, { kind: 'large' })], REQUEST);
   assert.deepEqual(partsOf(result), ['a=0-30', 'b=30-80']);
 });
 
@@ -83,7 +64,7 @@
     [
       engine('a', 0, 10, { promised: 1e9 }),
       engine('b', 0, 10, { slowFactor: 3 }),
-      engine('c', 10, 80, { kind: 'fast' }),
+      engine('c', 10, 80, { kind: 'large' }),
     ],
     REQUEST,
   );
@@ -105,7 +86,7 @@
     from: fc.integer({ min: 0, max: 79 }),
     length: fc.integer({ min: 1, max: 40 }),
     dataCentre: fc.constantFrom('here', 'there'),
-    kind: fc.constantFrom('fast', 'slow'),
+    kind: fc.constantFrom('large', 'middle'),
     promised: fc.integer({ min: 0, max: 1_000_000 }),
     slowFactor: fc.constantFrom(1, 5),
   }),
--- a/src/layers/cover-plan.test.ts
+++ b/src/layers/cover-plan.test.ts
@@ -1,31 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import type { EngineProfile } from '../entry/serving-configuration.js';
+import { ENGINE_PROFILE as PROFILE } from '../../tools/engine-profile.js';
 import type { LayerRange } from '../fleet/server-entry.js';
 import { holesIn, planCover, type PlannedEngine } from './cover-plan.js';
 import { cacheCapacity, layerCapacity } from './engine-times.js';
 
-const PROFILE: EngineProfile = {
-  layerCount: 80,
-  layerMegabytes: 1750,
-  modelName: 'model',
-  loadMilliseconds: 14_000,
-  concurrentLoads: 6,
-  stepMilliseconds: 0.85,
-  stepMillisecondsPerRequest: 0.004,
-  readTokensPerMillisecond: 252,
-  cacheBytesPerToken: 657_671,
-  activationBytesPerToken: 32_811,
-  crossLinkMegabitsPerSecond: 7900,
-  usualPromptTokens: 772,
-  usualAnswerTokens: 154,
-  kinds: new Map([
-    ['large', { name: 'large', memoryMegabytes: 36_000, stepFactor: 3, readFactor: 3 }],
-    ['middle', { name: 'middle', memoryMegabytes: 21_600, stepFactor: 16, readFactor: 8 }],
-    ['small', { name: 'small', memoryMegabytes: 14_400, stepFactor: 15, readFactor: 15 }],
-  ]),
-};
 const KINDS = [...Array(3).fill('large'), ...Array(3).fill('middle'), ...Array(5).fill('small')];
 
 function engine(index: number, more: Partial<PlannedEngine> = {}): PlannedEngine {
--- /dev/null
+++ b/src/telemetry/log-sink.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict';
+import { mkdtemp, open, readFile, rm } from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import { test } from 'node:test';
+import { LogSink } from './log-sink.js';
+
+async function write(lines: readonly string[], maximumBytes: number): Promise<string> {
+  const folder = await mkdtemp(path.join(os.tmpdir(), 'log-sink-'));
+  const file = await open(path.join(folder, 'log'), 'w');
+  const sink = new LogSink({ descriptor: file.fd, maximumBytes });
+  lines.forEach((line) => sink.write(line));
+  await sink.flush();
+  await file.close();
+  const text = await readFile(path.join(folder, 'log'), 'utf8');
+  await rm(folder, { recursive: true });
+  return text;
+}
+
+test('log sink: lines are written whole and in order', async () => {
+  assert.equal(await write(['one\n', 'two\n'], 1000), 'one\ntwo\n');
+});
+
+test('log sink: what is over the bound is dropped and counted', async () => {
+  const lines = Array.from({ length: 10 }, (_, index) => `line ${index}\n`);
+  const text = await write(lines, 30);
+  assert.ok(text.startsWith('line 0\nline 1\n') && !text.includes('line 9'));
+  assert.match(text, /"dropped":\d/);
+});
