Treat a reset answer without a length as broken off

On a reset Node.js finishes its parser, which makes such an answer look whole ('complete' is true and the body ends without an error). Ruled out: a length that didn't match (those are checked by the parser); the event splitter (a call). Change: the request's error ends the answer with that error. Test: two of sendExchange over a bare socket; the reset one failed before, the orderly end passes both.

--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -49,13 +49,17 @@
         clearTimeout(timer);
       });
     });
+    let answer: http.IncomingMessage | undefined;
     request.on('error', (error) => {
       clearTimeout(timer);
+      // Otherwise an answer without a length would end here as if it were whole.
+      answer?.destroy(error);
       reject(new HttpCallError(phase, error.message));
     });
     request.on('response', (response) => {
       // Errors of the body reach whoever reads the stream.
       response.on('error', () => undefined);
+      answer = response;
       resolve(response);
     });
     request.on('close', () => {
