Trust no answer that doesn't say where it ends

Change: an answer with neither a length nor chunks counts as broken off: a stream goes on after its last event, a lookup is asked again, a booking ends as outcome unknown. Test: hasOwnEnd over the bare socket.

--- a/src/entry/exchange.test.ts
+++ b/src/entry/exchange.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import net, { type AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { sendExchange } from './exchange.js';
+import { hasOwnEnd, sendExchange } from './exchange.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n';
 
@@ -32,6 +32,7 @@
   let text = '';
   for await (const part of answer) text += String(part);
   assert.ok(answer.complete);
+  assert.ok(!hasOwnEnd(answer), 'its end can’t be told from a crash');
   return text;
 }
 
--- a/src/entry/exchange.ts
+++ b/src/entry/exchange.ts
@@ -71,3 +71,15 @@
     request.end(body);
   });
 }
+
+/**
+ * Tells whether an answer says where it ends. One that ends with its connection looks the same when
+ * its server crashed within it.
+ *
+ * @param answer - The answer.
+ * @returns Whether its end can be told from a break.
+ */
+export function hasOwnEnd(answer: http.IncomingMessage): boolean {
+  const { 'content-length': length, 'transfer-encoding': encoding = '' } = answer.headers;
+  return length !== undefined || /\bchunked\b/i.test(encoding);
+}
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -4,7 +4,7 @@
 import { answerHeaders, sendOwnAnswer, setHeaders } from './entry-answer.js';
 import type { EntryContext } from './entry-context.js';
 import { endReasonOf, isIdempotent, type EntryRequest } from './entry-request.js';
-import { sendExchange } from './exchange.js';
+import { hasOwnEnd, sendExchange } from './exchange.js';
 
 /** A whole answer of a server. */
 interface WholeAnswer {
@@ -191,7 +191,8 @@
     }
     const parts: Buffer[] = [];
     for await (const chunk of answer) parts.push(chunk as Buffer);
-    if (!answer.complete) throw new HttpCallError('answering', 'The answer broke off.');
+    if (!answer.complete || !hasOwnEnd(answer))
+      throw new HttpCallError('answering', 'The answer broke off.');
     if (said.requestId !== terms.requestId) throw new Error('The answer is to another request.');
     if (said.isEncoded || (status < 300 && !said.isSigned)) {
       throw new Error('The answer is not the server’s.');
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -8,7 +8,7 @@
 import type { EntryContext } from './entry-context.js';
 import { endReasonOf, isIdempotent, type EntryRequest } from './entry-request.js';
 import { EventSplitter } from './event-splitter.js';
-import { sendExchange } from './exchange.js';
+import { hasOwnEnd, sendExchange } from './exchange.js';
 import type { EngineProfile } from './serving-configuration.js';
 import type { WatchedStream } from './stall-watch.js';
 import { hopsOf, StreamChains, type EngineChain } from './stream-chains.js';
@@ -313,7 +313,8 @@
         watched.lastProgressAt = performance.now();
       }
     }
-    if (!answer.complete) throw new HttpCallError('answering', 'The stream broke off.');
+    if (!answer.complete || !hasOwnEnd(answer))
+      throw new HttpCallError('answering', 'The stream broke off.');
     if (!splitter.isBetweenEvents) throw new Error('The stream ended within an event.');
     if (!this.#hasBegun) this.#begin(answerHeaders(answer), status);
     suspicions.noteSuccess(first.entry.id);
