--- a/src/daemon/planner-role.ts
+++ b/src/daemon/planner-role.ts
@@ -12,7 +12,7 @@
 
 /**
  * Tells whether an instance is to plan: the holder of the newest lease, or without one the first by
- * name; of those that reach the store, as long as any does.
+ * name; of those that reach the store, unless none reaches it.
  *
  * @param self - The instance.
  * @param peers - Records of the peers that are alive.
