Wait for a claim under way before telling its outcome

Cause: the answer that grants a claim and the one that says who holds it leave the shard's owner together. When the second arrived first, the other instance asked the holder for an outcome that the holder didn't know of yet, and told its caller 'alreadyClaimed'. Ruled out: a run lost or doubled (each key ran once in every failure), a timeout of the question (failures came within 1.7 s). Change: an instance notes claims under way; a peer's question waits for them. A unit test failed before and passes.

--- a/src/daemon/peer-handlers.ts
+++ b/src/daemon/peer-handlers.ts
@@ -35,9 +35,10 @@
     claim: (message) => claimWriter.submit(message),
     spendTicket: async (call) => ({ outcome: await services.run(call) }),
     readOutcome: async ({ key, account, waitMilliseconds }) => {
-      const run = registry.find(`${account}/${key}`);
-      if (!run) return { outcome: null };
-      const outcome = await Promise.race([run.outcome, wait(waitMilliseconds)]);
+      const outcome = await Promise.race([
+        registry.findSettled(`${account}/${key}`).then((run) => run?.outcome),
+        wait(waitMilliseconds),
+      ]);
       return { outcome: outcome ?? null };
     },
     borrow: ({ account, amount }) => limiter.lend(account, amount),
--- /dev/null
+++ b/src/service/at-most-once.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { sleep } from '../common/clock.js';
+import type { ClaimResult } from '../claims/claim-client.js';
+import type { TimedKey } from '../claims/idempotency-key.js';
+import { TicketBook } from '../claims/ticket-book.js';
+import type { Outcome } from '../routing/outcome.js';
+import { AtMostOnce } from './at-most-once.js';
+import { RunRegistry } from './run-registry.js';
+
+const KEY: TimedKey = { kind: 'timed', text: 'key', madeAt: Date.now() };
+const COMPLETED: Outcome = {
+  kind: 'completed',
+  status: 200,
+  contentType: 'text/plain',
+  body: 'done',
+  isReplay: false,
+};
+const GRANT_TRAVELS_MILLISECONDS = 30;
+
+class Node {
+  readonly registry = new RunRegistry();
+
+  readonly atMostOnce: AtMostOnce;
+
+  constructor(claim: () => Promise<ClaimResult>, peer?: Node) {
+    this.atMostOnce = new AtMostOnce({
+      instance: 'any',
+      incarnation: 1,
+      claims: { claim },
+      tickets: new TicketBook({ instance: 'any', incarnation: 1 }),
+      registry: this.registry,
+      askOutcome: async (_holder, account, key) =>
+        (await peer?.registry.findSettled(`${account}/${key}`))?.outcome,
+    });
+  }
+
+  run(): Promise<Outcome> {
+    return this.atMostOnce.run({
+      account: 'planner',
+      key: KEY,
+      content: 'same',
+      run: async () => COMPLETED,
+      passOn: async () => COMPLETED,
+    });
+  }
+}
+
+// The grant reached its holder later than the news of it reached the other instance, which then
+// asked for an outcome that the holder didn't know of yet.
+test('a repeat that hears of a claim before its holder does is given the outcome', async () => {
+  const holder = new Node(async () => {
+    await sleep(GRANT_TRAVELS_MILLISECONDS);
+    return {
+      kind: 'granted',
+      claim: { record: async () => undefined, release: async () => true },
+    };
+  });
+  const other = new Node(async () => ({ kind: 'held', instance: 'holder' }), holder);
+  const [first, repeat] = await Promise.all([holder.run(), other.run()]);
+  assert.equal(first.kind, 'completed');
+  assert.equal(repeat.kind, 'completed');
+});
--- a/src/service/at-most-once.ts
+++ b/src/service/at-most-once.ts
@@ -1,5 +1,5 @@
 /** Runs a keyed request at most once over all instances, restarts and repeats. */
-import type { ClaimClient, HeldClaim } from '../claims/claim-client.js';
+import type { ClaimClient, ClaimResult, HeldClaim } from '../claims/claim-client.js';
 import {
   isExpired,
   shardOf,
@@ -28,7 +28,7 @@
 export interface AtMostOnceOptions {
   readonly instance: string;
   readonly incarnation: number;
-  readonly claims: ClaimClient;
+  readonly claims: Pick<ClaimClient, 'claim'>;
   readonly tickets: TicketBook;
   readonly registry: RunRegistry;
   /** Asks another instance for the outcome of a key that it runs or ran. */
@@ -40,6 +40,10 @@
   readonly wallMilliseconds?: () => number;
 }
 
+type Claimed =
+  | (Extract<ClaimResult, { kind: 'granted' }> & { readonly running: Promise<Outcome> })
+  | Exclude<ClaimResult, { kind: 'granted' }>;
+
 const CLAIM_RETRY_MILLISECONDS = 2000;
 const REPEAT_RETRY_MILLISECONDS = 1000;
 const MAXIMUM_RECORDED_CHARACTERS = 4096;
@@ -74,6 +78,16 @@
 
 const OTHER_CONTENT = reject('key_reused', 422, 'This key names another request.');
 
+async function settle(running: Promise<Outcome>, claim: HeldClaim): Promise<Outcome> {
+  const outcome = await running;
+  if (outcome.kind === 'refused') await claim.release();
+  if (outcome.kind === 'completed' && outcome.body.length <= MAXIMUM_RECORDED_CHARACTERS) {
+    const { status, contentType, body } = outcome;
+    void claim.record({ status, contentType, body });
+  }
+  return outcome;
+}
+
 export class AtMostOnce {
   readonly #options: AtMostOnceOptions;
 
@@ -121,24 +135,24 @@
     const known = this.#options.registry.find(scoped);
     if (known)
       return known.content === request.content ? replay(await known.outcome) : OTHER_CONTENT;
-    const result = await this.#options.claims.claim(shardOf(key, scoped), scoped, request.content);
-    if (result.kind === 'granted') return this.#runClaimed(scoped, request, result.claim);
+    const claiming = this.#claim(scoped, request, key);
+    this.#options.registry.noteClaiming(scoped, claiming);
+    const result = await claiming;
+    if (result.kind === 'granted') return settle(result.running, result.claim);
     if (result.kind === 'other_content') return OTHER_CONTENT;
     if (result.kind === 'held') return this.#outcomeOf(result, request.account, key.text);
     const message = 'This submission was not run; whether an earlier one ran can not be told now.';
     return unknown('claim_unavailable', message, CLAIM_RETRY_MILLISECONDS);
   }
 
-  async #runClaimed(scoped: string, request: KeyedRequest, claim: HeldClaim): Promise<Outcome> {
+  /** Claims the key and, once it is granted, starts the run. */
+  async #claim(scoped: string, request: KeyedRequest, key: TimedKey): Promise<Claimed> {
+    const { claims, registry } = this.#options;
+    const result = await claims.claim(shardOf(key, scoped), scoped, request.content);
+    if (result.kind !== 'granted') return result;
     const running = request.run();
-    this.#options.registry.keep(scoped, { content: request.content, outcome: running });
-    const outcome = await running;
-    if (outcome.kind === 'refused') await claim.release();
-    if (outcome.kind === 'completed' && outcome.body.length <= MAXIMUM_RECORDED_CHARACTERS) {
-      const { status, contentType, body } = outcome;
-      void claim.record({ status, contentType, body });
-    }
-    return outcome;
+    registry.keep(scoped, { content: request.content, outcome: running });
+    return { ...result, running };
   }
 
   async #outcomeOf(
