Send a restarted peer what its earlier process had sent

Cause: records are not sent back to the peer they came from, and that peer was known by its name. A process started anew under the name never got records that all its peers had from its predecessor: an instance knew an engine without what it holds, so it never counted as ready (the dump of a failed rolling stop shows entry-2 without the report of engine-1, which both peers had). Ruled out: membership (all three live everywhere), load readers (their record is not written anew while it is the same). Change: a record's source is the peer's table, not its name.

--- a/src/peer/link-task.ts
+++ b/src/peer/link-task.ts
@@ -56,6 +56,17 @@
   return (kind) => RECORD_SCOPES[kind] === 'everywhere' || peerRegion === ownRegion;
 }
 
+/**
+ * Names a peer's table. A peer that was started anew has another one, without what it once sent.
+ *
+ * @param instance - The peer.
+ * @param table - Its table's name, 0 while unknown.
+ * @returns The name by which records from that table are marked.
+ */
+export function nameTable(instance: string, table = 0): string {
+  return `${instance}/${table}`;
+}
+
 /**
  * Takes in a peer's records and gathers what to answer.
  *
@@ -65,10 +76,11 @@
  */
 export function answerExchange(context: LinkContext, message: ExchangeMessage): ExchangeMessage {
   const { table, tableName, instance, region } = context;
-  message.records.forEach((record) => table.put(record, message.instance));
+  const peerTable = nameTable(message.instance, message.table);
+  message.records.forEach((record) => table.put(record, peerTable));
   const after = message.confirmedTable === tableName ? message.confirmed : 0;
   const accepts = acceptsIn(region, message.region);
-  const batch = table.since(after, message.instance, accepts, BATCH_LIMIT);
+  const batch = table.since(after, peerTable, accepts, BATCH_LIMIT);
   return {
     instance,
     region,
@@ -83,7 +95,8 @@
 function takeAnswer(options: LinkOptions, answer: ExchangeMessage): void {
   const { progress, context } = options;
   const isNewTable = answer.table !== progress.peerTable;
-  answer.records.forEach((record) => context.table.put(record, answer.instance));
+  const peerTable = nameTable(answer.instance, answer.table);
+  answer.records.forEach((record) => context.table.put(record, peerTable));
   progress.peerTable = answer.table;
   progress.received = answer.index;
   // A peer with a new table knows nothing that was confirmed before.
@@ -93,7 +106,8 @@
 async function exchangeOnce(options: LinkOptions, client: PeerClient): Promise<boolean> {
   const { context, progress, peer } = options;
   const accepts = acceptsIn(context.region, options.peerRegion);
-  const batch = context.table.since(progress.confirmed, peer, accepts, BATCH_LIMIT);
+  const peerTable = nameTable(peer, progress.peerTable);
+  const batch = context.table.since(progress.confirmed, peerTable, accepts, BATCH_LIMIT);
   const answer = await client.call(
     'exchange',
     {
--- a/src/peer/record-table.test.ts
+++ b/src/peer/record-table.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { answerExchange, type LinkContext } from './link-task.js';
+import { answerExchange, nameTable, type LinkContext } from './link-task.js';
 import type { ExchangeMessage } from './messages.js';
 import { chooseNeighbours } from './overlay.js';
 import type { PeerRecord } from './record.js';
@@ -30,7 +30,11 @@
 ): void {
   const name = `${from.instance}>${to.instance}`;
   const last = progress.get(name);
-  const batch = from.table.since(last?.confirmed ?? 0, to.instance, () => true);
+  const batch = from.table.since(
+    last?.confirmed ?? 0,
+    nameTable(to.instance, last?.table),
+    () => true,
+  );
   const answer = answerExchange(to, {
     instance: from.instance,
     region: from.region,
@@ -40,7 +44,7 @@
     index: batch.index,
     records: batch.records,
   });
-  answer.records.forEach((one) => from.table.put(one, to.instance));
+  answer.records.forEach((one) => from.table.put(one, nameTable(to.instance, answer.table)));
   progress.set(name, answer);
 }
 
@@ -73,6 +77,18 @@
   );
 });
 
+// A restarted instance never got the records that peers had from its earlier process, and so knew
+// an engine without what it holds, until that changed.
+test('record table: a peer that was started anew is sent what came from its earlier process', () => {
+  const node = context(0);
+  const ask = (table: number, records: PeerRecord[]): ExchangeMessage => {
+    const last = { confirmedTable: 0, confirmed: 0, index: records.length };
+    return answerExchange(node, { instance: 'entry-2', region: 'r', table, ...last, records });
+  };
+  assert.deepEqual(ask(7, [record('a', 1, 1)]).records, []);
+  assert.equal(ask(8, []).records.length, 1);
+});
+
 test('record table: an older record is never taken in, and what is confirmed is not sent again', () => {
   const table = new RecordTable();
   assert.equal(table.put(record('a', 1, 2)), true);
--- a/src/peer/record-table.ts
+++ b/src/peer/record-table.ts
@@ -8,7 +8,7 @@
 interface Entry {
   readonly record: PeerRecord;
   readonly index: number;
-  /** The peer it came from; it is not sent back there. */
+  /** The peer's table that it came from; it is not sent back there. */
   readonly source: string;
 }
 
@@ -46,7 +46,7 @@
    * Puts a record into the table if it is later than what is there.
    *
    * @param record - The record.
-   * @param source - The peer that it came from, or the empty string for this instance.
+   * @param source - The peer's table that it came from, or the empty string for this instance.
    * @param urgent - Whether peers should hear at once; by default so for urgent kinds.
    * @returns Whether it was taken in.
    */
@@ -88,14 +88,14 @@
    * Gathers what a peer has not confirmed.
    *
    * @param after - The index that the peer has confirmed.
-   * @param peer - The peer; what came from it is left out.
+   * @param peerTable - The peer's table; what came from it is left out.
    * @param accepts - Which kinds the peer is sent.
    * @param limit - The most records in one batch.
    * @returns The records in the order of their index, and the index they reach.
    */
   since(
     after: number,
-    peer: string,
+    peerTable: string,
     accepts: (kind: RecordKind) => boolean,
     limit = 500,
   ): RecordBatch {
@@ -106,7 +106,7 @@
       const entry = logged && this.#entries.get(logged.name);
       if (logged && records.length < limit) {
         const isCurrent = entry?.index === logged.index;
-        if (isCurrent && entry.source !== peer && accepts(entry.record.kind)) {
+        if (isCurrent && entry.source !== peerTable && accepts(entry.record.kind)) {
           records.push(entry.record);
         }
         index = logged.index;
