Run suspected content of different instances on different engines

Cause: when an engine dies, every request on it becomes suspect and is run again at the same moment. Ruled out: a fourth death, slow records between instances (the count of dead engines was right). Change: instances share out the engines for suspects by rendezvous hashing, unless a share does not cover the model.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -10,7 +10,7 @@
 import { ModelAdmissions } from '../routing/model-admissions.js';
 import { PrefixMemory } from '../routing/prefix-memory.js';
 import { createPeerHandlers } from './peer-handlers.js';
-import { type Core, createCore, type DaemonOptions } from './core.js';
+import { activeNames, type Core, createCore, type DaemonOptions } from './core.js';
 import {
   createLimiter,
   createPlacement,
@@ -85,6 +85,8 @@
     linkTimes: new LinkTimes(),
     prefixMemory,
     dataCentre: settings.dataCentre,
+    instance: settings.instance,
+    instances: () => activeNames(core),
     tokenSilenceMilliseconds: settings.timeLimits.tokenSilence,
     log: logs('pipeline'),
   };
--- a/src/pipeline/generation.ts
+++ b/src/pipeline/generation.ts
@@ -16,6 +16,7 @@
 import { choosePipeline, type Pipeline } from '../routing/pipeline-choice.js';
 import { prefixHashes } from '../routing/prefix-hash.js';
 import type { PrefixMemory } from '../routing/prefix-memory.js';
+import { suspectShare } from '../routing/suspect-share.js';
 import type { PartLog } from '../telemetry/log.js';
 import { EngineStreamError, streamFromEngine, type StreamFailureKind } from './engine-stream.js';
 import { allAnswer, diagnose } from './fault-diagnosis.js';
@@ -31,6 +32,10 @@
   readonly linkTimes: LinkTimes;
   readonly prefixMemory: PrefixMemory;
   readonly dataCentre: string;
+  /** This instance's name. */
+  readonly instance: string;
+  /** The names of the instances that share the engines. */
+  readonly instances: () => readonly string[];
   /** The longest silence between two tokens, in milliseconds. */
   readonly tokenSilenceMilliseconds: number;
   readonly log: PartLog;
@@ -239,7 +244,7 @@
   #choose(isSuspect: boolean, ignoresLimits: boolean): Pipeline | undefined {
     const { model, version, adapter, fleets, maximumTokens } = this.#request;
     return choosePipeline({
-      engines: this.#context.directory.enginesOf(model),
+      engines: isSuspect ? this.#enginesForSuspects() : this.#context.directory.enginesOf(model),
       request: {
         model,
         version,
@@ -260,6 +265,17 @@
     });
   }
 
+  #enginesForSuspects(): readonly BackendServer[] {
+    const { directory, instance, instances } = this.#context;
+    const now = performance.now();
+    const { model, version, adapter } = this.#request;
+    const engines = directory
+      .enginesOf(model)
+      .filter((server) => !this.#excluded.has(server.id) && server.isUsable(now))
+      .filter(({ engine }) => engine?.version === version && engine.adapter === adapter);
+    return suspectShare({ engines, instance, instances: instances() });
+  }
+
   #routeOf(stages: readonly BackendServer[]): EngineRoute {
     return stages.map((server): EngineStage => {
       const { from = 0, to = 1 } = server.engine ?? {};
