Take an engine that is full for full, not for lost

Ruled out: holes in the layers (no line 'No chain'), the retry budget as the cause (refused before the first retry), links (the chains crossed because of the moves). Change: refusing makes an engine lost only while nothing runs there.

--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -9,6 +9,7 @@
 import type { LayerRange } from '../fleet/server-entry.js';
 import type { Suspicions } from '../fleet/suspicions.js';
 import type { PartLog } from '../telemetry/log.js';
+import { isEngineLost } from './engine-loss.js';
 import { layerCapacity } from './engine-times.js';
 import { planCover, type PlannedEngine } from './cover-plan.js';
 import type { LeaseState, PlannerLease } from './planner-lease.js';
@@ -39,13 +40,9 @@
 const REVIEW_MILLISECONDS = 100;
 /** Servers register within moments of each other; the fleet is laid out once it stands still. */
 const SETTLE_MILLISECONDS = 1000;
-/** A suspect engine's layers are placed again after this long. */
-const SUSPECT_KEPT_MILLISECONDS = 700;
 const REPORT_TIMEOUT_MILLISECONDS = 400;
 /** Between two looks at whether an order has been carried out. */
 const FOLLOW_MILLISECONDS = 300;
-/** An engine that has refused requests for this long is taken for lost. */
-const REFUSING_MILLISECONDS = 1200;
 const ORDER_TIMEOUT_MILLISECONDS = 500;
 /** An engine that is busy with an order is left alone for this long. */
 const BUSY_PAUSE_MILLISECONDS = 1000;
@@ -91,11 +88,13 @@
     });
   }
 
-  #isLost({ entry, refusingSince }: FleetServer): boolean {
+  #isLost({ entry, refusingSince, own, others }: FleetServer): boolean {
     const now = performance.now();
-    if (refusingSince !== undefined && now - refusingSince > REFUSING_MILLISECONDS) return true;
-    const since = this.#suspectSince.get(entry.id);
-    return since !== undefined && now - since > SUSPECT_KEPT_MILLISECONDS;
+    return isEngineLost({
+      refusingMilliseconds: now - (refusingSince ?? now),
+      suspectMilliseconds: now - (this.#suspectSince.get(entry.id) ?? now),
+      running: own.requests + others.requests,
+    });
   }
 
   #engines(service: string): PlannedEngine[] {
