Give no engine layers that leave it hardly any KV cache

Cause: repair gave the smallest engines every layer that fits; their KV cache then held six requests of 134, so each chain over them was refused. A data centre whose engines can't cover the model that way got nothing at all for its empty engines. Ruled out: the weight of strain in the plan (four times as much made no difference before). Change: ranges leave KV cache for a tenth of the slots, unless some layer would be held nowhere; engines of a data centre that can't cover the model take the layers most in need. Tests failed first: src/layers/cover-plan.test.ts.

--- a/src/layers/cover-plan.test.ts
+++ b/src/layers/cover-plan.test.ts
@@ -68,6 +68,23 @@
   });
 });
 
+// A recorded day: small engines were given all layers that fit, and had hardly any KV cache left.
+test('plan: a data centre of small engines leaves layers to another one', () => {
+  const small = Array.from({ length: 11 }, (_, index) =>
+    engine(index, { id: `s${index}`, kind: 'small', dataCentre: 'there' }),
+  );
+  apply(small, planCover([...PLACED, ...small], PROFILE, true)).forEach(({ layers, slots }) => {
+    assert.ok(layers);
+    const tokens = cacheCapacity(PROFILE, 'small', layers) / (layers.to - layers.from);
+    assert.ok(tokens > (slots / 11) * (772 + 154), `${layers.from}-${layers.to}`);
+  });
+});
+
+test('plan: small engines alone are filled rather than leave a layer to none', () => {
+  const small = Array.from({ length: 11 }, (_, index) => engine(index, { kind: 'small' }));
+  assert.deepEqual(holesIn(rangesOf(apply(small, planCover(small, PROFILE, true))), 80), []);
+});
+
 test('plan: an engine that is busy with an order is planned around', () => {
   const [first, second, third, ...others] = PLACED;
   assert.ok(first && second && third);
--- a/src/layers/cover-plan.ts
+++ b/src/layers/cover-plan.ts
@@ -7,7 +7,7 @@
  */
 import type { EngineProfile } from '../entry/serving-configuration.js';
 import type { LayerRange } from '../fleet/server-entry.js';
-import { acceleratorOf, cacheCapacity, layerCapacity } from './engine-times.js';
+import { cacheCapacity, layerCapacity, layersBeside } from './engine-times.js';
 
 /** An engine to plan for. */
 export interface PlannedEngine {
@@ -26,36 +26,38 @@
 /** New ranges by engine; engines that stay as they are aren't listed. */
 export type CoverPlan = ReadonlyMap<string, LayerRange>;
 
-const BYTES_PER_MEGABYTE = 1_000_000;
-
 /**
  * The share of an engine's slots that its KV cache is to serve. A lower one leaves memory for more
  * layers, which makes chains faster and covers the loss of engines.
  */
 const COMFORTABLE_SLOT_SHARE = 1;
 
+/**
+ * An engine with KV cache for a smaller share of its slots refuses nearly all requests: a chain
+ * over another data centre serves more.
+ */
+const LEAST_SLOT_SHARE = 0.1;
+
 function lengthOf(range: LayerRange | undefined): number {
   return range ? range.to - range.from : 0;
 }
 
 /** The most layers beside which an engine's KV cache serves enough requests. */
-function comfortableLayers(engine: PlannedEngine, profile: EngineProfile): number {
-  const tokens =
-    COMFORTABLE_SLOT_SHARE * engine.slots * (profile.usualPromptTokens + profile.usualAnswerTokens);
-  const cacheBytes = (tokens * profile.cacheBytesPerToken) / profile.layerCount;
-  const perLayer = profile.layerMegabytes + cacheBytes / BYTES_PER_MEGABYTE;
-  const { memoryMegabytes } = acceleratorOf(profile, engine.kind);
-  const comfortable = Math.floor(memoryMegabytes / perLayer);
-  return Math.max(1, Math.min(comfortable, layerCapacity(profile, engine.kind)));
+function comfortableLayers({ kind, slots }: PlannedEngine, profile: EngineProfile): number {
+  return layersBeside(profile, kind, COMFORTABLE_SLOT_SHARE * slots);
 }
 
+/** The most layers that an engine may be given. */
+type MostLayers = (engine: PlannedEngine) => number;
+
 /** Lays a data centre's engines out anew; none when they can't cover the model. */
 function layOut(
   engines: readonly PlannedEngine[],
   profile: EngineProfile,
+  mostLayers: MostLayers,
 ): Map<string, LayerRange> | undefined {
   const { layerCount } = profile;
-  const capacities = engines.map(({ kind }) => layerCapacity(profile, kind));
+  const capacities = engines.map((engine) => mostLayers(engine));
   const most = capacities.reduce((sum, capacity) => sum + capacity, 0);
   if (most < layerCount) return undefined;
   const counts = engines.map((engine) => comfortableLayers(engine, profile));
@@ -190,6 +192,7 @@
   engines: readonly PlannedEngine[],
   order: ReadonlyMap<string, number>,
   profile: EngineProfile,
+  mostLayers: MostLayers,
 ): Map<string, LayerRange> | undefined {
   const { layerCount } = profile;
   const sorted = [...engines].sort(
@@ -200,7 +203,7 @@
   ]);
   sorted.forEach((engine) => {
     const { layers: held } = engine;
-    const capacity = layerCapacity(profile, engine.kind);
+    const capacity = mostLayers(engine);
     const next = new Map<number, Shift>();
     const offer = (from: Shift, range: LayerRange | undefined, covered: number): void => {
       const cost = from.cost + (range === held ? 0 : changeCost(engine, range, profile));
@@ -234,7 +237,7 @@
 function orderOf(
   engines: readonly PlannedEngine[],
   holes: readonly LayerRange[],
-  profile: EngineProfile,
+  mostLayers: MostLayers,
 ): Map<string, number> {
   const order = new Map<string, number>();
   engines.forEach(({ id, layers }) => {
@@ -243,11 +246,11 @@
   const left = holes.map(({ from, to }) => ({ from, to }));
   engines
     .filter(({ layers }) => !layers)
-    .sort((one, other) => layerCapacity(profile, other.kind) - layerCapacity(profile, one.kind))
+    .sort((one, other) => mostLayers(other) - mostLayers(one))
     .forEach((engine) => {
       const [widest] = left.sort((one, other) => lengthOf(other) - lengthOf(one));
       if (!widest || lengthOf(widest) <= 0) return;
-      const taken = Math.min(lengthOf(widest), layerCapacity(profile, engine.kind));
+      const taken = Math.min(lengthOf(widest), mostLayers(engine));
       order.set(engine.id, widest.from + taken / 2);
       widest.from += taken;
     });
@@ -258,19 +261,20 @@
   engines: readonly PlannedEngine[],
   profile: EngineProfile,
   isIdle: boolean,
+  mostLayers: MostLayers,
 ): Map<string, LayerRange> {
-  const anew = isIdle ? layOut(engines, profile) : undefined;
+  const isEmpty = engines.every(({ layers }) => layers === undefined);
+  const anew = isIdle || isEmpty ? layOut(engines, profile, mostLayers) : undefined;
   if (anew) return anew;
   const ranges = new Map<string, LayerRange>();
   engines.forEach(({ id, layers }) => {
     if (layers) ranges.set(id, layers);
   });
-  if (ranges.size === 0) return layOut(engines, profile) ?? ranges;
   const holes = holesIn([...ranges.values()], profile.layerCount);
   if (holes.length > 0) {
-    const order = orderOf(engines, holes, profile);
+    const order = orderOf(engines, holes, mostLayers);
     const taking = engines.filter(({ id }) => order.has(id));
-    shiftOver(taking, order, profile)?.forEach((range, id) => ranges.set(id, range));
+    shiftOver(taking, order, profile, mostLayers)?.forEach((range, id) => ranges.set(id, range));
   }
   engines
     .filter(({ id, isFixed }) => !ranges.has(id) && !isFixed)
@@ -281,6 +285,17 @@
   return ranges;
 }
 
+/** The ranges of all engines after planning each data centre. */
+function planAll(
+  groups: readonly (readonly PlannedEngine[])[],
+  profile: EngineProfile,
+  isIdle: boolean,
+  mostLayers: MostLayers,
+): Map<string, LayerRange> {
+  const plans = groups.map((group) => planDataCentre(group, profile, isIdle, mostLayers));
+  return new Map(plans.flatMap((plan) => [...plan]));
+}
+
 /**
  * Plans the ranges of a service's engines.
  *
@@ -302,14 +317,18 @@
       group.push(engine);
       groups.set(engine.dataCentre, group);
     });
+  const spared: MostLayers = ({ kind, slots }) =>
+    layersBeside(profile, kind, LEAST_SLOT_SHARE * slots);
+  let planned = planAll([...groups.values()], profile, isIdle, spared);
+  if (holesIn([...planned.values()], profile.layerCount).length > 0) {
+    const whole: MostLayers = ({ kind }) => layerCapacity(profile, kind);
+    planned = planAll([...groups.values()], profile, isIdle, whole);
+  }
   const changes = new Map<string, LayerRange>();
-  groups.forEach((group) => {
-    const planned = planDataCentre(group, profile, isIdle);
-    group.forEach(({ id, layers }) => {
-      const range = planned.get(id);
-      if (!range || (layers && layers.from === range.from && layers.to === range.to)) return;
-      changes.set(id, range);
-    });
+  engines.forEach(({ id, layers }) => {
+    const range = planned.get(id);
+    if (!range || (layers && layers.from === range.from && layers.to === range.to)) return;
+    changes.set(id, range);
   });
   return changes;
 }
--- a/src/layers/engine-times.ts
+++ b/src/layers/engine-times.ts
@@ -53,6 +53,26 @@
   return (bytes * profile.layerCount) / profile.cacheBytesPerToken;
 }
 
+/**
+ * Counts the layers beside which an engine's KV cache serves some requests of the usual length.
+ *
+ * @param profile - The service's profile.
+ * @param kind - The accelerator's kind.
+ * @param requests - How many requests the KV cache is to serve at once.
+ * @returns The most layers, at least one.
+ */
+export function layersBeside(
+  profile: EngineProfile,
+  kind: string | undefined,
+  requests: number,
+): number {
+  const tokens = requests * (profile.usualPromptTokens + profile.usualAnswerTokens);
+  const cacheBytes = (tokens * profile.cacheBytesPerToken) / profile.layerCount;
+  const perLayer = profile.layerMegabytes + cacheBytes / BYTES_PER_MEGABYTE;
+  const fitting = Math.floor(acceleratorOf(profile, kind).memoryMegabytes / perLayer);
+  return Math.max(1, Math.min(fitting, layerCapacity(profile, kind)));
+}
+
 /** The tokens of a request. */
 export interface RequestTokens {
   readonly prompt: number;
