Show an instance on a platform by the command line

An ordinary round of records goes to one peer of the data centre instead of two; a round with news that peers act on to two, and two of other data centres. Tests: tests/platform.test.ts, the command line shows an instance.

--- a/src/command-line/command-table.ts
+++ b/src/command-line/command-table.ts
@@ -8,6 +8,7 @@
   ConfigurationDiff,
   ConfigurationGet,
   ConfigurationHistory,
+  ConfigurationShow,
 } from './queries/configuration-queries.js';
 import { SettingsCheck } from './queries/settings-check.js';
 import { Backends, Histograms, Leases, Members, Pipelines } from './queries/show-commands.js';
@@ -20,6 +21,7 @@
   'configuration:diff': ConfigurationDiff,
   'configuration:apply': ConfigurationApply,
   'configuration:history': ConfigurationHistory,
+  'configuration:show': ConfigurationShow,
   status: Status,
   members: Members,
   backends: Backends,
--- a/src/command-line/queries/addresses.ts
+++ b/src/command-line/queries/addresses.ts
@@ -24,10 +24,12 @@
     const answer = await callForJson(this.address(flags.caller), 'GET', `/v1/addresses?${query}`);
     const { addresses, keepMilliseconds } = answer as {
       addresses: Row[];
-      keepMilliseconds: number;
+      keepMilliseconds?: number;
     };
     this.log(formatTable(addresses, ['instance', 'dataCentre', 'host', 'port']));
-    this.log(`These may be kept for ${keepMilliseconds} ms.`);
+    if (keepMilliseconds !== undefined) {
+      this.log(`These may be kept for ${keepMilliseconds} ms.`);
+    }
     return answer;
   }
 }
--- a/src/command-line/queries/configuration-queries.ts
+++ b/src/command-line/queries/configuration-queries.ts
@@ -8,7 +8,7 @@
 import { BaseCommand, instanceFlag } from '../base-command.js';
 import { diffSettings, readBranch } from '../branch-client.js';
 import { EXIT_CODES } from '../exit-codes.js';
-import { CommandError } from '../operator-client.js';
+import { callForJson, CommandError } from '../operator-client.js';
 import { formatTable } from '../table.js';
 
 const team = Args.string({ required: true, description: 'the team' });
@@ -55,6 +55,23 @@
   }
 }
 
+/** Shows what an instance on a platform serves by. */
+export class ConfigurationShow extends BaseCommand {
+  static override summary = 'Show the configuration in force on an instance on a platform.';
+
+  static override examples = ['<%= config.bin %> configuration show --instance 127.0.0.1:7340'];
+
+  static override flags = { instance: instanceFlag };
+
+  override async run(): Promise<unknown> {
+    const { flags } = await this.parse(ConfigurationShow);
+    const address = this.address(flags.instance);
+    const configuration = await callForJson(address, 'GET', '/v1/configuration');
+    this.log(JSON.stringify(configuration, null, 2));
+    return configuration;
+  }
+}
+
 /** Shows what applying a file would change. */
 export class ConfigurationDiff extends BaseCommand {
   static override summary = 'Show what applying a file would change.';
--- a/src/command-line/queries/show-commands.ts
+++ b/src/command-line/queries/show-commands.ts
@@ -43,6 +43,8 @@
       'inFlight',
       'load',
       'slowness',
+      'accelerator',
+      'layers',
     ],
   };
 }
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -24,6 +24,7 @@
 import { followObjects } from '../store/follow-objects.js';
 import type { StoredObject } from '../store/object-store.js';
 import type { LogFactory } from '../telemetry/log.js';
+import { createEntryDocuments } from './entry-documents.js';
 import type { AddressAnswer, EntryPlatform } from './entry-platform.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
 
@@ -111,6 +112,11 @@
       // A dead instance can't take its suspicions back.
       onLost: (instance) => this.#suspicions.acceptFrom(instance, []),
     });
+    this.#lease = new PlannerLease({
+      store: platform.store,
+      holder: this.#holder,
+      log: logs('placement'),
+    });
     this.#gossip = new Gossip({
       address: settings.listen.peers,
       dataCentre: settings.dataCentre,
@@ -121,6 +127,16 @@
       documents: {
         [CONFIGURATION_PATH]: () => this.#configuration.source,
         [FLEET_PATH]: () => this.#fleetDocument(),
+        ...createEntryDocuments({
+          settings,
+          configuration: this.#configuration,
+          fleet: this.#fleet,
+          suspicions: this.#suspicions,
+          lease: this.#lease,
+          own: () => this.#record,
+          peers: () => this.#peers.alive,
+          openRequests: () => this.#server?.openRequests() ?? 0,
+        }),
       },
       log: logs('peer'),
       signal: this.#tasks.signal,
@@ -147,11 +163,6 @@
       metrics: new EntryMetrics(),
       logs,
     };
-    this.#lease = new PlannerLease({
-      store: platform.store,
-      holder: this.#holder,
-      log: logs('placement'),
-    });
     this.#record = this.#makeRecord();
   }
 
@@ -279,7 +290,7 @@
   /** Tells peers without waiting for the next heartbeat. */
   #tellAtOnce(): void {
     this.#record = this.#makeRecord();
-    void this.#gossip.round();
+    void this.#gossip.round(true);
   }
 
   async #repeat(milliseconds: number, work: () => Promise<void>): Promise<void> {
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -33,9 +33,17 @@
 /** An instance tells its own record and what it knows; it is told what it lacks. */
 const Exchange = z.object({ own: PeerRecord, known: Digest });
 
-/** Peers of the own data centre, and of others, exchanged with at each round. */
-const NEAR_FANOUT = 2;
-const FAR_FANOUT = 1;
+/** Peers exchanged with at one round. */
+interface Fanout {
+  /** Of the own data centre. */
+  readonly near: number;
+  /** Of others. */
+  readonly far: number;
+}
+
+const USUAL_FANOUT: Fanout = { near: 1, far: 1 };
+/** When there is news that peers act on. */
+const URGENT_FANOUT: Fanout = { near: 2, far: 2 };
 /** Of rounds, in which a peer is tried that need not be alive. */
 const PROBE_SHARE = 0.3;
 const ROUND_MILLISECONDS = 300;
@@ -79,9 +87,14 @@
     this.#server?.closeAllConnections();
   }
 
-  /** Exchanges records with a few peers once. */
-  async round(): Promise<void> {
-    await Promise.all(this.#pickPeers().map((address) => this.#exchange(address)));
+  /**
+   * Exchanges records once.
+   *
+   * @param isUrgent - Whether there is news that peers act on; more of them are told then.
+   */
+  async round(isUrgent = false): Promise<void> {
+    const peers = this.#pickPeers(isUrgent ? URGENT_FANOUT : USUAL_FANOUT);
+    await Promise.all(peers.map((address) => this.#exchange(address)));
   }
 
   /**
@@ -107,13 +120,13 @@
     }
   }
 
-  #pickPeers(): Address[] {
+  #pickPeers(fanout: Fanout): Address[] {
     const { table, seeds, address, dataCentre } = this.#options;
     const { alive } = table;
     const near = shuffle(alive.filter((peer) => peer.dataCentre === dataCentre));
     const far = shuffle(alive.filter((peer) => peer.dataCentre !== dataCentre));
-    const nearPicked = near.slice(0, NEAR_FANOUT);
-    const farCount = FAR_FANOUT + NEAR_FANOUT - nearPicked.length;
+    const nearPicked = near.slice(0, fanout.near);
+    const farCount = fanout.far + fanout.near - nearPicked.length;
     const picked = [...nearPicked, ...far.slice(0, farCount)].map(({ peers }) => peers);
     // Alive or not, so that parts that lost each other meet again.
     const others = [...table.all.map(({ peers }) => peers), ...seeds].filter(
--- a/src/layers/planner-lease.ts
+++ b/src/layers/planner-lease.ts
@@ -54,6 +54,11 @@
     return this.#revision !== undefined && this.#validUntil > Number.NEGATIVE_INFINITY;
   }
 
+  /** For how long orders may still be given, in milliseconds; 0 once a renewal is due. */
+  get remainingMilliseconds(): number {
+    return Math.max(0, Math.round(this.#validUntil - this.#now()));
+  }
+
   /** The term of this holder; each change of holder raises it. */
   get term(): number {
     return this.#term;
--- a/tests/command-line.test.ts
+++ b/tests/command-line.test.ts
@@ -1,6 +1,5 @@
 /** The command line: output, exit codes and clear errors. */
 import assert from 'node:assert/strict';
-import { execFile } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -10,26 +9,11 @@
 import { EXIT_CODES } from '../src/command-line/exit-codes.js';
 import { makeKey } from '../tools/caller.js';
 import { startFleet } from '../tools/fleet.js';
+import { COMMAND_LINE, runProgram, type Ended } from '../tools/run-program.js';
 
-const MAIN = fileURLToPath(new URL('../src/command-line/main.js', import.meta.url));
 const DAEMON = fileURLToPath(new URL('../src/daemon/main.js', import.meta.url));
 
-interface Ended {
-  readonly code: number;
-  readonly out: string;
-  readonly error: string;
-}
-
-function run(program: string, ...words: string[]): Promise<Ended> {
-  return new Promise((resolve) => {
-    execFile(process.execPath, [program, ...words], (failure, out, error) => {
-      const code = typeof failure?.code === 'number' ? failure.code : 0;
-      resolve({ code, out, error });
-    });
-  });
-}
-
-const cli = (...words: string[]): Promise<Ended> => run(MAIN, ...words);
+const cli = (...words: string[]): Promise<Ended> => runProgram(COMMAND_LINE, ...words);
 
 test('command line: against a running system', async (context) => {
   const fleet = await startFleet({
@@ -113,12 +97,12 @@
   context.after(() => rmSync(folder, { recursive: true }));
   const file = path.join(folder, 'bad.jsonc');
   writeFileSync(file, '{ "instance": "Entry 1", "colour": 1 }');
-  const daemon = await run(DAEMON, '--settings', file);
+  const daemon = await runProgram(DAEMON, '--settings', file);
   assert.equal(daemon.code, 2);
   ['instance', 'colour', 'callerAddress', 'platform'].forEach((name) => {
     assert.match(daemon.error, new RegExp(`${name}: `));
   });
   const check = await cli('settings', 'check', file);
   assert.equal(check.code, EXIT_CODES.failed);
-  assert.equal((await run(DAEMON)).code, 2);
+  assert.equal((await runProgram(DAEMON)).code, 2);
 });
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -4,15 +4,18 @@
 import http from 'node:http';
 import { test, type TestContext } from 'node:test';
 import { sleep } from '../src/common/clock.js';
+import { EXIT_CODES } from '../src/command-line/exit-codes.js';
 import { holesIn } from '../src/layers/cover-plan.js';
 import {
   call,
   CONFIGURATION,
   eventually,
   PlatformGroup,
+  PROGRAM,
   type Answer,
   type PlatformInstance,
 } from '../tools/platform-group.js';
+import { COMMAND_LINE, runProgram } from '../tools/run-program.js';
 
 const LAYERS = 8;
 let requests = 0;
@@ -331,3 +334,29 @@
     assert.equal((await send(first(group), '/bookings/1')).status, 200);
   }
 });
+
+test('platform: the command line shows an instance, and checks its settings file', async (context) => {
+  const group = await startGroup(context, { instances: 2 });
+  const [instance] = group.instances;
+  assert.ok(instance);
+  const at = ['--instance', `127.0.0.1:${instance.ports.control}`, '--json'];
+  const show = async (...words: string[]): Promise<Record<string, unknown[]>> => {
+    const ended = await runProgram(COMMAND_LINE, ...words, ...at);
+    assert.equal(ended.code, 0, ended.error);
+    return JSON.parse(ended.out) as Record<string, unknown[]>;
+  };
+  assert.equal((await show('status')).configurationVersion, 1);
+  assert.equal((await show('members')).members?.length, 2);
+  assert.equal((await show('backends')).backends?.length, 6);
+  assert.equal((await show('pipelines')).stages?.length, 4);
+  const configuration = await show('configuration', 'show');
+  assert.equal(configuration.routes?.length, CONFIGURATION.routes.length);
+  assert.ok(!JSON.stringify(configuration).includes('key-1'), 'API keys are not shown');
+  const valid = await runProgram(PROGRAM, '--check', instance.settingsFile);
+  assert.equal(valid.code, 0, valid.error);
+  const missing = await runProgram(PROGRAM, '--check', '/nowhere/boot.toml');
+  assert.equal(missing.code, 2);
+  assert.notEqual(missing.error, '');
+  const gone = await runProgram(COMMAND_LINE, 'status', '--instance', '127.0.0.1:1');
+  assert.equal(gone.code, EXIT_CODES.unreachable);
+});
--- a/tools/platform-group.ts
+++ b/tools/platform-group.ts
@@ -11,7 +11,7 @@
 import { PlatformServer, type PlatformServerOptions } from './stand-ins/platform-server.js';
 import { PlatformStore } from './stand-ins/platform-store.js';
 
-const PROGRAM = fileURLToPath(new URL('../platform/main.js', import.meta.url));
+export const PROGRAM = fileURLToPath(new URL('../platform/main.js', import.meta.url));
 const READY_TRIES = 400;
 const READY_PAUSE_MILLISECONDS = 50;
 
@@ -20,6 +20,7 @@
   readonly name: string;
   readonly process: ChildProcess;
   readonly ports: Readonly<Record<'front' | 'ready' | 'control' | 'directory', number>>;
+  readonly settingsFile: string;
   /** Everything that it has logged. */
   readonly log: string[];
 }
@@ -219,7 +220,7 @@
     const log: string[] = [];
     child.stdout.on('data', (part: Buffer) => log.push(part.toString()));
     child.stderr.on('data', (part: Buffer) => log.push(part.toString()));
-    const instance = { name, process: child, ports, log };
+    const instance = { name, process: child, ports, settingsFile: file, log };
     this.instances.push(instance);
     return instance;
   }
