Stop a request that crashes servers at its third death, within its own tries too

Cause: whether content has been at three deaths was asked when a request came, not before its second run: with two deaths known, one request took two servers more. Change: no second run, of a call or of a stream, for content that three servers died of.

--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -77,10 +77,11 @@
       else this.#runs += 1;
       this.#avoided.add(server.entry.id);
       const mayRun = isIdempotent(route) || this.#runs === 0;
+      const isSafeToRun = !crashes.isConvicted(content);
       const isWithinTries =
         this.#runs < Math.max(1, route.maximumAttempts) &&
         this.#refusedTries <= MAXIMUM_REFUSED_TRIES;
-      const isRetried = mayRun && isWithinTries && retries.take(service.name);
+      const isRetried = mayRun && isSafeToRun && isWithinTries && retries.take(service.name);
       logs('routing').info(isRetried ? 'Trying again.' : 'Giving up.', {
         requestId: terms.requestId,
         after: end.kind,
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -97,8 +97,8 @@
     end: Extract<AttemptEnd, { kind: 'notRun' | 'late' | 'broken' }>,
     chain: EngineChain,
   ): string | undefined {
-    const { retries, logs, metrics } = this.#context;
-    const { route, service, terms } = this.#request;
+    const { crashes, retries, logs, metrics } = this.#context;
+    const { content, route, service, terms } = this.#request;
     end.culprits.forEach((id) => this.#chains.avoided.add(id));
     if (end.kind === 'notRun') this.#refusedTries += 1;
     else this.#attempts += 1;
@@ -106,11 +106,12 @@
     const isFirstLost = first === undefined || this.#context.suspicions.isSuspect(first);
     if (end.kind === 'broken' && !isFirstLost) this.#runs += 1;
     const mayRun = isIdempotent(route) || this.#attempts === 0;
+    const isSafeToRun = !crashes.isConvicted(content);
     const isWithinTries =
       this.#runs < route.maximumAttempts &&
       this.#attempts < MAXIMUM_ATTEMPTS &&
       this.#refusedTries <= MAXIMUM_REFUSED_TRIES;
-    const isRetried = mayRun && isWithinTries && retries.take(service.name);
+    const isRetried = mayRun && isSafeToRun && isWithinTries && retries.take(service.name);
     logs('routing').info(isRetried ? 'Trying again.' : 'Giving up.', {
       requestId: terms.requestId,
       after: end.kind,
--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -32,6 +32,8 @@
   mixesAnswers: boolean;
   /** Sends a second answer after the first. */
   sendsExtra: boolean;
+  /** Dies of each request whose body is this text. */
+  diesOf: string | undefined;
 }
 
 /** One run of a request. */
@@ -54,6 +56,7 @@
     losesAnswers: false,
     mixesAnswers: false,
     sendsExtra: false,
+    diesOf: undefined,
   };
 
   readonly runs: Run[] = [];
@@ -68,10 +71,24 @@
 
   #sequence = 0;
 
+  #isClosed = false;
+
   constructor(options: PlatformServerOptions) {
     this.#options = options;
   }
 
+  get id(): string {
+    return this.#options.id;
+  }
+
+  get kind(): string | undefined {
+    return this.#options.kind;
+  }
+
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
   get address(): string {
     return `127.0.0.1:${this.#options.port}`;
   }
@@ -100,6 +117,8 @@
 
   /** Stops at once, as a crash would. */
   async close(): Promise<void> {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
     await this.#server?.close();
   }
 
@@ -142,7 +161,7 @@
     response.writeHead(202).end();
   }
 
-  async #run({ headers, response }: StandInRequest): Promise<void> {
+  async #run({ headers, body, response }: StandInRequest): Promise<void> {
     const requestId = String(headers['request-id']);
     this.runs.push({
       requestId,
@@ -151,6 +170,11 @@
       lastEventId: Number(headers['last-event-id'] ?? 0),
       hops: headers['hop-count'] as string | undefined,
     });
+    if (body !== '' && body === this.faults.diesOf) {
+      response.socket?.resetAndDestroy();
+      await this.close();
+      return;
+    }
     const answerId = this.faults.mixesAnswers ? 'another' : requestId;
     const head = { 'request-id': answerId, 'response-signature': this.#options.id };
     if (this.#options.kind === undefined) this.#answerCall(response, head, requestId);
