--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -41,7 +41,7 @@
   readonly far: number;
 }
 
-const USUAL_FANOUT: Fanout = { near: 1, far: 1 };
+const USUAL_FANOUT: Fanout = { near: 2, far: 1 };
 /** When there is news that peers act on. */
 const URGENT_FANOUT: Fanout = { near: 2, far: 2 };
 /** Of rounds, in which a peer is tried that need not be alive. */
