--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -363,6 +363,9 @@
   const missing = await runProgram(PROGRAM, '--check', '/nowhere/boot.toml');
   assert.equal(missing.code, 2);
   assert.notEqual(missing.error, '');
+  const badPort = await runProgram(PROGRAM, '--metrics-port', 'nonsense');
+  assert.equal(badPort.code, 2);
+  assert.match(badPort.error, /"nonsense" is not a port/);
   const gone = await runProgram(COMMAND_LINE, 'status', '--instance', '127.0.0.1:1');
   assert.equal(gone.code, EXIT_CODES.unreachable);
 });
