--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -13,7 +13,6 @@
 import { CallTimes } from '../fleet/call-times.js';
 import { isHealthy } from '../fleet/health-check.js';
 import { gatherServerViews, sumPeerViews } from '../fleet/peer-views.js';
-import type { ServerEntry } from '../fleet/server-entry.js';
 import { Suspicions } from '../fleet/suspicions.js';
 import { Gossip } from '../gossip/gossip.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
@@ -21,12 +20,12 @@
 import { CrossLinkLoad } from '../layers/cross-link-load.js';
 import { PlannerLease } from '../layers/planner-lease.js';
 import { runPlanner } from '../layers/planner-task.js';
-import { followObjects } from '../store/follow-objects.js';
 import type { StoredObject } from '../store/object-store.js';
 import type { LogFactory } from '../telemetry/log.js';
 import { createEntryDocuments } from './entry-documents.js';
 import type { AddressAnswer, EntryPlatform } from './entry-platform.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
+import { StoreFollower } from './store-follower.js';
 
 /** Options of {@link startEntryDaemon}. */
 export interface EntryDaemonOptions {
@@ -43,18 +42,13 @@
 
 /** The kind of object under which instances register. */
 const INSTANCE_KIND = 'instances';
-const CONFIGURATION_PATH = '/configuration';
-const FLEET_PATH = '/fleet';
 
 const HEARTBEAT_MILLISECONDS = 300;
-const SERVER_CHANGES_PAUSE_MILLISECONDS = 200;
 const STALL_REVIEW_MILLISECONDS = 70;
 const PACE_REVIEW_MILLISECONDS = 500;
 const HEALTH_REVIEW_MILLISECONDS = 200;
 const ADDRESS_LIFETIME_SECONDS = 1;
 const MAXIMUM_ADDRESSES = 64;
-/** The store counts as reachable for this long after an answer, unless a call fails. */
-const STORE_CONTACT_MILLISECONDS = 11_500;
 /** Before the end of the time to stop, so that what is left ends in order. */
 const STOP_MARGIN_MILLISECONDS = 600;
 const STOP_REVIEW_MILLISECONDS = 50;
@@ -77,6 +71,8 @@
 
   readonly #peers: PeerTable;
 
+  readonly #follower: StoreFollower;
+
   readonly #gossip: Gossip;
 
   readonly #context: EntryContext;
@@ -88,10 +84,6 @@
   /** What peers are told, made anew at each heartbeat. */
   #record: PeerRecord;
 
-  #storeContactAt = Number.NEGATIVE_INFINITY;
-
-  #hasFleet = false;
-
   #isStopping = false;
 
   #server: EntryServer | undefined;
@@ -117,6 +109,14 @@
       holder: this.#holder,
       log: logs('placement'),
     });
+    this.#follower = new StoreFollower({
+      platform,
+      configuration: this.#configuration,
+      fleet: this.#fleet,
+      fetch: (peer, path) => this.#gossip.fetch(peer, path),
+      logs,
+      signal: this.#tasks.signal,
+    });
     this.#gossip = new Gossip({
       address: settings.listen.peers,
       dataCentre: settings.dataCentre,
@@ -125,8 +125,7 @@
       ownRecord: () => this.#record,
       onRecord: (record) => this.#acceptRecord(record),
       documents: {
-        [CONFIGURATION_PATH]: () => this.#configuration.source,
-        [FLEET_PATH]: () => this.#fleetDocument(),
+        ...this.#follower.documents,
         ...createEntryDocuments({
           settings,
           configuration: this.#configuration,
@@ -217,56 +216,18 @@
   }
 
   get #isReady(): boolean {
-    return !this.#isStopping && this.#configuration.current !== undefined && this.#hasFleet;
-  }
-
-  get #isStoreReachable(): boolean {
-    return performance.now() - this.#storeContactAt < STORE_CONTACT_MILLISECONDS;
+    return (
+      !this.#isStopping && this.#configuration.current !== undefined && this.#follower.hasFleet
+    );
   }
 
   #startTasks(): void {
     const { platform, logs } = this.#options;
     const { signal } = this.#tasks;
-    const { store } = platform;
-    const onContact = (): void => {
-      if (!this.#isStoreReachable) this.#fleet.disturbedAt = performance.now();
-      this.#storeContactAt = performance.now();
-    };
-    const onLost = (): void => {
-      this.#storeContactAt = Number.NEGATIVE_INFINITY;
-    };
-    void followObjects({
-      store,
-      objectKind: platform.configurationKind,
-      onList: (objects) => objects.forEach((object) => this.#takeConfiguration(object)),
-      onChanges: (changes) => changes.forEach(({ object }) => this.#takeConfiguration(object)),
-      onContact: () => {
-        onContact();
-        this.#configuration.confirm();
-      },
-      onLost,
-      log: logs('configuration'),
-      signal,
-    });
-    void followObjects({
-      store,
-      objectKind: platform.serverKind,
-      pauseMilliseconds: SERVER_CHANGES_PAUSE_MILLISECONDS,
-      onList: (objects, revision) => this.#takeServers(objects, revision),
-      onChanges: (changes, revision) =>
-        changes.forEach(({ object, isDeleted }) => {
-          const entry = isDeleted ? undefined : platform.parseServer(object);
-          if (entry) this.#fleet.put(entry, revision);
-          else this.#fleet.remove(object.name, revision);
-        }),
-      onContact,
-      onLost,
-      log: logs('backend'),
-      signal,
-    });
+    this.#follower.start();
     void this.#register();
     void this.#repeat(HEARTBEAT_MILLISECONDS, async () => {
-      if (this.#isStoreReachable) this.#configuration.confirm();
+      if (this.#follower.isStoreReachable) this.#configuration.confirm();
       this.#record = this.#makeRecord();
     });
     void this.#repeat(STALL_REVIEW_MILLISECONDS, () => this.#context.stallWatch.review());
@@ -316,22 +277,6 @@
     return own + others === 0;
   }
 
-  #takeConfiguration(object: StoredObject): void {
-    const { platform, logs } = this.#options;
-    if (object.name !== platform.configurationName) return;
-    platform.parseConfiguration(object.value).caseOf({
-      Right: (configuration) => this.#configuration.offer(configuration, object.value, 'store'),
-      Left: (issues) => logs('configuration').error('Configuration not understood.', { issues }),
-    });
-  }
-
-  #takeServers(objects: readonly StoredObject[], revision: number): void {
-    const { parseServer } = this.#options.platform;
-    const entries = objects.map(parseServer).filter((entry) => entry !== undefined);
-    this.#fleet.replaceAll(entries, revision);
-    this.#hasFleet = true;
-  }
-
   /** Registers this instance, and learns of those that registered before. */
   async #register(): Promise<void> {
     const { settings, platform, logs } = this.#options;
@@ -391,7 +336,7 @@
       isStopping: this.#isStopping,
       configurationVersion: this.#configuration.current?.version ?? -1,
       fleetRevision: this.#fleet.revision,
-      isStoreReachable: this.#isStoreReachable,
+      isStoreReachable: this.#follower.isStoreReachable,
       suspects: this.#suspicions.own,
       ...gatherServerViews(this.#fleet),
       plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
@@ -404,37 +349,7 @@
     this.#suspicions.acceptFrom(record.instance, record.suspects);
     this.#context.crashes.accept(record.crashes);
     sumPeerViews(this.#fleet, this.#peers.alive);
-    const version = this.#configuration.current?.version ?? -1;
-    if (record.configurationVersion > version) void this.#fetchConfiguration(record);
-    else if (record.isStoreReachable && record.configurationVersion === version) {
-      this.#configuration.confirm();
-    }
-    const isBehind = record.fleetRevision > this.#fleet.revision;
-    if (isBehind && (!this.#isStoreReachable || !this.#hasFleet)) void this.#fetchFleet(record);
-  }
-
-  async #fetchConfiguration(record: PeerRecord): Promise<void> {
-    const value = await this.#gossip.fetch(record.peers, CONFIGURATION_PATH);
-    if (value === undefined) return;
-    this.#options.platform.parseConfiguration(value).ifRight((configuration) => {
-      this.#configuration.offer(configuration, value, record.instance);
-    });
-  }
-
-  #fleetDocument(): unknown {
-    return {
-      revision: this.#fleet.revision,
-      entries: this.#fleet.servers.map(({ entry }) => entry),
-    };
-  }
-
-  async #fetchFleet(record: PeerRecord): Promise<void> {
-    const value = await this.#gossip.fetch(record.peers, FLEET_PATH);
-    if (typeof value !== 'object' || value === null) return;
-    const { revision, entries } = value as { revision: number; entries: ServerEntry[] };
-    if (revision <= this.#fleet.revision) return;
-    this.#fleet.replaceAll(entries, revision);
-    this.#hasFleet = true;
+    this.#follower.catchUp(record);
   }
 
   #addresses(): AddressAnswer | undefined {
@@ -471,7 +386,7 @@
     metrics.state('servers_suspected', this.#suspicions.own.length);
     metrics.state('configuration_version', this.#configuration.current?.version ?? -1);
     metrics.state('store_calls', this.#options.platform.store.callCount());
-    metrics.state('store_reachable', this.#isStoreReachable ? 1 : 0);
+    metrics.state('store_reachable', this.#follower.isStoreReachable ? 1 : 0);
     return metrics.page();
   }
 }
