--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -114,6 +114,8 @@
       configuration: this.#configuration,
       fleet: this.#fleet,
       fetch: (peer, path) => this.#gossip.fetch(peer, path),
+      isIdle: () =>
+        Object.values(this.#context.retries.counts).every(([requests]) => requests === 0),
       logs,
       signal: this.#tasks.signal,
     });
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -19,6 +19,8 @@
   readonly fleet: BackendFleet;
   /** Reads one of a peer's documents; undefined when it can't be had. */
   readonly fetch: (peer: Address, path: string) => Promise<unknown>;
+  /** Whether no request has come of late. */
+  readonly isIdle: () => boolean;
   readonly logs: LogFactory;
   readonly signal: AbortSignal;
 }
@@ -26,6 +28,8 @@
 const CONFIGURATION_PATH = '/configuration';
 const FLEET_PATH = '/fleet';
 const SERVER_CHANGES_PAUSE_MILLISECONDS = 200;
+/** While nothing is served, servers that register one after the other are taken in together. */
+const IDLE_CHANGES_PAUSE_MILLISECONDS = 500;
 /** The store counts as reachable for this long after an answer, unless a call fails. */
 const STORE_CONTACT_MILLISECONDS = 11_500;
 
@@ -111,11 +115,12 @@
   }
 
   #followServers(): Promise<void> {
-    const { platform, fleet, logs, signal } = this.#options;
+    const { platform, fleet, isIdle, logs, signal } = this.#options;
     return followObjects({
       store: platform.store,
       objectKind: platform.serverKind,
-      pauseMilliseconds: SERVER_CHANGES_PAUSE_MILLISECONDS,
+      pauseMilliseconds: () =>
+        isIdle() ? IDLE_CHANGES_PAUSE_MILLISECONDS : SERVER_CHANGES_PAUSE_MILLISECONDS,
       onList: (objects, revision) => {
         const entries = objects.map(platform.parseServer).filter((entry) => entry !== undefined);
         fleet.replaceAll(entries, revision);
--- a/src/store/follow-objects.test.ts
+++ b/src/store/follow-objects.test.ts
@@ -36,6 +36,10 @@
   await followObjects({
     store,
     objectKind: 'things',
+    pauseMilliseconds: () => {
+      calls.push('pause');
+      return 0;
+    },
     onList: () => undefined,
     onChanges: (changes) => calls.push(`changes ${changes.length}`),
     onContact: () => undefined,
@@ -45,14 +49,21 @@
   return calls;
 }
 
-test('follow: a watch goes on from the revision of the one before', async () => {
+// How long changes are gathered may change between two batches.
+test('follow: a watch goes on from the revision of the one before, after a pause asked for anew', async () => {
   const object = { name: 'a', revision: 20, value: 1 };
   const changed = {
     kind: 'changed',
     changes: [{ object, isDeleted: false }],
     revision: 20,
   } as const;
-  assert.deepEqual(await follow([changed, 'hang']), ['list', 'watch 11', 'changes 1', 'watch 20']);
+  assert.deepEqual(await follow([changed, 'hang']), [
+    'list',
+    'watch 11',
+    'changes 1',
+    'pause',
+    'watch 20',
+  ]);
 });
 
 test('follow: the store is read whole when its history is gone', async () => {
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -8,7 +8,7 @@
   readonly store: ObjectStore;
   readonly objectKind: string;
   /** Between two watches, so that changes in quick succession come together, in milliseconds. */
-  readonly pauseMilliseconds?: number;
+  readonly pauseMilliseconds?: () => number;
   /** How long one watch may wait, in milliseconds. */
   readonly waitMilliseconds?: number;
   readonly onList: (objects: readonly StoredObject[], revision: number) => void;
@@ -51,7 +51,7 @@
 export async function followObjects(options: FollowOptions): Promise<void> {
   const { store, objectKind, onList, onChanges, onContact, log, signal } = options;
   const { onLost = () => undefined } = options;
-  const { waitMilliseconds = DEFAULT_WAIT_MILLISECONDS, pauseMilliseconds = 0 } = options;
+  const { waitMilliseconds = DEFAULT_WAIT_MILLISECONDS, pauseMilliseconds = () => 0 } = options;
   const pause = new Pause();
   let revision: number | undefined;
   const noteContact = (): void => {
@@ -81,7 +81,8 @@
         revision = Math.max(revision, watched.revision);
         if (watched.changes.length > 0) {
           onChanges(watched.changes, revision);
-          if (pauseMilliseconds > 0) await sleep(pauseMilliseconds, signal);
+          const milliseconds = pauseMilliseconds();
+          if (milliseconds > 0) await sleep(milliseconds, signal);
         }
       } else if (watched.kind === 'historyLost') {
         log.info('History of the store is gone; reading it whole.', { objectKind, revision });
