Count every attempt that may have run towards a route's maximum of servers

An attempt cut before its first event arrived wasn't counted, though the engine may have begun in that moment, nor was one whose first engine was ejected, though ejected engines often live. Ruled out: a lost count over instances (one instance made all attempts). Change: StreamRuns counts distinct first engines of all attempts that may have run; an engine stops counting only if it is gone from the registry or can't be connected to. Once the limit is reached, only engines that count already may start the request (a chain's first stage). Test: src/entry/stream-runs.test.ts, fails on the old counting.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -416,7 +416,9 @@
     if (!server) return;
     const service = this.#configuration.current?.services.get(server.entry.service);
     const path = service?.healthPath ?? '/health';
-    if (await isHealthy(server.entry.address, path)) this.#outlierEjection.readmitIfHoldElapsed(id);
+    if (!(await isHealthy(server.entry.address, path))) return;
+    server.isUnreachable = false;
+    this.#outlierEjection.readmitIfHoldElapsed(id);
   }
 
   #renderMetrics(): Promise<string> {
--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -68,8 +68,16 @@
   /** Engines that failed this request or were too slow for it. */
   readonly avoidedEngineIds = new Set<string>();
 
-  constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
+  readonly #canStartAt: (engineId: string) => boolean;
+
+  constructor(
+    context: EntryContext,
+    request: EntryRequest,
+    profile: EngineProfile,
+    canStartAt: (engineId: string) => boolean,
+  ) {
     this.#context = context;
+    this.#canStartAt = canStartAt;
     this.#request = request;
     this.#profile = profile;
     this.#tokens = estimateTokens(request, profile);
@@ -119,7 +127,7 @@
     const chain = chooseChain(candidates, {
       profile: this.#profile,
       tokens: this.#tokens,
-      ...(pinnedStage ? { pinnedStage } : {}),
+      ...(pinnedStage ? { pinnedStage } : { canStartAt: this.#canStartAt }),
       linkUtilisation: (from, to) =>
         linkLoad.estimateUtilisation(from, to, this.#profile.dataCentreLinkMegabitsPerSecond),
       startPenaltyMilliseconds: (startDataCentre) =>
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -19,6 +19,7 @@
 import { isBodyDelimited, sendBackendRequest } from './backend-request.js';
 import type { EngineProfile } from './serving-configuration.js';
 import type { WatchedStream } from './stall-detector.js';
+import { StreamRuns } from './stream-runs.js';
 import { listStageAddresses, ChainSelector, type EngineChain } from './chain-selector.js';
 
 /** The result of one attempt. */
@@ -32,10 +33,7 @@
       readonly engineIdsToAvoid: readonly string[];
       readonly message: string;
     }
-  /**
-   * The attempt was abandoned before its first event. This does not count towards the route's
-   * maximum number of attempts: an engine starts to run a request when it sends the first event.
-   */
+  /** The attempt was abandoned before its first event arrived; the request may have run. */
   | {
       readonly kind: 'late';
       readonly engineIdsToAvoid: readonly string[];
@@ -83,21 +81,20 @@
 
   #firstEventAt: number | undefined;
 
-  /** Attempts that may have run. */
-  #possibleRuns = 0;
-
-  /**
-   * The possible runs whose first engine is not ejected. The route's maximum number of attempts
-   * applies to these.
-   */
-  #countedRuns = 0;
+  readonly #runs: StreamRuns;
 
   #refusedAttempts = 0;
 
   constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
     this.#context = context;
     this.#request = request;
-    this.#chainSelector = new ChainSelector(context, request, profile);
+    this.#runs = new StreamRuns({
+      maximumServers: request.route.maximumAttempts,
+      hasEnded: (id) => context.fleet.find(id)?.isUnreachable ?? true,
+    });
+    this.#chainSelector = new ChainSelector(context, request, profile, (id) =>
+      this.#runs.allows(id),
+    );
     this.#lastEventId = request.metadata.lastEventId;
   }
 
@@ -116,11 +113,11 @@
     for (;;) {
       const chain = await this.#findChain();
       if (signal.aborted) return this.#sendTimeout();
-      if (!chain) return this.#sendRefusal('no_chain');
+      if (!chain) return this.#sendFailure('no_chain');
       const result = await this.#attempt(chain);
       if (signal.aborted) return this.#sendTimeout();
       if (result.kind === 'completed' || result.kind === 'answered') return this.#complete(result);
-      const outcome = this.#handleFault(result, chain);
+      const outcome = await this.#handleFault(result, chain);
       if (outcome !== undefined) return outcome;
     }
   }
@@ -128,25 +125,22 @@
   /**
    * Decides on a retry after a failed attempt; returns the request's outcome when there is none.
    */
-  #handleFault(
+  async #handleFault(
     result: Extract<AttemptResult, { kind: 'notRun' | 'late' | 'broken' }>,
     chain: EngineChain,
-  ): string | undefined {
+  ): Promise<string | undefined> {
     const { crashRecords, retryBudget, logs, metrics } = this.#context;
     const { contentHash, route, service, metadata } = this.#request;
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
+    const firstEngineId = chain.stages[0]?.engine.id ?? '';
     if (result.kind === 'notRun') this.#refusedAttempts += 1;
-    else this.#possibleRuns += 1;
-    const firstEngine = chain.stages[0]?.engine.id;
-    const isFirstEjected =
-      firstEngine === undefined || this.#context.outlierEjection.isEjected(firstEngine);
-    if (result.kind === 'broken' && !isFirstEjected) this.#countedRuns += 1;
-    const canRepeat = isIdempotent(route) || this.#possibleRuns === 0;
+    else this.#runs.record(firstEngineId);
+    // Whether the first engine still lives decides how many further engines may run the request.
+    if (result.kind === 'broken') await this.#context.stallDetector.checkEngine(firstEngineId);
+    const canRepeat = isIdempotent(route) || this.#runs.total === 0;
     const isContentAllowed = !crashRecords.isBlocked(contentHash);
     const isWithinLimits =
-      this.#countedRuns < route.maximumAttempts &&
-      this.#possibleRuns < MAXIMUM_ATTEMPTS &&
-      this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
+      this.#runs.total < MAXIMUM_ATTEMPTS && this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
     const isRetried =
       canRepeat && isContentAllowed && isWithinLimits && retryBudget.tryAcquire(service.name);
     logs('routing').info(isRetried ? 'Retrying request.' : 'Request failed; not retrying.', {
@@ -154,20 +148,15 @@
       after: result.kind,
       message: result.message,
       engineIdsToAvoid: result.engineIdsToAvoid,
-      first: chain.stages[0]?.engine.id,
+      first: firstEngineId,
       lastEventId: this.#lastEventId,
-      attempts: this.#possibleRuns,
-      runs: this.#countedRuns,
+      attempts: this.#runs.total,
+      runs: this.#runs.countedServers,
       refusedTries: this.#refusedAttempts,
     });
     metrics.countEvent(isRetried ? 'retry' : 'given_up');
     if (isRetried) return undefined;
-    if (this.#possibleRuns === 0) return this.#sendRefusal('servers_refused');
-    return this.#sendLocalResponse('broken', {
-      status: 502,
-      code: 'engine_failed',
-      message: 'An engine failed while it ran the request.',
-    });
+    return this.#sendFailure('servers_refused');
   }
 
   /** Finds a chain. A stream that has already started waits a limited time for one. */
@@ -304,12 +293,11 @@
     const message = getErrorMessage(error);
     if (this.#request.signal.aborted) return { kind: 'broken', engineIdsToAvoid: [], message };
     if (error instanceof HttpRequestError && error.phase === 'connecting') {
+      const server = this.#context.fleet.find(firstEngine.id);
+      if (server) server.isUnreachable = true;
       outlierEjection.eject(firstEngine.id, message);
       return { kind: 'notRun', engineIdsToAvoid, message };
     }
-    // Any engine of the chain may be faulty. Asking the first for a report shows whether it is
-    // alive and which engine it waits for.
-    void this.#context.stallDetector.checkEngine(firstEngine.id);
     if (error instanceof HttpRequestError && error.phase === 'sent') {
       crashRecords.recordCrash(this.#request.contentHash, firstEngine.id);
     }
@@ -437,10 +425,18 @@
     return this.#recordOutcome(result.kind);
   }
 
-  #sendRefusal(code: string): string {
+  /** Ends the request with a refusal, or with a failure if it may have run. */
+  #sendFailure(refusalCode: string): string {
+    if (this.#runs.total > 0) {
+      return this.#sendLocalResponse('broken', {
+        status: 502,
+        code: 'engine_failed',
+        message: 'An engine failed while it ran the request.',
+      });
+    }
     return this.#sendLocalResponse('refused', {
       status: 503,
-      code,
+      code: refusalCode,
       message: 'No chain of engines could run the request; it was not run.',
       retryAfterSeconds: RETRY_AFTER_NO_CHAIN_SECONDS,
     });
@@ -458,11 +454,7 @@
   #sendLocalResponse(outcome: string, localResponse: LocalResponse): string {
     const { response, metadata } = this.#request;
     // A stream that has started is destroyed without its last chunk, so it does not look complete.
-    if (outcome === 'refused' && this.#possibleRuns > 0) {
-      sendLocalResponse(response, metadata.requestId, { ...localResponse, status: 502 });
-    } else {
-      sendLocalResponse(response, metadata.requestId, localResponse);
-    }
+    sendLocalResponse(response, metadata.requestId, localResponse);
     return this.#recordOutcome(outcome);
   }
 
@@ -483,7 +475,7 @@
         firstEventAt === undefined ? undefined : Math.round(firstEventAt - receivedAt),
       totalMilliseconds: Math.round(performance.now() - receivedAt),
       lastEventId: this.#lastEventId,
-      runs: this.#countedRuns,
+      runs: this.#runs.countedServers,
     });
     return outcome;
   }
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -3,6 +3,7 @@
  * engines themselves give such a stream up. The first engine of a chain reports which engine a
  * request is waiting for.
  */
+import { HttpRequestError } from '../common/http-client.js';
 import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
@@ -147,8 +148,8 @@
         log.info('Stream is stalled at an engine.', { requestId, faultAddress, first: id });
         stream.routeAround(faultyServer ? [faultyServer.entry.id] : []);
       });
-    } catch {
-      this.#ejectUnresponsive(id, requestedAt);
+    } catch (error) {
+      this.#ejectUnresponsive(server, requestedAt, error);
     }
   }
 
@@ -170,11 +171,12 @@
   }
 
   /** Ejects an engine that sent no report, unless this process was too busy to receive one. */
-  #ejectUnresponsive(id: string, requestedAt: number): void {
+  #ejectUnresponsive(server: FleetServer, requestedAt: number, error: unknown): void {
     const elapsedMilliseconds = this.#now() - requestedAt;
     if (elapsedMilliseconds > REPORT_TIMEOUT_MILLISECONDS + LOCAL_DELAY_TOLERANCE_MILLISECONDS)
       return;
-    this.#options.outlierEjection.eject(id, 'No report within the report timeout.');
+    server.isUnreachable = error instanceof HttpRequestError && error.phase === 'connecting';
+    this.#options.outlierEjection.eject(server.entry.id, 'No report within the report timeout.');
   }
 
   async #refreshSlowdownFactor(server: FleetServer): Promise<void> {
@@ -189,8 +191,8 @@
       if (slowdownFactor !== server.ownSlowdownFactor)
         this.#options.log.info('Engine slowdown factor changed.', { id, pace: slowdownFactor });
       server.ownSlowdownFactor = slowdownFactor;
-    } catch {
-      this.#ejectUnresponsive(id, requestedAt);
+    } catch (error) {
+      this.#ejectUnresponsive(server, requestedAt, error);
     }
   }
 }
--- /dev/null
+++ b/src/entry/stream-runs.test.ts
@@ -0,0 +1,31 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { StreamRuns } from './stream-runs.js';
+
+// Regression: a cut attempt whose first event had not arrived was not counted, and neither was one on
+// an ejected server, so that a stream ran on three servers of a route that allows two.
+test('stream runs: cut attempts count, also on servers that are only ejected', () => {
+  const runs = new StreamRuns({ maximumServers: 2, hasEnded: () => false });
+  assert.ok(runs.allows('a'));
+  runs.record('a');
+  assert.ok(runs.allows('b'));
+  runs.record('b');
+  assert.ok(!runs.allows('c'));
+});
+
+test('stream runs: a further attempt on a server that counts already is allowed', () => {
+  const runs = new StreamRuns({ maximumServers: 1, hasEnded: () => false });
+  runs.record('a');
+  assert.ok(runs.allows('a'));
+  assert.ok(!runs.allows('b'));
+  assert.equal(runs.total, 1);
+});
+
+test('stream runs: a server that has ended no longer counts', () => {
+  const ended = new Set<string>();
+  const runs = new StreamRuns({ maximumServers: 1, hasEnded: (id) => ended.has(id) });
+  runs.record('a');
+  assert.ok(!runs.allows('b'));
+  ended.add('a');
+  assert.ok(runs.allows('b'));
+});
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -40,6 +40,8 @@
   refusingSince: number | undefined;
   /** Number of requests refused since it last accepted one. */
   consecutiveRefusals: number;
+  /** Whether no connection could be opened when this instance last tried to reach it. */
+  isUnreachable: boolean;
   /** When its entry disappeared from the store, while the entry may still come back. */
   missingSince: number | undefined;
 }
@@ -216,6 +218,7 @@
         fullUntil: 0,
         refusingSince: undefined,
         consecutiveRefusals: 0,
+        isUnreachable: false,
         missingSince: undefined,
       });
       return;
--- a/src/layers/chain-choice.test.ts
+++ b/src/layers/chain-choice.test.ts
@@ -124,3 +124,13 @@
     { seed: 7, numRuns: 500 },
   );
 });
+
+test('chain: only an engine that may start the request runs the first stage', () => {
+  const engines = [
+    engine('a', 0, 40),
+    engine('b', 0, 40, { slowdownFactor: 5 }),
+    engine('c', 40, 80),
+  ];
+  const result = chooseChain(engines, { ...REQUEST, canStartAt: (id) => id === 'b' });
+  assert.deepEqual(describeStages(result), ['b=0-40', 'c=40-80']);
+});
--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -56,6 +56,8 @@
   readonly tokens: RequestTokens;
   /** The first stage, if it must stay unchanged. */
   readonly pinnedStage?: ChainStage;
+  /** Whether an engine may run the first stage; any engine may by default. */
+  readonly canStartAt?: (engineId: string) => boolean;
   /** Utilisation of the link between two data centres, from 0; above 1 it is overloaded. */
   readonly linkUtilisation?: (from: string, to: string) => number;
   /** Added to the cost of chains that start in a data centre, in milliseconds. */
@@ -209,8 +211,10 @@
   for (let index = 0; index + 1 < boundaries.length; index += 1) {
     const from = boundaries[index] ?? 0;
     const to = boundaries[index + 1] ?? layerCount;
-    const eligible = estimates.filter(({ engine }) =>
-      canRun(engine, from, to, request.pinnedStage),
+    const eligible = estimates.filter(
+      ({ engine }) =>
+        canRun(engine, from, to, request.pinnedStage) &&
+        (from > 0 || (request.canStartAt?.(engine.id) ?? true)),
     );
     if (eligible.length === 0) return { missingLayer: from };
     const previousSteps = lastSteps;
