Keep records between instances small in a large fleet, and tell own delay from silence

Cause: at full size of the grown deployment (77 instances, 93 engines) each accepted record started a pass over all servers and all peers' loads (about 256 records a second times 5,000 entries), every record carried all loads to every data centre, and a busy instance took its peers for dead after 1.5 s. Change: loads go to other data centres as one sum; records of other data centres cross at every n-th heartbeat (n = peers / 20) unless something urgent changed; digests cover only what the exchange is for; observations are applied at most every 60 ms; time in which the process itself was late doesn't count as silence of its peers. With 9 to 18 peers records cross as often as before. Also: attempts that broke off after their first event are limited by the route as before, whatever engine they ran on.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -15,7 +15,12 @@
 import { BackendFleet } from '../fleet/backend-fleet.js';
 import { CallTimes } from '../fleet/call-times.js';
 import { isHealthy } from '../fleet/health-check.js';
-import { collectServerObservations, applyPeerObservations } from '../fleet/server-observations.js';
+import {
+  applyPeerObservations,
+  collectServerObservations,
+  RemoteLoads,
+  sumDataCentreLoads,
+} from '../fleet/server-observations.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { Gossip } from '../gossip/gossip.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
@@ -50,6 +55,8 @@
 const INSTANCE_KIND = 'instances';
 
 const HEARTBEAT_INTERVAL_MILLISECONDS = 300;
+/** The shortest time between two updates of the servers from the peers' records. */
+const OBSERVATION_INTERVAL_MILLISECONDS = 60;
 const STALL_CHECK_INTERVAL_MILLISECONDS = 70;
 const PACE_CHECK_INTERVAL_MILLISECONDS = 500;
 const HEALTH_CHECK_INTERVAL_MILLISECONDS = 200;
@@ -89,8 +96,17 @@
 
   readonly #lease: PlannerLease;
 
+  readonly #remoteLoads = new RemoteLoads();
+
+  #observationsAppliedAt = Number.NEGATIVE_INFINITY;
+
   #recordCounter = 0;
 
+  /** The fields of the last record that peers act on at once, as text, to find changes. */
+  #urgentFields = '';
+
+  #changeCounter = 0;
+
   /** The record sent to peers, rebuilt at each heartbeat. */
   #record: PeerRecord;
 
@@ -113,6 +129,7 @@
     });
     this.#peers = new PeerTable({
       instance: settings.instance,
+      dataCentre: settings.dataCentre,
       log: logs('peer'),
       // A dead instance cannot withdraw its ejections, so they are dropped with it.
       onPeerLost: (instance) => this.#outlierEjection.replacePeerEjections(instance, []),
@@ -138,7 +155,10 @@
       seeds: settings.seeds,
       table: this.#peers,
       ownRecord: () => this.#record,
+      dataCentreLoads: () =>
+        sumDataCentreLoads([this.#record, ...this.#peers.aliveRecords], settings.dataCentre),
       onRecord: (record) => this.#acceptRecord(record),
+      onRecords: () => this.#applyPeerObservations(),
       documents: {
         ...this.#storeFollower.documents,
         ...createStatusDocuments({
@@ -168,7 +188,7 @@
         peerCountsOf: (service) => this.#peers.sumRetries(service),
       }),
       linkLoad: new DataCentreLinkLoad({
-        instanceCount: () => this.#peers.aliveRecords.length + 1,
+        instanceCount: () => this.#peers.aliveCount + 1,
       }),
       stallDetector: new StallDetector({
         protocol: platform.protocol,
@@ -360,6 +380,18 @@
   #createRecord(): PeerRecord {
     const { settings } = this.#options;
     this.#recordCounter += 1;
+    const urgentFields = {
+      isReady: this.#isReady,
+      isStopping: this.#isStopping,
+      configurationVersion: this.#configuration.current?.version ?? -1,
+      isStoreReachable: this.#storeFollower.isStoreReachable,
+      suspects: this.#outlierEjection.ownEjections,
+      plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
+      crashes: this.#context.crashRecords.serversByContent,
+    };
+    const urgentText = JSON.stringify(urgentFields);
+    if (urgentText !== this.#urgentFields) this.#changeCounter = this.#recordCounter;
+    this.#urgentFields = urgentText;
     return {
       instance: settings.instance,
       dataCentre: settings.dataCentre,
@@ -367,23 +399,29 @@
       counter: this.#recordCounter,
       callers: settings.listen.callers,
       peers: settings.listen.peers,
-      isReady: this.#isReady,
-      isStopping: this.#isStopping,
-      configurationVersion: this.#configuration.current?.version ?? -1,
+      changeCounter: this.#changeCounter,
       fleetRevision: this.#fleet.revision,
-      isStoreReachable: this.#storeFollower.isStoreReachable,
-      suspects: this.#outlierEjection.ownEjections,
+      ...urgentFields,
       ...collectServerObservations(this.#fleet),
-      plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
       retries: this.#context.retryBudget.counts,
-      crashes: this.#context.crashRecords.serversByContent,
     };
   }
 
+  /**
+   * Takes over what the peers observed of the servers, unless that was done a moment ago: the work
+   * grows with the number of peers, and so does the number of records that arrive.
+   */
+  #applyPeerObservations(): void {
+    const now = performance.now();
+    if (now - this.#observationsAppliedAt < OBSERVATION_INTERVAL_MILLISECONDS) return;
+    this.#observationsAppliedAt = now;
+    applyPeerObservations(this.#fleet, this.#peers.aliveRecords, this.#remoteLoads.current);
+  }
+
   #acceptRecord(record: PeerRecord): void {
     this.#outlierEjection.replacePeerEjections(record.instance, record.suspects);
     this.#context.crashRecords.merge(record.crashes);
-    applyPeerObservations(this.#fleet, this.#peers.aliveRecords);
+    this.#remoteLoads.accept(record);
     this.#storeFollower.catchUpWithPeer(record);
   }
 
--- a/src/daemon/planner-role.test.ts
+++ b/src/daemon/planner-role.test.ts
@@ -83,6 +83,7 @@
   const clock = { now: 0 };
   const lost: string[] = [];
   const table = new PeerTable({
+    dataCentre: 'z',
     instance: 'self',
     log: createSilentLogger(),
     onPeerLost: (instance) => lost.push(instance),
@@ -96,8 +97,25 @@
 });
 
 test('peers: an older record is ignored', () => {
-  const table = new PeerTable({ instance: 'self', log: createSilentLogger() });
+  const table = new PeerTable({ dataCentre: 'z', instance: 'self', log: createSilentLogger() });
   assert.ok(table.accept(createRecord('a', { counter: 5 })));
   assert.ok(!table.accept(createRecord('a', { counter: 4 })));
   assert.ok(table.accept(createRecord('a', { incarnation: 2, counter: 1 })));
 });
+
+// Regression: an instance that stood still for seconds took all of its peers for dead.
+test('peers: time in which this process itself stood still is not silence of its peers', () => {
+  const clock = { now: 0 };
+  const log = createSilentLogger();
+  const table = new PeerTable({ dataCentre: 'z', instance: 'self', log, now: () => clock.now });
+  table.accept(createRecord('a'));
+  table.expireSilentPeers();
+  clock.now = 5000;
+  table.expireSilentPeers();
+  assert.equal(table.aliveCount, 1);
+  for (let step = 0; step < 6; step += 1) {
+    clock.now += 300;
+    table.expireSilentPeers();
+  }
+  assert.equal(table.aliveCount, 0);
+});
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -134,7 +134,7 @@
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
     const firstEngineId = chain.stages[0]?.engine.id ?? '';
     if (result.kind === 'notRun') this.#refusedAttempts += 1;
-    else this.#runs.record(firstEngineId);
+    else this.#runs.record(firstEngineId, result.kind === 'broken');
     // Whether the first engine still lives decides how many further engines may run the request.
     if (result.kind === 'broken') await this.#context.stallDetector.checkEngine(firstEngineId);
     const canRepeat = isIdempotent(route) || this.#runs.total === 0;
--- a/src/entry/stream-runs.test.ts
+++ b/src/entry/stream-runs.test.ts
@@ -7,24 +7,26 @@
 test('stream runs: cut attempts count, also on servers that are only ejected', () => {
   const runs = new StreamRuns({ maximumServers: 2, hasEnded: () => false });
   assert.ok(runs.allows('a'));
-  runs.record('a');
+  runs.record('a', false);
   assert.ok(runs.allows('b'));
-  runs.record('b');
+  runs.record('b', true);
   assert.ok(!runs.allows('c'));
 });
 
-test('stream runs: a further attempt on a server that counts already is allowed', () => {
+test('stream runs: a server that may have run the request may get it again, unless the limit has run', () => {
   const runs = new StreamRuns({ maximumServers: 1, hasEnded: () => false });
-  runs.record('a');
+  runs.record('a', false);
   assert.ok(runs.allows('a'));
   assert.ok(!runs.allows('b'));
   assert.equal(runs.total, 1);
+  runs.record('a', true);
+  assert.ok(!runs.allows('a'));
 });
 
 test('stream runs: a server that has ended no longer counts', () => {
   const ended = new Set<string>();
   const runs = new StreamRuns({ maximumServers: 1, hasEnded: (id) => ended.has(id) });
-  runs.record('a');
+  runs.record('a', true);
   assert.ok(!runs.allows('b'));
   ended.add('a');
   assert.ok(runs.allows('b'));
--- a/src/entry/stream-runs.ts
+++ b/src/entry/stream-runs.ts
@@ -15,9 +15,7 @@
 export class StreamRuns {
   readonly #options: StreamRunsOptions;
 
-  readonly #serverIds = new Set<string>();
-
-  #total = 0;
+  readonly #runs: { readonly serverId: string; readonly hadEvents: boolean }[] = [];
 
   constructor(options: StreamRunsOptions) {
     this.#options = options;
@@ -27,30 +25,37 @@
    * Records an attempt that may have run.
    *
    * @param serverId - Id of the server that the request was sent to.
+   * @param hadEvents - Whether the attempt failed after it had begun to answer, so that it did run.
    */
-  record(serverId: string): void {
-    this.#total += 1;
-    this.#serverIds.add(serverId);
+  record(serverId: string, hadEvents: boolean): void {
+    this.#runs.push({ serverId, hadEvents });
   }
 
-  /** Number of attempts that may have run, several on one server included. */
+  /** Number of attempts that may have run. */
   get total(): number {
-    return this.#total;
+    return this.#runs.length;
+  }
+
+  /** The attempts that may have run, without those on servers that have ended. */
+  get #countedRuns(): readonly { readonly serverId: string; readonly hadEvents: boolean }[] {
+    return this.#runs.filter(({ serverId }) => !this.#options.hasEnded(serverId));
   }
 
   /** Number of servers that may have run the request, without those that have ended. */
   get countedServers(): number {
-    return [...this.#serverIds].filter((id) => !this.#options.hasEnded(id)).length;
+    return new Set(this.#countedRuns.map(({ serverId }) => serverId)).size;
   }
 
   /**
-   * Whether the request may be sent to a server: one that may have run it before, or any other one
-   * while the limit is not reached.
+   * Whether the request may be sent to a server: to any while the limit is not reached, otherwise
+   * only to one that may have run it, and only if fewer attempts than the limit have run for certain.
    *
    * @param serverId - Id of the server.
    */
   allows(serverId: string): boolean {
-    if (this.#serverIds.has(serverId)) return true;
-    return this.countedServers < Math.max(1, this.#options.maximumServers);
+    const limit = Math.max(1, this.#options.maximumServers);
+    if (this.#countedRuns.filter(({ hadEvents }) => hadEvents).length >= limit) return false;
+    if (this.#runs.some((run) => run.serverId === serverId)) return true;
+    return this.countedServers < limit;
   }
 }
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -10,8 +10,9 @@
 import { sleep } from '../common/clock.js';
 import { fetchResponse, getErrorMessage } from '../common/http-client.js';
 import type { Logger } from '../telemetry/log.js';
-import { PeerRecord } from './peer-record.js';
+import { PeerRecord, type ServerLoads } from './peer-record.js';
 import type { PeerTable } from './peer-table.js';
+import { getRemoteRecordInterval } from './record-interval.js';
 
 /** Options of {@link Gossip}. */
 export interface GossipOptions {
@@ -22,8 +23,12 @@
   readonly seeds: readonly Address[];
   readonly table: PeerTable;
   readonly ownRecord: () => PeerRecord;
+  /** Loads by all instances of this data centre together, sent to the other data centres. */
+  readonly dataCentreLoads: () => ServerLoads;
   /** Called for each record that is newer than the one in the table. */
   readonly onRecord: (record: PeerRecord) => void;
+  /** Called once after one or more newer records have been stored. */
+  readonly onRecords: () => void;
   /** JSON documents served to peers, by path. A document that is undefined is answered with 404. */
   readonly documents: Readonly<Record<string, () => unknown>>;
   readonly log: Logger;
@@ -34,8 +39,26 @@
 const Digest = z.record(z.string(), z.tuple([z.number(), z.number()]));
 type Digest = z.infer<typeof Digest>;
 
+/**
+ * Which records a digest covers: all, those of the sender's data centre, or only the receiver's own.
+ * A small scope keeps digests short in a large fleet.
+ */
+const DigestScope = z.enum(['all', 'dataCentre', 'own']);
+type DigestScope = z.infer<typeof DigestScope>;
+
 /** The sender's own record and its digest. The response holds the records that the sender lacks. */
-const ExchangeRequest = z.object({ own: PeerRecord, known: Digest });
+const ExchangeRequest = z.object({
+  own: PeerRecord,
+  known: Digest,
+  scope: DigestScope.default('all'),
+});
+
+/** A peer to exchange records with. */
+interface ExchangeTarget {
+  readonly address: Address;
+  /** Undefined for an address of which no record is known. */
+  readonly dataCentre: string | undefined;
+}
 
 /** Number of peers to exchange records with in one round. */
 interface Fanout {
@@ -61,6 +84,8 @@
 
   #server: http.Server | undefined;
 
+  #roundCount = 0;
+
   constructor(options: GossipOptions) {
     this.#options = options;
   }
@@ -97,8 +122,11 @@
    * @param isUrgent - Whether peers should act on a change at once; more peers are contacted then.
    */
   async runRound(isUrgent = false): Promise<void> {
-    const peers = this.#pickPeers(isUrgent ? URGENT_FANOUT : DEFAULT_FANOUT);
-    await Promise.all(peers.map((address) => this.#exchangeWith(address)));
+    this.#roundCount += 1;
+    const isFullRound =
+      this.#roundCount % getRemoteRecordInterval(this.#options.table.aliveCount) === 0;
+    const targets = this.#pickTargets(isUrgent ? URGENT_FANOUT : DEFAULT_FANOUT);
+    await Promise.all(targets.map((target) => this.#exchangeWith(target, isFullRound)));
   }
 
   /**
@@ -132,28 +160,35 @@
    * Chooses the peers for one round at random. If this data centre has too few, peers of the others
    * take their place.
    */
-  #pickPeers(fanout: Fanout): Address[] {
+  #pickTargets(fanout: Fanout): ExchangeTarget[] {
     const { table, seeds, address, dataCentre } = this.#options;
     const { aliveRecords } = table;
     const localCandidates = shuffle(aliveRecords.filter((peer) => peer.dataCentre === dataCentre));
     const remoteCandidates = shuffle(aliveRecords.filter((peer) => peer.dataCentre !== dataCentre));
     const localPeers = localCandidates.slice(0, fanout.sameDataCentre);
     const remoteCount = fanout.otherDataCentres + fanout.sameDataCentre - localPeers.length;
-    const picked = [...localPeers, ...remoteCandidates.slice(0, remoteCount)].map(
-      ({ peers }) => peers,
-    );
+    const toTarget = (record: PeerRecord): ExchangeTarget => ({
+      address: record.peers,
+      dataCentre: record.dataCentre,
+    });
+    const picked = [...localPeers, ...remoteCandidates.slice(0, remoteCount)].map(toTarget);
     // Includes peers considered dead, so that both sides of a network partition find each other
     // again.
-    const probeCandidates = [...table.allRecords.map(({ peers }) => peers), ...seeds].filter(
-      (peer) => peer.host !== address.host || peer.port !== address.port,
-    );
+    const probeCandidates = [
+      ...table.allRecords.map(toTarget),
+      ...seeds.map((seed) => ({ address: seed, dataCentre: undefined })),
+    ].filter((target) => !isSameAddress(target.address, address));
     const [probeTarget] = shuffle(probeCandidates);
     if (probeTarget && (picked.length === 0 || Math.random() < PROBE_PROBABILITY))
       picked.push(probeTarget);
     return picked;
   }
 
-  async #exchangeWith(address: Address): Promise<void> {
+  async #exchangeWith(
+    { address, dataCentre }: ExchangeTarget,
+    isFullRound: boolean,
+  ): Promise<void> {
+    const scope = this.#chooseScope(dataCentre, isFullRound);
     try {
       const answer = await fetchResponse({
         address,
@@ -161,7 +196,11 @@
         method: 'POST',
         path: '/records',
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ own: this.#options.ownRecord(), known: this.#createDigest() }),
+        body: JSON.stringify({
+          own: this.#prepareFor(dataCentre, this.#options.ownRecord()),
+          known: this.#createDigest(scope),
+          scope,
+        }),
         timeoutMilliseconds: EXCHANGE_TIMEOUT_MILLISECONDS,
       });
       this.#mergeRecords(JSON.parse(answer.body.toString()));
@@ -173,29 +212,62 @@
     }
   }
 
-  #createDigest(): Digest {
-    const { table } = this.#options;
+  #chooseScope(dataCentre: string | undefined, isFullRound: boolean): DigestScope {
+    if (isFullRound || dataCentre === undefined) return 'all';
+    return dataCentre === this.#options.dataCentre ? 'dataCentre' : 'own';
+  }
+
+  #createDigest(scope: DigestScope): Digest {
+    const { table, dataCentre } = this.#options;
+    if (scope === 'own') return {};
     return Object.fromEntries(
-      table.aliveRecords.map(({ instance, incarnation, counter }) => [
-        instance,
-        [incarnation, counter],
-      ]),
+      table.aliveRecords
+        .filter((record) => scope === 'all' || record.dataCentre === dataCentre)
+        .map(({ instance, incarnation, counter }) => [instance, [incarnation, counter]]),
     );
   }
 
-  /** Returns the records that are missing from a peer's digest or newer than there. */
-  #findRecordsNewerThan(peer: string, known: Digest): PeerRecord[] {
+  /**
+   * Replaces a record's loads for a receiver in another data centre: the own record carries the loads
+   * of the whole data centre instead, other records none.
+   */
+  #prepareFor(receiverDataCentre: string | undefined, record: PeerRecord): PeerRecord {
+    const { dataCentre, ownRecord, dataCentreLoads } = this.#options;
+    if (receiverDataCentre === undefined || receiverDataCentre === record.dataCentre) return record;
+    if (record !== ownRecord()) return { ...record, loads: {}, dataCentreLoads: undefined };
+    if (receiverDataCentre === dataCentre) return record;
+    return { ...record, loads: {}, dataCentreLoads: dataCentreLoads() };
+  }
+
+  /** Returns the records that a peer's digest lacks or has in an older version. */
+  #findRecordsNewerThan({
+    own: peer,
+    known,
+    scope,
+  }: z.infer<typeof ExchangeRequest>): PeerRecord[] {
     const { ownRecord, table } = this.#options;
-    return [ownRecord(), ...table.aliveRecords].filter(({ instance, incarnation, counter }) => {
-      if (instance === peer) return false;
-      const [knownIncarnation = 0, knownCounter = 0] = known[instance] ?? [];
-      if (incarnation !== knownIncarnation) return incarnation > knownIncarnation;
-      return counter > knownCounter;
-    });
+    const interval = getRemoteRecordInterval(table.aliveCount);
+    const own = ownRecord();
+    const candidates = scope === 'own' ? [own] : [own, ...table.aliveRecords];
+    return candidates
+      .filter((record) => {
+        if (record.instance === peer.instance) return false;
+        // This instance's copy has no loads; the record's own data centre has a complete one.
+        if (record.dataCentre === peer.dataCentre && peer.dataCentre !== own.dataCentre)
+          return false;
+        const isRemote = record.dataCentre !== peer.dataCentre;
+        if (scope === 'dataCentre' && isRemote && record !== own) return false;
+        const [knownIncarnation = 0, knownCounter = 0] = known[record.instance] ?? [];
+        if (record.incarnation !== knownIncarnation) return record.incarnation > knownIncarnation;
+        if (isRemote && record !== own && (record.changeCounter ?? record.counter) <= knownCounter)
+          return record.counter >= knownCounter + interval;
+        return record.counter > knownCounter;
+      })
+      .map((record) => this.#prepareFor(peer.dataCentre, record));
   }
 
   #mergeRecords(value: unknown): void {
-    const { table, onRecord, log } = this.#options;
+    const { table, onRecord, onRecords, log } = this.#options;
     const result = PeerRecord.array().safeParse(value);
     if (!result.success) {
       log.warn('Records from a peer do not match the schema; ignored.', {
@@ -203,9 +275,9 @@
       });
       return;
     }
-    result.data.forEach((record) => {
-      if (table.accept(record)) onRecord(record);
-    });
+    const accepted = result.data.filter((record) => table.accept(record));
+    accepted.forEach(onRecord);
+    if (accepted.length > 0) onRecords();
   }
 
   async #handleRequest(
@@ -218,9 +290,9 @@
       for await (const chunk of request) chunks.push(chunk as Buffer);
       let body: unknown;
       if (request.url === '/records') {
-        const { own, known } = ExchangeRequest.parse(JSON.parse(Buffer.concat(chunks).toString()));
-        this.#mergeRecords([own]);
-        body = this.#findRecordsNewerThan(own.instance, known);
+        const exchange = ExchangeRequest.parse(JSON.parse(Buffer.concat(chunks).toString()));
+        this.#mergeRecords([exchange.own]);
+        body = this.#findRecordsNewerThan(exchange);
       } else {
         body = documents[request.url ?? '']?.();
       }
@@ -236,6 +308,10 @@
   }
 }
 
+function isSameAddress(one: Address, other: Address): boolean {
+  return one.host === other.host && one.port === other.port;
+}
+
 function shuffle<T>(values: readonly T[]): T[] {
   const shuffled = [...values];
   for (let index = shuffled.length - 1; index > 0; index -= 1) {
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -3,6 +3,10 @@
 
 const AddressFields = z.object({ host: z.string(), port: z.number() });
 
+/** By backend server: running requests and KV cache reserved for them, in tokens times layers. */
+const ServerLoads = z.record(z.string(), z.tuple([z.number(), z.number()]));
+export type ServerLoads = z.infer<typeof ServerLoads>;
+
 export const PeerRecord = z.object({
   instance: z.string(),
   dataCentre: z.string(),
@@ -10,6 +14,11 @@
   incarnation: z.number(),
   /** Increases each time the instance writes its record; 0 marks a record made from the store. */
   counter: z.number(),
+  /**
+   * The counter at which something last changed that peers act on at once, such as readiness or the
+   * configuration version. Absent in records of older builds.
+   */
+  changeCounter: z.number().optional(),
   /** Address for callers. */
   callers: AddressFields,
   /** Address for peers. */
@@ -22,8 +31,13 @@
   isStoreReachable: z.boolean(),
   /** Ids of the backend servers that it has ejected. */
   suspects: z.array(z.string()),
-  /** By backend server: running requests and KV cache reserved for them, in tokens times layers. */
-  loads: z.record(z.string(), z.tuple([z.number(), z.number()])),
+  /** Loads of the requests that this instance runs. Left out towards other data centres. */
+  loads: ServerLoads,
+  /**
+   * Loads by all instances of this instance's data centre together. Only towards other data
+   * centres, in place of the single instances' loads.
+   */
+  dataCentreLoads: ServerLoads.optional(),
   /** By backend server: how many times slower it is than usual for its kind. */
   paces: z.record(z.string(), z.number()),
   /** By engine: the layer range it last reported, which its registry entry may not show yet. */
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -1,11 +1,13 @@
 /** Holds the newest record of each peer and decides which peers are alive. */
 import type { Logger } from '../telemetry/log.js';
 import type { PeerRecord } from './peer-record.js';
+import { getRemoteRecordInterval } from './record-interval.js';
 
 /** Options of {@link PeerTable}. */
 export interface PeerTableOptions {
   /** Name of this instance; its own record is never stored. */
   readonly instance: string;
+  readonly dataCentre: string;
   readonly log: Logger;
   /** Called with the name of a peer when it is considered dead. */
   readonly onPeerLost?: (instance: string) => void;
@@ -21,6 +23,13 @@
 
 /** A peer without a newer record for longer than this is considered dead. */
 const SILENCE_LIMIT_MILLISECONDS = 1500;
+/**
+ * Added to the limit for peers of other data centres for each heartbeat that their records are held
+ * back beyond the first one.
+ */
+const HELD_BACK_HEARTBEAT_MILLISECONDS = 600;
+/** A check that comes later than this after the one before shows that this process was delayed. */
+const CHECK_DELAY_TOLERANCE_MILLISECONDS = 600;
 /** The retry counts of a peer that has gone silent still count for this long. */
 const RETRY_COUNTS_MAX_AGE_MILLISECONDS = 10_000;
 const FORGET_AFTER_MILLISECONDS = 60_000;
@@ -28,6 +37,10 @@
 export class PeerTable {
   readonly #instance: string;
 
+  readonly #dataCentre: string;
+
+  #lastCheckAt: number | undefined;
+
   readonly #log: Logger;
 
   readonly #onPeerLost: (instance: string) => void;
@@ -38,6 +51,7 @@
 
   constructor(options: PeerTableOptions) {
     this.#instance = options.instance;
+    this.#dataCentre = options.dataCentre;
     this.#log = options.log;
     this.#onPeerLost = options.onPeerLost ?? (() => undefined);
     this.#now = options.now ?? (() => performance.now());
@@ -61,12 +75,26 @@
     return true;
   }
 
-  /** Marks peers that have gone silent as dead, and forgets them after a minute of silence. */
+  /**
+   * Marks peers that have gone silent as dead, and forgets them after a minute of silence. Time in
+   * which this process itself stood still or was late is not counted as silence of its peers.
+   */
   expireSilentPeers(): void {
     const now = this.#now();
+    const sinceLastCheck = now - (this.#lastCheckAt ?? now);
+    this.#lastCheckAt = now;
+    if (sinceLastCheck > CHECK_DELAY_TOLERANCE_MILLISECONDS) {
+      this.#peers.forEach((known) => {
+        known.updatedAt = Math.min(now, known.updatedAt + sinceLastCheck);
+      });
+    }
+    const remoteLimit =
+      SILENCE_LIMIT_MILLISECONDS +
+      HELD_BACK_HEARTBEAT_MILLISECONDS * (getRemoteRecordInterval(this.aliveCount) - 1);
     this.#peers.forEach((known, instance) => {
       const silence = now - known.updatedAt;
-      if (known.isAlive && silence > SILENCE_LIMIT_MILLISECONDS) {
+      const isLocal = known.record.dataCentre === this.#dataCentre;
+      if (known.isAlive && silence > (isLocal ? SILENCE_LIMIT_MILLISECONDS : remoteLimit)) {
         known.isAlive = false;
         this.#log.warn('No newer record from the peer; considered dead.', {
           peer: instance,
@@ -78,6 +106,15 @@
     });
   }
 
+  /** Number of peers that are alive. */
+  get aliveCount(): number {
+    let count = 0;
+    this.#peers.forEach(({ isAlive }) => {
+      if (isAlive) count += 1;
+    });
+    return count;
+  }
+
   /** Records of the peers that are alive. */
   get aliveRecords(): PeerRecord[] {
     return [...this.#peers.values()].filter(({ isAlive }) => isAlive).map(({ record }) => record);
