Choose chains by the objectives of a stream instead of its total time

Hypothesis: a stream that keeps its first event and its pauses in time gains nothing by being faster, while chains that cross to faster engines fill the links between data centres and make all others late. Change: chooseChainByObjectives keeps a chain in its data centre while that keeps both objectives (estimated from profile, load, slowdown and use of the links), and takes a crossing one only if it is less late.

--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -1,11 +1,7 @@
 /** Selects chains of engines for one streaming request and reserves its work at their engines. */
 import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
-import {
-  chooseChain,
-  type Chain,
-  type ChainCandidate,
-  type ChainStage,
-} from '../layers/chain-choice.js';
+import type { Chain, ChainCandidate, ChainStage } from '../layers/chain-choice.js';
+import { chooseChainByObjectives } from '../layers/objective-choice.js';
 import type { RequestTokens } from '../layers/engine-estimates.js';
 import type { StageAddress } from './protocol-adapter.js';
 import type { EntryContext } from './entry-context.js';
@@ -124,16 +120,22 @@
         server,
       });
     });
-    const chain = chooseChain(candidates, {
-      profile: this.#profile,
-      tokens: this.#tokens,
-      ...(pinnedStage ? { pinnedStage } : { canStartAt: this.#canStartAt }),
-      linkUtilisation: (from, to) =>
-        linkLoad.estimateUtilisation(from, to, this.#profile.dataCentreLinkMegabitsPerSecond),
-      startPenaltyMilliseconds: (startDataCentre) =>
-        (startDataCentre === dataCentre ? 0 : REMOTE_START_PENALTY_MILLISECONDS) +
-        Math.random() * START_JITTER_MILLISECONDS,
-    });
+    const chain = chooseChainByObjectives(
+      candidates,
+      {
+        profile: this.#profile,
+        tokens: this.#tokens,
+        ...(pinnedStage ? { pinnedStage } : { canStartAt: this.#canStartAt }),
+        linkUtilisation: linkLoad.snapshot(this.#profile.dataCentreLinkMegabitsPerSecond),
+        startPenaltyMilliseconds: (startDataCentre) =>
+          (startDataCentre === dataCentre ? 0 : REMOTE_START_PENALTY_MILLISECONDS) +
+          Math.random() * START_JITTER_MILLISECONDS,
+      },
+      {
+        firstEventMilliseconds: this.#request.route.targetMilliseconds,
+        pauseMilliseconds: this.#request.route.gapTargetMilliseconds,
+      },
+    );
     if ('missingLayer' in chain) {
       if (!canUseAvoided) return undefined;
       logs('routing').info('No chain covers all layers.', {
--- a/src/entry/serving-configuration.ts
+++ b/src/entry/serving-configuration.ts
@@ -59,6 +59,8 @@
   readonly stepMilliseconds: number;
   /** Added to a decode step for each request in the batch. */
   readonly stepMillisecondsPerRequest: number;
+  /** Tokens that an engine generates for a stream in one pass, which it sends as one event. */
+  readonly tokensPerEvent: number;
   readonly prefillTokensPerMillisecond: number;
   /** The size of the KV cache of one token in all layers. */
   readonly kvCacheBytesPerToken: number;
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -123,8 +123,11 @@
    */
   async runRound(isUrgent = false): Promise<void> {
     this.#roundCount += 1;
-    const isFullRound =
-      this.#roundCount % getRemoteRecordInterval(this.#options.table.aliveCount) === 0;
+    // Records wait at both ends of an exchange, so full rounds come twice as often as records leave.
+    const fullRoundInterval = Math.ceil(
+      getRemoteRecordInterval(this.#options.table.aliveCount) / 2,
+    );
+    const isFullRound = this.#roundCount % fullRoundInterval === 0;
     const targets = this.#pickTargets(isUrgent ? URGENT_FANOUT : DEFAULT_FANOUT);
     await Promise.all(targets.map((target) => this.#exchangeWith(target, isFullRound)));
   }
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -27,7 +27,7 @@
  * Added to the limit for peers of other data centres for each heartbeat that their records are held
  * back beyond the first one.
  */
-const HELD_BACK_HEARTBEAT_MILLISECONDS = 600;
+const HELD_BACK_HEARTBEAT_MILLISECONDS = 900;
 /** A check that comes later than this after the one before shows that this process was delayed. */
 const CHECK_DELAY_TOLERANCE_MILLISECONDS = 600;
 /** The retry counts of a peer that has gone silent still count for this long. */
--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -58,6 +58,8 @@
   readonly pinnedStage?: ChainStage;
   /** Whether an engine may run the first stage; any engine may by default. */
   readonly canStartAt?: (engineId: string) => boolean;
+  /** Added to the cost of a chain for each link between data centres that it crosses. */
+  readonly crossingPenaltyMilliseconds?: number;
   /** Utilisation of the link between two data centres, from 0; above 1 it is overloaded. */
   readonly linkUtilisation?: (from: string, to: string) => number;
   /** Added to the cost of chains that start in a data centre, in milliseconds. */
@@ -69,7 +71,9 @@
 /**
  * Keeps chains off the links between data centres, which all chains share, unless much is gained.
  */
-const LINK_CROSSING_PENALTY_MILLISECONDS = 1000;
+const DEFAULT_CROSSING_PENALTY_MILLISECONDS = 1000;
+/** Added for a link in full use, and in proportion below that. */
+const LINK_USE_PENALTY_MILLISECONDS = 1000;
 /**
  * A link with a higher utilisation is used only if no other chain exists or all others cost more.
  */
@@ -81,7 +85,7 @@
  * Assumed to exceed the expected time of every chain, so that a cost of at least this value marks a
  * chain over capacity and the remainder is its expected time.
  */
-const OVER_CAPACITY_PENALTY_MILLISECONDS = 100_000;
+const OVER_CAPACITY_PENALTY_MILLISECONDS = 1_000_000;
 
 /** The cheapest way found to reach an engine at a layer, linked to the step before it. */
 interface Step<T extends ChainCandidate> {
@@ -151,8 +155,9 @@
   const utilisationPenalty =
     utilisation > BUSY_LINK_UTILISATION
       ? BUSY_LINK_PENALTY_MILLISECONDS
-      : LINK_CROSSING_PENALTY_MILLISECONDS * utilisation;
-  return handover + LINK_CROSSING_PENALTY_MILLISECONDS + transferMilliseconds + utilisationPenalty;
+      : LINK_USE_PENALTY_MILLISECONDS * utilisation;
+  const { crossingPenaltyMilliseconds = DEFAULT_CROSSING_PENALTY_MILLISECONDS } = request;
+  return handover + crossingPenaltyMilliseconds + transferMilliseconds + utilisationPenalty;
 }
 
 /**
--- a/src/layers/data-centre-link-load.ts
+++ b/src/layers/data-centre-link-load.ts
@@ -57,6 +57,22 @@
     return (bits * this.#options.instanceCount()) / (megabitsPerSecond * BITS_PER_MEGABIT);
   }
 
+  /**
+   * Returns a function that estimates utilisations as {@link DataCentreLinkLoad.estimateUtilisation}
+   * does, each link at most once; for decisions that weigh the same links many times.
+   *
+   * @param megabitsPerSecond - Bandwidth of each link.
+   */
+  snapshot(megabitsPerSecond: number): (from: string, to: string) => number {
+    const known = new Map<string, number>();
+    return (from, to) => {
+      const key = `${from}/${to}`;
+      const utilisation = known.get(key) ?? this.estimateUtilisation(from, to, megabitsPerSecond);
+      known.set(key, utilisation);
+      return utilisation;
+    };
+  }
+
   /** Returns the transfers of the last second in both directions, and discards older ones. */
   #recentTransfers(from: string, to: string): Transfer[] {
     const key = [from, to].sort().join('/');
--- a/src/layers/engine-estimates.ts
+++ b/src/layers/engine-estimates.ts
@@ -86,6 +86,35 @@
   readonly output: number;
 }
 
+/** Times that an engine of normal speed needs in one layer. */
+export interface LayerTimes {
+  readonly prefillMillisecondsPerToken: number;
+  readonly decodeMillisecondsPerToken: number;
+}
+
+/**
+ * Estimates the times of an engine in one layer.
+ *
+ * @param profile - The service's profile.
+ * @param kind - Name of the accelerator kind.
+ * @param runningRequests - Number of requests that run on the engine at the same time.
+ * @returns Milliseconds for each token.
+ */
+export function estimateLayerTimes(
+  profile: EngineProfile,
+  kind: string | undefined,
+  runningRequests: number,
+): LayerTimes {
+  const { decodeFactor, prefillFactor } = findAccelerator(profile, kind);
+  const stepMilliseconds =
+    profile.stepMilliseconds + runningRequests * profile.stepMillisecondsPerRequest;
+  return {
+    prefillMillisecondsPerToken:
+      prefillFactor / (profile.prefillTokensPerMillisecond * profile.layerCount),
+    decodeMillisecondsPerToken: (stepMilliseconds * decodeFactor) / profile.layerCount,
+  };
+}
+
 /**
  * Estimates the time that a request spends in one layer on an engine of normal speed.
  *
@@ -101,10 +130,9 @@
   tokens: RequestTokens,
   runningRequests: number,
 ): number {
-  const { decodeFactor, prefillFactor } = findAccelerator(profile, kind);
-  const millisecondsPerToken =
-    profile.stepMilliseconds + runningRequests * profile.stepMillisecondsPerRequest;
-  const decodeMilliseconds = tokens.output * millisecondsPerToken * decodeFactor;
-  const prefillMilliseconds = (tokens.prompt / profile.prefillTokensPerMillisecond) * prefillFactor;
-  return (decodeMilliseconds + prefillMilliseconds) / profile.layerCount;
+  const times = estimateLayerTimes(profile, kind, runningRequests);
+  return (
+    tokens.output * times.decodeMillisecondsPerToken +
+    tokens.prompt * times.prefillMillisecondsPerToken
+  );
 }
--- a/tools/engine-profile.ts
+++ b/tools/engine-profile.ts
@@ -10,6 +10,7 @@
   concurrentLoads: 6,
   stepMilliseconds: 0.85,
   stepMillisecondsPerRequest: 0.004,
+  tokensPerEvent: 2,
   prefillTokensPerMillisecond: 252,
   kvCacheBytesPerToken: 657_671,
   activationBytesPerToken: 32_811,
