Give each instance an equal share of the links between data centres

Change: a leaky bucket for each link and instance, with generated tokens counted as well as prompts; a new request no longer uses a link whose share is used up, a stream that has begun may.

--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -14,6 +14,16 @@
   readonly canUseFull: boolean;
   /** Engines that this request is to avoid. */
   readonly canUseAvoided: boolean;
+  /** Links between data centres whose share is used up. */
+  readonly canUseBusyLinks?: boolean;
+}
+
+/** Options of {@link ChainSelector.choose}. */
+export interface ChoiceOptions {
+  /** Whether the caller has received events of the stream. */
+  readonly hasStarted: boolean;
+  /** The first stage, when the chain must keep it. */
+  readonly pinnedStage?: ChainStage<EngineCandidate>;
 }
 
 /** An engine that may become a stage of a chain, with its state in the fleet. */
@@ -82,20 +92,24 @@
   /**
    * Chooses a chain. Engines without room are used only where no chain exists without them, and
    * engines to avoid only after that. Ejected engines are never used, except as the pinned stage.
+   * Links whose share is used up serve only requests that have begun to answer: a new one would be
+   * late there and make others late.
    *
-   * @param pinnedStage - The first stage, when the chain must keep it.
+   * @param options - Whether the request has begun to answer, and the first stage, when the chain must
+   *   keep it.
    * @returns The chain, or undefined when no engine that may be used holds some layer.
    */
-  choose(pinnedStage?: ChainStage<EngineCandidate>): EngineChain | undefined {
+  choose({ hasStarted, pinnedStage }: ChoiceOptions): EngineChain | undefined {
+    const canUseBusyLinks = hasStarted;
     return (
       this.#chooseWithin({ canUseFull: false, canUseAvoided: false }, pinnedStage) ??
       this.#chooseWithin({ canUseFull: true, canUseAvoided: false }, pinnedStage) ??
-      this.#chooseWithin({ canUseFull: true, canUseAvoided: true }, pinnedStage)
+      this.#chooseWithin({ canUseFull: true, canUseAvoided: true, canUseBusyLinks }, pinnedStage)
     );
   }
 
   #chooseWithin(
-    { canUseFull, canUseAvoided }: SelectionLimits,
+    { canUseFull, canUseAvoided, canUseBusyLinks = false }: SelectionLimits,
     pinnedStage?: ChainStage<EngineCandidate>,
   ): EngineChain | undefined {
     const { fleet, outlierEjection, dataCentre, linkLoad, logs } = this.#context;
@@ -126,7 +140,8 @@
         profile: this.#profile,
         tokens: this.#tokens,
         ...(pinnedStage ? { pinnedStage } : { canStartAt: this.#canStartAt }),
-        linkUtilisation: linkLoad.snapshot(this.#profile.dataCentreLinkMegabitsPerSecond),
+        linkUtilisation: (from, to) => linkLoad.estimateUtilisation(from, to),
+        canUseBusyLinks,
         startPenaltyMilliseconds: (startDataCentre) =>
           (startDataCentre === dataCentre ? 0 : REMOTE_START_PENALTY_MILLISECONDS) +
           Math.random() * START_JITTER_MILLISECONDS,
@@ -175,11 +190,17 @@
   }
 
   #recordLinkTransfers(chain: EngineChain): void {
-    const bits = 8 * this.#tokens.prompt * this.#profile.activationBytesPerToken;
+    const { activationBytesPerToken, dataCentreLinkMegabitsPerSecond } = this.#profile;
+    const bits = 8 * (this.#tokens.prompt + this.#tokens.output) * activationBytesPerToken;
     chain.stages.forEach(({ engine }, index) => {
       const next = chain.stages[index + 1]?.engine.dataCentre ?? engine.dataCentre;
       if (next !== engine.dataCentre)
-        this.#context.linkLoad.recordTransfer(engine.dataCentre, next, bits);
+        this.#context.linkLoad.recordTransfer(
+          engine.dataCentre,
+          next,
+          bits,
+          dataCentreLinkMegabitsPerSecond,
+        );
     });
   }
 
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -163,7 +163,7 @@
   async #findChain(): Promise<EngineChain | undefined> {
     const until = performance.now() + MAXIMUM_CHAIN_WAIT_MILLISECONDS;
     for (;;) {
-      const chain = this.#chainSelector.choose();
+      const chain = this.#chainSelector.choose({ hasStarted: this.#hasStarted });
       if (chain) return chain;
       if (!this.#hasStarted || performance.now() > until) return undefined;
       if (this.#request.signal.aborted) return undefined;
@@ -263,7 +263,10 @@
     if (!pinned || faultyEngineIds.length === 0 || faultyEngineIds.includes(pinned.engine.id))
       return undefined;
     for (let attempt = 0; attempt < MAXIMUM_REROUTES; attempt += 1) {
-      const chain = this.#chainSelector.choose(pinned);
+      const chain = this.#chainSelector.choose({
+        hasStarted: this.#hasStarted,
+        pinnedStage: pinned,
+      });
       if (!chain) return undefined;
       const result = await protocol.rerouteStream(
         pinned.engine.server.entry.address,
--- a/src/layers/chain-choice.test.ts
+++ b/src/layers/chain-choice.test.ts
@@ -134,3 +134,10 @@
   const result = chooseChain(engines, { ...REQUEST, canStartAt: (id) => id === 'b' });
   assert.deepEqual(describeStages(result), ['b=0-40', 'c=40-80']);
 });
+
+test('chain: without busy links, a chain that needs one does not exist', () => {
+  const engines = [engine('a', 0, 40), engine('far', 40, 80, { dataCentre: 'there' })];
+  const busy = { ...REQUEST, linkUtilisation: () => 0.9 };
+  assert.deepEqual(describeStages(chooseChain(engines, busy)), ['a=0-40', 'far=40-80']);
+  assert.deepEqual(chooseChain(engines, { ...busy, canUseBusyLinks: false }), { missingLayer: 40 });
+});
--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -62,6 +62,8 @@
   readonly crossingPenaltyMilliseconds?: number;
   /** Utilisation of the link between two data centres, from 0; above 1 it is overloaded. */
   readonly linkUtilisation?: (from: string, to: string) => number;
+  /** Whether the chain may use links whose utilisation is high; it may by default. */
+  readonly canUseBusyLinks?: boolean;
   /** Added to the cost of chains that start in a data centre, in milliseconds. */
   readonly startPenaltyMilliseconds?: (dataCentre: string) => number;
 }
@@ -152,10 +154,11 @@
   const bits = 8 * tokens.prompt * profile.activationBytesPerToken;
   const transferMilliseconds = bits / (1000 * profile.dataCentreLinkMegabitsPerSecond);
   const utilisation = request.linkUtilisation?.(from.dataCentre, to.dataCentre) ?? 0;
-  const utilisationPenalty =
-    utilisation > BUSY_LINK_UTILISATION
-      ? BUSY_LINK_PENALTY_MILLISECONDS
-      : LINK_USE_PENALTY_MILLISECONDS * utilisation;
+  const isBusy = utilisation >= BUSY_LINK_UTILISATION;
+  if (isBusy && request.canUseBusyLinks === false) return Number.POSITIVE_INFINITY;
+  const utilisationPenalty = isBusy
+    ? BUSY_LINK_PENALTY_MILLISECONDS
+    : LINK_USE_PENALTY_MILLISECONDS * utilisation;
   const { crossingPenaltyMilliseconds = DEFAULT_CROSSING_PENALTY_MILLISECONDS } = request;
   return handover + crossingPenaltyMilliseconds + transferMilliseconds + utilisationPenalty;
 }
@@ -223,14 +226,15 @@
     );
     if (eligible.length === 0) return { missingLayer: from };
     const previousSteps = lastSteps;
-    lastSteps = eligible.map(({ engine, millisecondsPerLayer, freeTokenLayers }) => {
+    lastSteps = eligible.flatMap((estimate): Step<T>[] => {
+      const { engine, millisecondsPerLayer, freeTokenLayers } = estimate;
       const isOverCapacity = freeTokenLayers < requestTokens * (to - from);
       const ownCost =
         millisecondsPerLayer * (to - from) +
         (isOverCapacity ? OVER_CAPACITY_PENALTY_MILLISECONDS : 0);
       if (from === 0) {
         const cost = ownCost + (request.startPenaltyMilliseconds?.(engine.dataCentre) ?? 0);
-        return { cost, engine, from, previous: undefined };
+        return [{ cost, engine, from, previous: undefined }];
       }
       let best: Step<T> | undefined;
       let bestCost = Number.POSITIVE_INFINITY;
@@ -241,8 +245,9 @@
         bestCost = step.cost + handover;
         best = step;
       });
-      return { cost: bestCost + ownCost, engine, from, previous: best };
+      return best ? [{ cost: bestCost + ownCost, engine, from, previous: best }] : [];
     });
+    if (lastSteps.length === 0) return { missingLayer: from };
   }
   const [first, ...others] = lastSteps;
   if (!first) return { missingLayer: 0 };
--- a/src/layers/data-centre-link-load.ts
+++ b/src/layers/data-centre-link-load.ts
@@ -1,7 +1,11 @@
 /**
- * Estimates the utilisation of the links between data centres by the activations that chains send
- * over them. Needed when one data centre lacks some layers: if every request ran them in another
- * data centre, the links would be overloaded and all of these requests would be delayed.
+ * Keeps the chains of all instances together from overloading the links between data centres. Each
+ * instance has an equal share of each link, as a leaky bucket of transfer time: what it sends fills its
+ * bucket by the time that the transfer takes, times the number of instances, and the bucket drains at
+ * the target utilisation. Needed when one data centre lacks some layers: if every request ran them in
+ * another one, the links would be overloaded, all of these requests would be late, and their callers
+ * would give up and come again. Counts that cover a fixed second are too coarse for this: in a large
+ * fleet an instance sends over a link only every few seconds, and in between would find it free.
  */
 
 /** Options of {@link DataCentreLinkLoad}. */
@@ -11,13 +15,16 @@
   readonly now?: () => number;
 }
 
-/** Must stay 1 s: the bits in the window are compared with the link's bits per second. */
-const WINDOW_MILLISECONDS = 1000;
+/** The utilisation that all instances together aim to stay below. */
+const TARGET_UTILISATION = 0.45;
+/** A bucket that holds more transfer time than this, in milliseconds, allows no further transfer. */
+const BUCKET_MILLISECONDS = 200;
 const BITS_PER_MEGABIT = 1_000_000;
 
-interface Transfer {
-  readonly at: number;
-  readonly bits: number;
+interface Bucket {
+  /** Transfer time of all instances that this instance's transfers stand for, in milliseconds. */
+  level: number;
+  updatedAt: number;
 }
 
 export class DataCentreLinkLoad {
@@ -25,7 +32,7 @@
 
   readonly #now: () => number;
 
-  readonly #transfers = new Map<string, Transfer[]>();
+  readonly #buckets = new Map<string, Bucket>();
 
   constructor(options: DataCentreLinkLoadOptions) {
     this.#options = options;
@@ -35,50 +42,39 @@
   /**
    * Records that a request's activations are sent over a link.
    *
-   * @param from - Name of the sending data centre.
-   * @param to - Name of the receiving data centre.
+   * @param from - Name of the data centre at one end.
+   * @param to - Name of the data centre at the other end.
    * @param bits - Size of the activations in bits.
+   * @param megabitsPerSecond - Bandwidth of the link.
    */
-  recordTransfer(from: string, to: string, bits: number): void {
-    this.#recentTransfers(from, to).push({ at: this.#now(), bits });
+  recordTransfer(from: string, to: string, bits: number, megabitsPerSecond: number): void {
+    const milliseconds = (1000 * bits) / (megabitsPerSecond * BITS_PER_MEGABIT);
+    this.#drain(from, to).level += milliseconds * this.#options.instanceCount();
   }
 
   /**
-   * Estimates a link's utilisation by all instances: this instance's transfers of the last second,
-   * multiplied by the number of instances.
+   * Estimates a link's utilisation by all instances.
    *
    * @param from - Name of the data centre at one end.
    * @param to - Name of the data centre at the other end.
-   * @param megabitsPerSecond - Bandwidth of the link.
-   * @returns Utilisation from 0; above 1 the link is overloaded.
+   * @returns From 0; at the target utilisation or above, this instance's share of the link is used up.
    */
-  estimateUtilisation(from: string, to: string, megabitsPerSecond: number): number {
-    const bits = this.#recentTransfers(from, to).reduce((sum, transfer) => sum + transfer.bits, 0);
-    return (bits * this.#options.instanceCount()) / (megabitsPerSecond * BITS_PER_MEGABIT);
+  estimateUtilisation(from: string, to: string): number {
+    return (TARGET_UTILISATION * this.#drain(from, to).level) / BUCKET_MILLISECONDS;
   }
 
-  /**
-   * Returns a function that estimates utilisations as {@link DataCentreLinkLoad.estimateUtilisation}
-   * does, each link at most once; for decisions that weigh the same links many times.
-   *
-   * @param megabitsPerSecond - Bandwidth of each link.
-   */
-  snapshot(megabitsPerSecond: number): (from: string, to: string) => number {
-    const known = new Map<string, number>();
-    return (from, to) => {
-      const key = `${from}/${to}`;
-      const utilisation = known.get(key) ?? this.estimateUtilisation(from, to, megabitsPerSecond);
-      known.set(key, utilisation);
-      return utilisation;
-    };
+  /** Whether this instance's share of a link is used up. */
+  isBusy(from: string, to: string): boolean {
+    return this.estimateUtilisation(from, to) >= TARGET_UTILISATION;
   }
 
-  /** Returns the transfers of the last second in both directions, and discards older ones. */
-  #recentTransfers(from: string, to: string): Transfer[] {
+  #drain(from: string, to: string): Bucket {
     const key = [from, to].sort().join('/');
-    const oldest = this.#now() - WINDOW_MILLISECONDS;
-    const recent = (this.#transfers.get(key) ?? []).filter(({ at }) => at > oldest);
-    this.#transfers.set(key, recent);
-    return recent;
+    const now = this.#now();
+    const bucket = this.#buckets.get(key) ?? { level: 0, updatedAt: now };
+    bucket.level = Math.max(0, bucket.level - TARGET_UTILISATION * (now - bucket.updatedAt));
+    bucket.updatedAt = now;
+    this.#buckets.set(key, bucket);
+    return bucket;
   }
 }
