Let two instances of each data centre follow the store, the others hear from them

Change: an instance stops calling the store while two live peers of its data centre with smaller names reach it; news is pushed at once from peer to peer within the data centre and fetched from there. The next by name takes over when one dies, stops or is cut off. An instance whose own watch hangs takes the list from any peer that is ahead for 400 ms, and ignores an older answer of the watch. Missing entries after an outage are passed on with their age.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -33,6 +33,7 @@
 import { createStatusDocuments } from './status-documents.js';
 import type { CallerAddresses, EntryPlatform } from './entry-platform.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
+import { isFollowedByPeers } from './store-follower-role.js';
 import { StoreFollower } from './store-follower.js';
 
 /** Options of {@link startEntryDaemon}. */
@@ -142,8 +143,12 @@
     this.#storeFollower = new StoreFollower({
       platform,
       configuration: this.#configuration,
+      dataCentre: settings.dataCentre,
       fleet: this.#fleet,
       fetch: (peer, path) => this.#gossip.fetchDocument(peer, path),
+      isFollowedByPeers: () =>
+        isFollowedByPeers(settings.instance, settings.dataCentre, this.#peers.aliveRecords),
+      onNews: () => this.#pushNews(),
       isIdle: () =>
         Object.values(this.#context.retryBudget.counts).every(([requests]) => requests === 0),
       logs,
@@ -300,6 +305,12 @@
     void this.#gossip.runRound(true);
   }
 
+  /** Tells peers of this data centre that this instance has a newer configuration or server list. */
+  #pushNews(): void {
+    this.#record = this.#createRecord();
+    void this.#gossip.pushRecord();
+  }
+
   async #runPeriodically(milliseconds: number, work: () => Promise<void>): Promise<void> {
     const { signal } = this.#taskController;
     while (!signal.aborted) {
--- a/src/daemon/planner-role.test.ts
+++ b/src/daemon/planner-role.test.ts
@@ -1,34 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { createPeerRecord } from '../../tools/peer-record.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import { PeerTable } from '../gossip/peer-table.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
 
-function createRecord(instance: string, overrides: Partial<PeerRecord> = {}): PeerRecord {
-  return {
-    instance,
-    dataCentre: 'here',
-    incarnation: 1,
-    counter: 1,
-    callers: { host: '127.0.0.1', port: 1 },
-    peers: { host: '127.0.0.1', port: 2 },
-    isReady: true,
-    isStopping: false,
-    configurationVersion: 1,
-    fleetRevision: 1,
-    isStoreReachable: true,
-    suspects: [],
-    loads: {},
-    paces: {},
-    holdings: {},
-    plannerTerm: 0,
-    retries: {},
-    crashes: {},
-    ...overrides,
-  };
-}
-
 function findPlanners(records: readonly PeerRecord[]): string[] {
   return records
     .filter((self) =>
@@ -41,38 +18,49 @@
 }
 
 test('planner: the first instance by name plans until one holds a lease', () => {
-  assert.deepEqual(findPlanners([createRecord('a'), createRecord('b'), createRecord('c')]), ['a']);
   assert.deepEqual(
-    findPlanners([createRecord('a'), createRecord('b', { plannerTerm: 2 }), createRecord('c')]),
+    findPlanners([createPeerRecord('a'), createPeerRecord('b'), createPeerRecord('c')]),
+    ['a'],
+  );
+  assert.deepEqual(
+    findPlanners([
+      createPeerRecord('a'),
+      createPeerRecord('b', { plannerTerm: 2 }),
+      createPeerRecord('c'),
+    ]),
     ['b'],
   );
 });
 
 test('planner: an instance that cannot reach the store hands over to one that can', () => {
-  const disconnected = createRecord('a', { plannerTerm: 3, isStoreReachable: false });
-  assert.deepEqual(findPlanners([disconnected, createRecord('b'), createRecord('c')]), ['b']);
+  const disconnected = createPeerRecord('a', { plannerTerm: 3, isStoreReachable: false });
+  assert.deepEqual(findPlanners([disconnected, createPeerRecord('b'), createPeerRecord('c')]), [
+    'b',
+  ]);
 });
 
 test('planner: while no instance reaches the store, the last lease holder goes on planning', () => {
   const storeOutage = { isStoreReachable: false };
-  const holder = createRecord('b', { ...storeOutage, plannerTerm: 3 });
+  const holder = createPeerRecord('b', { ...storeOutage, plannerTerm: 3 });
   assert.deepEqual(
-    findPlanners([createRecord('a', storeOutage), holder, createRecord('c', storeOutage)]),
+    findPlanners([createPeerRecord('a', storeOutage), holder, createPeerRecord('c', storeOutage)]),
     ['b'],
   );
 });
 
 test('planner: an instance that is stopping or not ready does not plan', () => {
-  const stopping = createRecord('a', { isStopping: true });
+  const stopping = createPeerRecord('a', { isStopping: true });
   assert.deepEqual(
-    findPlanners([stopping, createRecord('b', { isReady: false }), createRecord('c')]).at(-1),
+    findPlanners([stopping, createPeerRecord('b', { isReady: false }), createPeerRecord('c')]).at(
+      -1,
+    ),
     'c',
   );
 });
 
 test('planner: a lease is taken over from an earlier incarnation, but not from a live holder', () => {
-  assert.ok(!isHolderGone('a/1', 'b', createRecord('a')));
-  assert.ok(isHolderGone('a/0', 'b', createRecord('a')));
+  assert.ok(!isHolderGone('a/1', 'b', createPeerRecord('a')));
+  assert.ok(isHolderGone('a/0', 'b', createPeerRecord('a')));
   assert.ok(isHolderGone('a/1', 'b', undefined));
   assert.ok(isHolderGone('b/0', 'b', undefined));
 });
@@ -89,7 +77,7 @@
     onPeerLost: (instance) => lost.push(instance),
     now: () => clock.now,
   });
-  table.accept(createRecord('a'));
+  table.accept(createPeerRecord('a'));
   clock.now = 2000;
   table.expireSilentPeers();
   assert.deepEqual(lost, ['a']);
@@ -98,9 +86,9 @@
 
 test('peers: an older record is ignored', () => {
   const table = new PeerTable({ dataCentre: 'z', instance: 'self', log: createSilentLogger() });
-  assert.ok(table.accept(createRecord('a', { counter: 5 })));
-  assert.ok(!table.accept(createRecord('a', { counter: 4 })));
-  assert.ok(table.accept(createRecord('a', { incarnation: 2, counter: 1 })));
+  assert.ok(table.accept(createPeerRecord('a', { counter: 5 })));
+  assert.ok(!table.accept(createPeerRecord('a', { counter: 4 })));
+  assert.ok(table.accept(createPeerRecord('a', { incarnation: 2, counter: 1 })));
 });
 
 // Regression: an instance that stood still for seconds took all of its peers for dead.
@@ -108,7 +96,7 @@
   const clock = { now: 0 };
   const log = createSilentLogger();
   const table = new PeerTable({ dataCentre: 'z', instance: 'self', log, now: () => clock.now });
-  table.accept(createRecord('a'));
+  table.accept(createPeerRecord('a'));
   table.expireSilentPeers();
   clock.now = 5000;
   table.expireSilentPeers();
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -3,6 +3,7 @@
  * and from peers while the store is unreachable.
  */
 import type { Address } from '../common/address.js';
+import { sleep } from '../common/clock.js';
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
@@ -16,9 +17,15 @@
 export interface StoreFollowerOptions {
   readonly platform: EntryPlatform;
   readonly configuration: ActiveConfiguration;
+  /** Name of this instance's data centre. */
+  readonly dataCentre: string;
   readonly fleet: BackendFleet;
   /** Reads a document of a peer; resolves to undefined when the peer does not provide it. */
   readonly fetch: (peer: Address, path: string) => Promise<unknown>;
+  /** Whether peers follow the store on behalf of this instance, so that it need not call it. */
+  readonly isFollowedByPeers: () => boolean;
+  /** Called when this instance has got a newer configuration or list of servers. */
+  readonly onNews: () => void;
   /** Whether no request has arrived recently. */
   readonly isIdle: () => boolean;
   readonly logs: LoggerFactory;
@@ -30,6 +37,8 @@
 const FLEET_PATH = '/fleet';
 /** Pause between two watches of backend servers, so that changes arrive in batches. */
 const WATCH_PAUSE_MILLISECONDS = 200;
+/** How long news of a peer may take to arrive from the store or a nearer peer. */
+const NEWS_DELAY_MILLISECONDS = 400;
 /** Longer while idle, so that servers that register in quick succession are applied together. */
 const IDLE_WATCH_PAUSE_MILLISECONDS = 500;
 /**
@@ -38,12 +47,29 @@
  */
 const STORE_REACHABLE_MILLISECONDS = 11_500;
 
+/** An instance's list of backend servers, as peers fetch it. */
+interface FleetDocument {
+  readonly revision: number;
+  readonly entries: readonly ServerEntry[];
+  /** By id of a server whose entry is missing after a store outage: for how long. */
+  readonly missingMilliseconds?: Readonly<Record<string, number>>;
+}
+
 /** Applies changes in the store to the configuration and the fleet of one instance. */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions;
 
   #lastContactAt = Number.NEGATIVE_INFINITY;
 
+  /** Whether the last call to the store failed. */
+  #hasFailed = false;
+
+  #isFetchingFleet = false;
+
+  #isWaitingForNews = false;
+
+  #isFetchingConfiguration = false;
+
   #hasFleet = false;
 
   constructor(options: StoreFollowerOptions) {
@@ -55,8 +81,12 @@
     return this.#hasFleet;
   }
 
-  /** Whether the store has responded recently; see {@link STORE_REACHABLE_MILLISECONDS}. */
+  /**
+   * Whether the store has responded recently; see {@link STORE_REACHABLE_MILLISECONDS}. Not while peers
+   * follow the store instead, since this instance would not notice that it is cut off.
+   */
   get isStoreReachable(): boolean {
+    if (this.#options.isFollowedByPeers()) return false;
     return performance.now() - this.#lastContactAt < STORE_REACHABLE_MILLISECONDS;
   }
 
@@ -68,6 +98,7 @@
       [FLEET_PATH]: () => ({
         revision: fleet.revision,
         entries: fleet.servers.map(({ entry }) => entry),
+        missingMilliseconds: fleet.missingMilliseconds,
       }),
     };
   }
@@ -79,22 +110,35 @@
   }
 
   /**
-   * Fetches newer state from a peer: its configuration whenever that has a higher version, its list
-   * of backend servers only while this instance cannot read them from the store.
+   * Fetches newer state from a peer. Its configuration whenever that has a higher version. Its list of
+   * backend servers at once if peers of the same data centre follow the store for this instance, and
+   * otherwise if this instance is still behind a moment later: its own watch of the store, or a peer
+   * that is nearer, usually brings the news first, but a watch may hang without an error.
    *
    * A peer that reaches the store and has the same version confirms this instance's configuration.
    *
    * @param record - The latest record of the peer.
    */
   catchUpWithPeer(record: PeerRecord): void {
-    const { configuration, fleet } = this.#options;
+    const { configuration, dataCentre, fleet } = this.#options;
     const version = configuration.current?.version ?? -1;
     if (record.configurationVersion > version) void this.#fetchConfiguration(record);
     else if (record.isStoreReachable && record.configurationVersion === version) {
       configuration.markUpToDate();
     }
-    const isBehind = record.fleetRevision > fleet.revision;
-    if (isBehind && (!this.isStoreReachable || !this.#hasFleet)) void this.#fetchFleet(record);
+    if (record.fleetRevision <= fleet.revision) return;
+    const isExpected = record.dataCentre === dataCentre && !this.isStoreReachable;
+    if (isExpected || !this.#hasFleet) void this.#fetchFleet(record);
+    else void this.#fetchFleetIfStillBehind(record);
+  }
+
+  async #fetchFleetIfStillBehind(record: PeerRecord): Promise<void> {
+    const { fleet, signal } = this.#options;
+    if (this.#isWaitingForNews) return;
+    this.#isWaitingForNews = true;
+    await sleep(NEWS_DELAY_MILLISECONDS, signal);
+    this.#isWaitingForNews = false;
+    if (record.fleetRevision > fleet.revision) await this.#fetchFleet(record);
   }
 
   /**
@@ -102,19 +146,22 @@
    * servers may be missing for a moment while a store comes back.
    */
   #recordContact(): void {
-    if (!this.isStoreReachable) this.#options.fleet.storeUnavailableAt = performance.now();
+    if (this.#hasFailed) this.#options.fleet.storeUnavailableAt = performance.now();
+    this.#hasFailed = false;
     this.#lastContactAt = performance.now();
   }
 
   #recordFailure(): void {
+    this.#hasFailed = true;
     this.#lastContactAt = Number.NEGATIVE_INFINITY;
   }
 
   #watchConfiguration(): Promise<void> {
-    const { platform, configuration, logs, signal } = this.#options;
+    const { platform, configuration, isFollowedByPeers, logs, signal } = this.#options;
     return followObjects({
       store: platform.store,
       objectKind: platform.configurationKind,
+      isPaused: () => isFollowedByPeers() && configuration.current !== undefined,
       onList: (objects) => objects.forEach((object) => this.#applyConfiguration(object)),
       onChanges: (changes) => changes.forEach(({ object }) => this.#applyConfiguration(object)),
       onStoreAnswer: () => {
@@ -128,23 +175,30 @@
   }
 
   #watchServers(): Promise<void> {
-    const { platform, fleet, isIdle, logs, signal } = this.#options;
+    const { platform, fleet, isFollowedByPeers, isIdle, onNews, logs, signal } = this.#options;
     return followObjects({
       store: platform.store,
       objectKind: platform.serverKind,
+      isPaused: () => isFollowedByPeers() && this.#hasFleet,
+      knownRevision: () => fleet.revision,
       batchPauseMilliseconds: () =>
         isIdle() ? IDLE_WATCH_PAUSE_MILLISECONDS : WATCH_PAUSE_MILLISECONDS,
       onList: (objects, revision) => {
         const entries = objects.map(platform.parseServer).filter((entry) => entry !== undefined);
         fleet.replaceAll(entries, revision);
         this.#hasFleet = true;
+        onNews();
       },
-      onChanges: (changes, revision) =>
+      onChanges: (changes, revision) => {
+        // A peer's list may have overtaken a watch that was delayed.
+        if (revision < fleet.revision) return;
         changes.forEach(({ object, isDeleted }) => {
           const entry = isDeleted ? undefined : platform.parseServer(object);
           if (entry) fleet.put(entry, revision);
           else fleet.remove(object.name, revision);
-        }),
+        });
+        onNews();
+      },
       onStoreAnswer: () => this.#recordContact(),
       onStoreUnavailable: () => this.#recordFailure(),
       log: logs('backend'),
@@ -153,32 +207,50 @@
   }
 
   #applyConfiguration(object: StoredObject): void {
-    const { platform, configuration, logs } = this.#options;
+    const { platform, configuration, onNews, logs } = this.#options;
     if (object.name !== platform.configurationName) return;
     platform.parseConfiguration(object.value).caseOf({
-      Right: (parsed) => configuration.applyIfNewer(parsed, object.value, 'store'),
+      Right: (parsed) => {
+        configuration.applyIfNewer(parsed, object.value, 'store');
+        onNews();
+      },
       Left: (issues) =>
         logs('configuration').error('Invalid configuration in the store; ignored.', { issues }),
     });
   }
 
   async #fetchConfiguration(record: PeerRecord): Promise<void> {
-    const { platform, configuration, fetch } = this.#options;
-    const value = await fetch(record.peers, CONFIGURATION_PATH);
-    if (value === undefined) return;
-    platform.parseConfiguration(value).ifRight((parsed) => {
-      configuration.applyIfNewer(parsed, value, record.instance);
-    });
+    const { platform, configuration, fetch, onNews } = this.#options;
+    if (this.#isFetchingConfiguration) return;
+    this.#isFetchingConfiguration = true;
+    try {
+      const value = await fetch(record.peers, CONFIGURATION_PATH);
+      if (value === undefined) return;
+      platform.parseConfiguration(value).ifRight((parsed) => {
+        configuration.applyIfNewer(parsed, value, record.instance);
+        onNews();
+      });
+    } finally {
+      this.#isFetchingConfiguration = false;
+    }
   }
 
   /** Takes over a peer's list of backend servers, unless this instance's list is as new. */
   async #fetchFleet(record: PeerRecord): Promise<void> {
-    const { fleet, fetch } = this.#options;
-    const value = await fetch(record.peers, FLEET_PATH);
-    if (typeof value !== 'object' || value === null) return;
-    const { revision, entries } = value as { revision: number; entries: ServerEntry[] };
-    if (revision <= fleet.revision) return;
-    fleet.replaceAll(entries, revision);
-    this.#hasFleet = true;
+    const { fleet, fetch, onNews } = this.#options;
+    if (this.#isFetchingFleet) return;
+    this.#isFetchingFleet = true;
+    try {
+      const value = await fetch(record.peers, FLEET_PATH);
+      if (typeof value !== 'object' || value === null) return;
+      const { revision, entries, missingMilliseconds = {} } = value as FleetDocument;
+      if (revision <= fleet.revision) return;
+      fleet.replaceAll(entries, revision);
+      fleet.markMissing(missingMilliseconds);
+      this.#hasFleet = true;
+      onNews();
+    } finally {
+      this.#isFetchingFleet = false;
+    }
   }
 }
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -203,6 +203,27 @@
     this.#removeOrMarkMissing(id);
   }
 
+  /** By id of a server whose entry is missing after a store outage: for how many milliseconds. */
+  get missingMilliseconds(): Record<string, number> {
+    const missing: Record<string, number> = {};
+    this.servers.forEach(({ entry, missingSince }) => {
+      if (missingSince !== undefined) missing[entry.id] = this.#now() - missingSince;
+    });
+    return missing;
+  }
+
+  /**
+   * Marks servers as missing that a peer reported so; they are removed when their time is up here.
+   *
+   * @param missingMilliseconds - For how long each has been missing, by id.
+   */
+  markMissing(missingMilliseconds: Readonly<Record<string, number>>): void {
+    Object.entries(missingMilliseconds).forEach(([id, milliseconds]) => {
+      const known = this.#servers.get(id);
+      if (known) known.missingSince = this.#now() - milliseconds;
+    });
+  }
+
   #applyEntry(entry: ServerEntry): void {
     const known = this.#servers.get(entry.id);
     if (!known) {
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
+import { createPeerRecord } from '../../tools/peer-record.js';
 import { findFreePort } from '../../tools/ports.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import { Gossip } from './gossip.js';
@@ -13,27 +14,13 @@
   const address = { host: '127.0.0.1', port: await findFreePort() };
   const controller = new AbortController();
   const table = new PeerTable({ instance, dataCentre, log: createSilentLogger() });
-  const record: PeerRecord = {
-    instance,
+  const record = createPeerRecord(instance, {
     dataCentre,
-    incarnation: 1,
-    counter: 1,
     changeCounter: 1,
     callers: address,
     peers: address,
-    isReady: true,
-    isStopping: false,
-    configurationVersion: 1,
-    fleetRevision: 1,
-    isStoreReachable: true,
-    suspects: [],
     loads: OWN_LOADS,
-    paces: {},
-    holdings: {},
-    plannerTerm: 0,
-    retries: {},
-    crashes: {},
-  };
+  });
   const gossip = new Gossip({
     address,
     dataCentre,
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -129,7 +129,18 @@
     );
     const isFullRound = this.#roundCount % fullRoundInterval === 0;
     const targets = this.#pickTargets(isUrgent ? URGENT_FANOUT : DEFAULT_FANOUT);
-    await Promise.all(targets.map((target) => this.#exchangeWith(target, isFullRound)));
+    await Promise.all(
+      targets.map((target) => this.#exchange(target, this.#chooseScope(target, isFullRound))),
+    );
+  }
+
+  /**
+   * Sends the own record to some peers of this data centre, so that news spreads there from one to the
+   * next without waiting for rounds.
+   */
+  async pushRecord(): Promise<void> {
+    const targets = this.#pickTargets({ ...DEFAULT_FANOUT, otherDataCentres: 0 });
+    await Promise.all(targets.map((target) => this.#exchange(target, 'own')));
   }
 
   /**
@@ -187,11 +198,7 @@
     return picked;
   }
 
-  async #exchangeWith(
-    { address, dataCentre }: ExchangeTarget,
-    isFullRound: boolean,
-  ): Promise<void> {
-    const scope = this.#chooseScope(dataCentre, isFullRound);
+  async #exchange({ address, dataCentre }: ExchangeTarget, scope: DigestScope): Promise<void> {
     try {
       const answer = await fetchResponse({
         address,
@@ -215,7 +222,7 @@
     }
   }
 
-  #chooseScope(dataCentre: string | undefined, isFullRound: boolean): DigestScope {
+  #chooseScope({ dataCentre }: ExchangeTarget, isFullRound: boolean): DigestScope {
     if (isFullRound || dataCentre === undefined) return 'all';
     return dataCentre === this.#options.dataCentre ? 'dataCentre' : 'own';
   }
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -18,6 +18,13 @@
   readonly batchPauseMilliseconds?: () => number;
   /** How long one watch may wait for a change; 10 s by default. */
   readonly waitMilliseconds?: number;
+  /**
+   * Whether the store need not be called now, because peers provide the objects; never by default. A
+   * watch that is waiting is not interrupted.
+   */
+  readonly isPaused?: () => boolean;
+  /** After a pause: the revision that the objects provided by peers reflect; 0 if there are none. */
+  readonly knownRevision?: () => number;
   /** Called with all objects after each list. */
   readonly onList: (objects: readonly StoredObject[], revision: number) => void;
   /** Called with the changes that a watch returned, never with none. */
@@ -31,6 +38,7 @@
 }
 
 const DEFAULT_WATCH_MILLISECONDS = 10_000;
+const PAUSE_POLL_MILLISECONDS = 100;
 const INITIAL_BACKOFF_MILLISECONDS = 40;
 const MAXIMUM_BACKOFF_MILLISECONDS = 320;
 
@@ -52,6 +60,10 @@
   }
 }
 
+async function waitWhilePaused(isPaused: () => boolean, signal: AbortSignal): Promise<void> {
+  while (isPaused() && !signal.aborted) await sleep(PAUSE_POLL_MILLISECONDS, signal);
+}
+
 /**
  * Follows the objects of one kind until the signal aborts. Never throws for an unavailable store,
  * but retries until it answers.
@@ -61,6 +73,7 @@
 export async function followObjects(options: FollowObjectsOptions): Promise<void> {
   const { store, objectKind, onList, onChanges, onStoreAnswer, log, signal } = options;
   const { onStoreUnavailable = () => undefined } = options;
+  const { isPaused = () => false, knownRevision = () => 0 } = options;
   const { waitMilliseconds = DEFAULT_WATCH_MILLISECONDS, batchPauseMilliseconds = () => 0 } =
     options;
   const backoff = new RetryBackoff();
@@ -77,7 +90,10 @@
     await backoff.wait(signal);
   };
   while (!signal.aborted) {
-    if (revision === undefined) {
+    if (isPaused()) {
+      await waitWhilePaused(isPaused, signal);
+      if (knownRevision() > 0) revision = Math.max(revision ?? 0, knownRevision());
+    } else if (revision === undefined) {
       const listed = await store.list(objectKind);
       if (listed.kind === 'listed') {
         recordAnswer();
