Prefer the home data centre, leave room for news under way, plan repairs for the load, pace refusals

At full size one server got 38 times the mean of the arrivals, since every instance chose the data centre with the fastest engines, which were filled to the last token by loads known 0.3 s late. Change: engines of other data centres only where home has no room or would be late; the cost of an engine rises without bound as its KV cache fills; each choice varies an engine's cost by up to 20 %. 2. A repair leaves KV cache for the requests that the data centre had lately, not for a fixed share of slots. 3. Refused callers return after 0.6 s to 4 s, by the share of requests refused lately, spread by half. 4. The heartbeat and the limits of silence grow with the square root of the fleet above 20 peers. Logs: a finished stream says its longest pause and its objectives, a failed reroute its reason. relay-stream.ts parted: caller-stream.ts, stream-reroute.ts. Tests: objective-choice, coverage-plan, peak-demand, refusal-pacing.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -10,6 +10,7 @@
 import { EntryMetrics } from '../entry/entry-metrics.js';
 import { startEntryServer, type EntryServer } from '../entry/entry-server.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
+import { RefusalPacing } from '../entry/refusal-pacing.js';
 import { RetryBudget } from '../entry/retry-budget.js';
 import { StallDetector } from '../entry/stall-detector.js';
 import { BackendFleet } from '../fleet/backend-fleet.js';
@@ -24,6 +25,7 @@
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { Gossip } from '../gossip/gossip.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
+import { getHeartbeatInterval } from '../gossip/record-interval.js';
 import { PeerTable } from '../gossip/peer-table.js';
 import { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import { PlannerLease } from '../layers/planner-lease.js';
@@ -55,7 +57,6 @@
 /** Kind of the store objects under which instances register. */
 const INSTANCE_KIND = 'instances';
 
-const HEARTBEAT_INTERVAL_MILLISECONDS = 300;
 /** The shortest time between two updates of the servers from the peers' records. */
 const OBSERVATION_INTERVAL_MILLISECONDS = 60;
 const STALL_CHECK_INTERVAL_MILLISECONDS = 70;
@@ -187,6 +188,7 @@
       outlierEjection: this.#outlierEjection,
       callTimes: new CallTimes(),
       crashRecords: new CrashRecords({ log: logs('routing') }),
+      refusalPacing: new RefusalPacing(),
       retryBudget: new RetryBudget({
         settings: settings.retryBudget,
         peerCount: () => this.#peers.allRecords.length,
@@ -271,10 +273,13 @@
     const { signal } = this.#taskController;
     this.#storeFollower.start();
     void this.#register();
-    void this.#runPeriodically(HEARTBEAT_INTERVAL_MILLISECONDS, async () => {
-      if (this.#storeFollower.isStoreReachable) this.#configuration.markUpToDate();
-      this.#record = this.#createRecord();
-    });
+    void this.#runPeriodically(
+      () => getHeartbeatInterval(this.#peers.aliveCount),
+      async () => {
+        if (this.#storeFollower.isStoreReachable) this.#configuration.markUpToDate();
+        this.#record = this.#createRecord();
+      },
+    );
     void this.#runPeriodically(STALL_CHECK_INTERVAL_MILLISECONDS, () =>
       this.#context.stallDetector.checkStreams(),
     );
@@ -311,11 +316,14 @@
     void this.#gossip.pushRecord();
   }
 
-  async #runPeriodically(milliseconds: number, work: () => Promise<void>): Promise<void> {
+  async #runPeriodically(
+    interval: number | (() => number),
+    work: () => Promise<void>,
+  ): Promise<void> {
     const { signal } = this.#taskController;
     while (!signal.aborted) {
       await work();
-      await sleep(milliseconds, signal);
+      await sleep(typeof interval === 'number' ? interval : interval(), signal);
     }
   }
 
--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -36,6 +36,8 @@
 
 /** Added to the cost of a chain that starts in another data centre than this instance's. */
 const REMOTE_START_PENALTY_MILLISECONDS = 80;
+/** An engine's cost is varied by up to this share in each choice. */
+const COST_NOISE_SHARE = 0.2;
 /** Random cost of a starting data centre, so that instances do not all choose the same one. */
 const START_JITTER_MILLISECONDS = 80;
 
@@ -142,6 +144,7 @@
         ...(pinnedStage ? { pinnedStage } : { canStartAt: this.#canStartAt }),
         linkUtilisation: (from, to) => linkLoad.estimateUtilisation(from, to),
         canUseBusyLinks,
+        costNoise: () => 1 + COST_NOISE_SHARE * (2 * Math.random() - 1),
         startPenaltyMilliseconds: (startDataCentre) =>
           (startDataCentre === dataCentre ? 0 : REMOTE_START_PENALTY_MILLISECONDS) +
           Math.random() * START_JITTER_MILLISECONDS,
@@ -150,6 +153,7 @@
         firstEventMilliseconds: this.#request.route.targetMilliseconds,
         pauseMilliseconds: this.#request.route.gapTargetMilliseconds,
       },
+      pinnedStage?.engine.dataCentre ?? dataCentre,
     );
     if ('missingLayer' in chain) {
       if (!canUseAvoided) return undefined;
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -7,6 +7,7 @@
 import type { CrashRecords } from './crash-records.js';
 import type { ProtocolAdapter } from './protocol-adapter.js';
 import type { EntryMetrics } from './entry-metrics.js';
+import type { RefusalPacing } from './refusal-pacing.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { StallDetector } from './stall-detector.js';
 
@@ -18,6 +19,7 @@
   readonly outlierEjection: OutlierEjection;
   readonly callTimes: CallTimes;
   readonly crashRecords: CrashRecords;
+  readonly refusalPacing: RefusalPacing;
   readonly retryBudget: RetryBudget;
   readonly linkLoad: DataCentreLinkLoad;
   readonly stallDetector: StallDetector;
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -19,6 +19,8 @@
 import { isBodyDelimited, sendBackendRequest } from './backend-request.js';
 import type { EngineProfile } from './serving-configuration.js';
 import type { WatchedStream } from './stall-detector.js';
+import { CallerStream } from './caller-stream.js';
+import { rerouteStream } from './stream-reroute.js';
 import { StreamRuns } from './stream-runs.js';
 import { listStageAddresses, ChainSelector, type EngineChain } from './chain-selector.js';
 
@@ -57,11 +59,12 @@
  */
 const FIRST_EVENT_TIMEOUT_SHARE = 0.7;
 const MAXIMUM_LATE_RETRIES = 1;
-const MAXIMUM_REROUTES = 3;
-const REROUTE_TIMEOUT_MILLISECONDS = 300;
-const RETRY_AFTER_NO_CHAIN_SECONDS = 0.6;
 const RETRY_AFTER_BLOCKED_SECONDS = 30;
 
+function roundMilliseconds(milliseconds: number | undefined): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
 /** Relays one streaming request, from its first attempt to its outcome. */
 class StreamRelay {
   readonly #context: EntryContext;
@@ -70,16 +73,10 @@
 
   readonly #chainSelector: ChainSelector;
 
-  /** The last event that the caller has, where a further attempt resumes. */
-  #lastEventId: number | undefined;
-
   /** How often another chain was looked for because the first event was late. */
   #lateRetries = 0;
 
-  /** Whether the response to the caller has started. */
-  #hasStarted = false;
-
-  #firstEventAt: number | undefined;
+  readonly #caller: CallerStream;
 
   readonly #runs: StreamRuns;
 
@@ -95,7 +92,7 @@
     this.#chainSelector = new ChainSelector(context, request, profile, (id) =>
       this.#runs.allows(id),
     );
-    this.#lastEventId = request.metadata.lastEventId;
+    this.#caller = new CallerStream(request);
   }
 
   async serve(): Promise<string> {
@@ -149,7 +146,7 @@
       message: result.message,
       engineIdsToAvoid: result.engineIdsToAvoid,
       first: firstEngineId,
-      lastEventId: this.#lastEventId,
+      lastEventId: this.#caller.lastEventId,
       attempts: this.#runs.total,
       runs: this.#runs.countedServers,
       refusedTries: this.#refusedAttempts,
@@ -163,9 +160,9 @@
   async #findChain(): Promise<EngineChain | undefined> {
     const until = performance.now() + MAXIMUM_CHAIN_WAIT_MILLISECONDS;
     for (;;) {
-      const chain = this.#chainSelector.choose({ hasStarted: this.#hasStarted });
+      const chain = this.#chainSelector.choose({ hasStarted: this.#caller.hasStarted });
       if (chain) return chain;
-      if (!this.#hasStarted || performance.now() > until) return undefined;
+      if (!this.#caller.hasStarted || performance.now() > until) return undefined;
       if (this.#request.signal.aborted) return undefined;
       await sleep(CHAIN_POLL_INTERVAL_MILLISECONDS, this.#request.signal);
     }
@@ -208,7 +205,13 @@
         if (isRerouting) return;
         isRerouting = true;
         faultyEngineIds.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
-        void this.#reroute(chosen, faultyEngineIds).then((chain) => {
+        void rerouteStream(this.#context, this.#chainSelector, {
+          requestId: metadata.requestId,
+          chain: chosen,
+          faultyEngineIds,
+          hasStarted: this.#caller.hasStarted,
+          lastEventId: this.#caller.lastEventId,
+        }).then((chain) => {
           isRerouting = false;
           if (isEnded) return;
           if (!chain) {
@@ -250,45 +253,6 @@
     }
   }
 
-  /**
-   * Reroutes the running stream around faulty engines, keeping its first stage. Returns the new
-   * chain, or undefined when the stream cannot be rerouted and the attempt has to end.
-   */
-  async #reroute(
-    chosen: EngineChain,
-    faultyEngineIds: readonly string[],
-  ): Promise<EngineChain | undefined> {
-    const { protocol, fleet, logs, metrics } = this.#context;
-    const [pinned] = chosen.stages;
-    if (!pinned || faultyEngineIds.length === 0 || faultyEngineIds.includes(pinned.engine.id))
-      return undefined;
-    for (let attempt = 0; attempt < MAXIMUM_REROUTES; attempt += 1) {
-      const chain = this.#chainSelector.choose({
-        hasStarted: this.#hasStarted,
-        pinnedStage: pinned,
-      });
-      if (!chain) return undefined;
-      const result = await protocol.rerouteStream(
-        pinned.engine.server.entry.address,
-        { requestId: this.#request.metadata.requestId, chain: listStageAddresses(chain) },
-        REROUTE_TIMEOUT_MILLISECONDS,
-      );
-      logs('routing').info('Reroute of the stream requested.', {
-        ...this.#chainSelector.describeForLog(chain),
-        faultyEngineIds,
-        result: result.kind,
-        lastEventId: this.#lastEventId,
-      });
-      metrics.countEvent(`repath_${result.kind}`);
-      if (result.kind === 'done') return chain;
-      if (result.kind === 'failed' || result.faultAddress === undefined) return undefined;
-      const faultyServer = fleet.findByAddress(result.faultAddress);
-      if (!faultyServer) return undefined;
-      this.#chainSelector.avoidedEngineIds.add(faultyServer.entry.id);
-    }
-    return undefined;
-  }
-
   /** Finds out what a failed exchange with the first engine means for further attempts. */
   #classifyError(firstEngine: ServerEntry, error: unknown): AttemptResult {
     const { outlierEjection, crashRecords } = this.#context;
@@ -329,7 +293,7 @@
         account: account?.name,
         serverId: firstEngine.entry.id,
         chain: listStageAddresses(chain),
-        lastEventId: this.#lastEventId,
+        lastEventId: this.#caller.lastEventId,
         urgency: Math.min(9, account?.priority ?? route.priority),
         bodyBytes: body.length,
       }),
@@ -357,7 +321,7 @@
     if (!responseMetadata.isSigned || responseMetadata.isEncoded)
       throw new Error('The response is not signed by the engine or has a content encoding.');
     let isAccepted = false;
-    const splitter = new EventSplitter(this.#lastEventId);
+    const splitter = new EventSplitter(this.#caller.lastEventId);
     for await (const chunk of engineResponse) {
       const events = splitter.push(chunk as Buffer);
       watched.lastProgressAt = performance.now();
@@ -365,10 +329,9 @@
         if (!isAccepted) watched.chain.forEach(recordAcceptance);
         isAccepted = true;
         watched.hasEvents = true;
-        if (!this.#hasStarted) this.#startResponse(getEndToEndHeaders(engineResponse), status);
-        this.#lastEventId = events.lastEventId;
+        this.#startResponse(engineResponse, status);
         watched.isCallerBlocked = true;
-        await this.#write(events.bytes);
+        await this.#caller.write(events.bytes, events.lastEventId);
         watched.isCallerBlocked = false;
         watched.lastProgressAt = performance.now();
       }
@@ -376,7 +339,7 @@
     if (!engineResponse.complete || !isBodyDelimited(engineResponse))
       throw new HttpRequestError('answering', 'The event stream was cut off before its end.');
     if (!splitter.isBetweenEvents) throw new Error('The event stream ended inside an event.');
-    if (!this.#hasStarted) this.#startResponse(getEndToEndHeaders(engineResponse), status);
+    this.#startResponse(engineResponse, status);
     outlierEjection.recordSuccess(firstEngine.entry.id);
     return { kind: 'completed' };
   }
@@ -389,7 +352,7 @@
   async #relayFailure(engineResponse: IncomingMessage, status: number): Promise<AttemptResult> {
     const parts: Buffer[] = [];
     for await (const chunk of engineResponse) parts.push(chunk as Buffer);
-    if (!engineResponse.complete || this.#hasStarted)
+    if (!engineResponse.complete || this.#caller.hasStarted)
       throw new Error(`The engine failed with status ${status}.`);
     const { response } = this.#request;
     appendHeaders(response, getEndToEndHeaders(engineResponse));
@@ -398,29 +361,10 @@
     return { kind: 'answered', status };
   }
 
-  #startResponse(headers: readonly string[], status: number): void {
-    const { response } = this.#request;
-    this.#hasStarted = true;
-    this.#firstEventAt = performance.now();
-    appendHeaders(response, headers);
-    // Events of later attempts may follow, so the first response's length does not apply.
-    response.removeHeader('Content-Length');
-    response.statusCode = status;
-  }
-
-  /** Writes events to the caller, waiting while its connection is congested. */
-  async #write(bytes: Buffer): Promise<void> {
-    const { response, signal } = this.#request;
-    if (response.write(bytes) || signal.aborted) return;
-    await new Promise<void>((resolve) => {
-      const finish = (): void => {
-        response.off('drain', finish);
-        signal.removeEventListener('abort', finish);
-        resolve();
-      };
-      response.once('drain', finish);
-      signal.addEventListener('abort', finish, { once: true });
-    });
+  #startResponse(engineResponse: IncomingMessage, status: number): void {
+    if (this.#caller.hasStarted) return;
+    this.#context.refusalPacing.recordAccepted();
+    this.#caller.start(getEndToEndHeaders(engineResponse), status);
   }
 
   #complete(result: Extract<AttemptResult, { kind: 'completed' | 'answered' }>): string {
@@ -437,11 +381,12 @@
         message: 'An engine failed while it ran the request.',
       });
     }
+    this.#context.refusalPacing.recordRefused();
     return this.#sendLocalResponse('refused', {
       status: 503,
       code: refusalCode,
       message: 'No chain of engines could run the request; it was not run.',
-      retryAfterSeconds: RETRY_AFTER_NO_CHAIN_SECONDS,
+      retryAfterSeconds: this.#context.refusalPacing.chooseRetryAfterSeconds(),
     });
   }
 
@@ -464,20 +409,22 @@
   #recordOutcome(outcome: string): string {
     const { metrics, logs } = this.#context;
     const { account, route, metadata, receivedAt } = this.#request;
-    const firstEventAt = this.#firstEventAt;
+    const { firstEventMilliseconds, longestPauseMilliseconds } = this.#caller;
     const labels = { account: account?.name ?? '', kind: route.kind, outcome };
     metrics.recordRequest(
       labels,
-      firstEventAt === undefined ? undefined : (firstEventAt - receivedAt) / 1000,
+      firstEventMilliseconds === undefined ? undefined : firstEventMilliseconds / 1000,
     );
     logs('caller').info('Request finished.', {
       requestId: metadata.requestId,
       ...labels,
       route: route.name,
-      firstEventMilliseconds:
-        firstEventAt === undefined ? undefined : Math.round(firstEventAt - receivedAt),
+      firstEventMilliseconds: roundMilliseconds(firstEventMilliseconds),
       totalMilliseconds: Math.round(performance.now() - receivedAt),
-      lastEventId: this.#lastEventId,
+      longestPauseMilliseconds: roundMilliseconds(longestPauseMilliseconds),
+      targetMilliseconds: route.targetMilliseconds,
+      gapTargetMilliseconds: route.gapTargetMilliseconds,
+      lastEventId: this.#caller.lastEventId,
       runs: this.#runs.countedServers,
     });
     return outcome;
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -12,7 +12,7 @@
 import type { Logger } from '../telemetry/log.js';
 import { PeerRecord, type ServerLoads } from './peer-record.js';
 import type { PeerTable } from './peer-table.js';
-import { getRemoteRecordInterval } from './record-interval.js';
+import { getHeartbeatInterval, getRemoteRecordInterval } from './record-interval.js';
 
 /** Options of {@link Gossip}. */
 export interface GossipOptions {
@@ -73,7 +73,6 @@
 const URGENT_FANOUT: Fanout = { sameDataCentre: 2, otherDataCentres: 2 };
 /** Probability per round of contacting one more peer that may not be alive. */
 const PROBE_PROBABILITY = 0.3;
-const ROUND_INTERVAL_MILLISECONDS = 300;
 const EXCHANGE_TIMEOUT_MILLISECONDS = 400;
 const DOCUMENT_TIMEOUT_MILLISECONDS = 1000;
 
@@ -104,13 +103,13 @@
     });
   }
 
-  /** Runs a round every 300 ms until the signal aborts, then closes the server. */
+  /** Runs a round at every heartbeat until the signal aborts, then closes the server. */
   async run(): Promise<void> {
     const { signal, table } = this.#options;
     while (!signal.aborted) {
       table.expireSilentPeers();
       void this.runRound();
-      await sleep(ROUND_INTERVAL_MILLISECONDS, signal);
+      await sleep(getHeartbeatInterval(table.aliveCount), signal);
     }
     this.#server?.close();
     this.#server?.closeAllConnections();
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -1,7 +1,7 @@
 /** Holds the newest record of each peer and decides which peers are alive. */
 import type { Logger } from '../telemetry/log.js';
 import type { PeerRecord } from './peer-record.js';
-import { getRemoteRecordInterval } from './record-interval.js';
+import { getHeartbeatInterval, getRemoteRecordInterval } from './record-interval.js';
 
 /** Options of {@link PeerTable}. */
 export interface PeerTableOptions {
@@ -21,15 +21,15 @@
   isAlive: boolean;
 }
 
-/** A peer without a newer record for longer than this is considered dead. */
-const SILENCE_LIMIT_MILLISECONDS = 1500;
+/** A peer without a newer record for more heartbeats than this is considered dead. */
+const SILENCE_LIMIT_HEARTBEATS = 5;
 /**
  * Added to the limit for peers of other data centres for each heartbeat that their records are held
  * back beyond the first one.
  */
-const HELD_BACK_HEARTBEAT_MILLISECONDS = 900;
-/** A check that comes later than this after the one before shows that this process was delayed. */
-const CHECK_DELAY_TOLERANCE_MILLISECONDS = 600;
+const HELD_BACK_HEARTBEATS = 2;
+/** A check that comes this many heartbeats after the one before shows that this process was delayed. */
+const CHECK_DELAY_HEARTBEATS = 2;
 /** The retry counts of a peer that has gone silent still count for this long. */
 const RETRY_COUNTS_MAX_AGE_MILLISECONDS = 10_000;
 const FORGET_AFTER_MILLISECONDS = 60_000;
@@ -83,18 +83,19 @@
     const now = this.#now();
     const sinceLastCheck = now - (this.#lastCheckAt ?? now);
     this.#lastCheckAt = now;
-    if (sinceLastCheck > CHECK_DELAY_TOLERANCE_MILLISECONDS) {
+    const heartbeat = getHeartbeatInterval(this.aliveCount);
+    if (sinceLastCheck > CHECK_DELAY_HEARTBEATS * heartbeat) {
       this.#peers.forEach((known) => {
         known.updatedAt = Math.min(now, known.updatedAt + sinceLastCheck);
       });
     }
-    const remoteLimit =
-      SILENCE_LIMIT_MILLISECONDS +
-      HELD_BACK_HEARTBEAT_MILLISECONDS * (getRemoteRecordInterval(this.aliveCount) - 1);
+    const localLimit = SILENCE_LIMIT_HEARTBEATS * heartbeat;
+    const heldBackHeartbeats = getRemoteRecordInterval(this.aliveCount) - 1;
+    const remoteLimit = localLimit + HELD_BACK_HEARTBEATS * heldBackHeartbeats * heartbeat;
     this.#peers.forEach((known, instance) => {
       const silence = now - known.updatedAt;
       const isLocal = known.record.dataCentre === this.#dataCentre;
-      if (known.isAlive && silence > (isLocal ? SILENCE_LIMIT_MILLISECONDS : remoteLimit)) {
+      if (known.isAlive && silence > (isLocal ? localLimit : remoteLimit)) {
         known.isAlive = false;
         this.#log.warn('No newer record from the peer; considered dead.', {
           peer: instance,
--- a/src/gossip/record-interval.ts
+++ b/src/gossip/record-interval.ts
@@ -4,7 +4,7 @@
  * bytes and processing time for each instance nearly constant.
  */
 
-/** Peers up to which a record crosses data centres at every heartbeat. */
+/** Peers up to which records are sent as often as in a small fleet. */
 const PEERS_PER_INTERVAL = 20;
 
 /**
@@ -16,3 +16,17 @@
 export function getRemoteRecordInterval(peerCount: number): number {
   return Math.max(1, Math.ceil(peerCount / PEERS_PER_INTERVAL));
 }
+
+/** Between two records of an instance, and between two rounds of exchanges, in a small fleet. */
+const HEARTBEAT_MILLISECONDS = 300;
+
+/**
+ * Returns the time between two records of an instance. An instance receives the records of all peers of
+ * its data centre, so the interval grows with the fleet, though more slowly, to bound their number.
+ *
+ * @param peerCount - Number of live peers.
+ * @returns Milliseconds.
+ */
+export function getHeartbeatInterval(peerCount: number): number {
+  return HEARTBEAT_MILLISECONDS * Math.sqrt(Math.max(1, peerCount / PEERS_PER_INTERVAL));
+}
--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -64,6 +64,11 @@
   readonly linkUtilisation?: (from: string, to: string) => number;
   /** Whether the chain may use links whose utilisation is high; it may by default. */
   readonly canUseBusyLinks?: boolean;
+  /**
+   * Factor close to 1, drawn for each engine, so that instances that know the same loads do not all
+   * choose the same engines.
+   */
+  readonly costNoise?: () => number;
   /** Added to the cost of chains that start in a data centre, in milliseconds. */
   readonly startPenaltyMilliseconds?: (dataCentre: string) => number;
 }
@@ -81,8 +86,14 @@
  */
 const BUSY_LINK_UTILISATION = 0.45;
 const BUSY_LINK_PENALTY_MILLISECONDS = 15_000;
-/** How strongly the share of KV cache in use raises an engine's expected time. */
-const CACHE_FILL_WEIGHT = 2;
+/**
+ * How strongly KV cache in use raises an engine's cost. Rises without bound as the cache fills up, so
+ * that an engine many times faster than the others still keeps room for requests that other instances
+ * have sent and this one does not know of yet.
+ */
+const CACHE_FILL_WEIGHT = 4;
+const FULL_CACHE_SHARE = 1.05;
+const FULL_CACHE_FACTOR = 3;
 /**
  * Assumed to exceed the expected time of every chain, so that a cost of at least this value marks a
  * chain over capacity and the remainder is its expected time.
@@ -128,6 +139,9 @@
   const { profile, tokens } = request;
   const capacity = cacheCapacityTokenLayers(profile, engine.kind, engine.layers);
   const fill = capacity > 0 ? engine.reservedTokenLayers / capacity : 1;
+  // Without free KV cache, the penalty for chains over capacity applies instead.
+  const fillFactor =
+    fill < 1 ? 1 + (CACHE_FILL_WEIGHT * fill) / (FULL_CACHE_SHARE - fill) : FULL_CACHE_FACTOR;
   const normalMilliseconds = estimateLayerMilliseconds(
     profile,
     engine.kind,
@@ -137,7 +151,7 @@
   return {
     engine,
     millisecondsPerLayer:
-      normalMilliseconds * engine.slowdownFactor * (1 + CACHE_FILL_WEIGHT * Math.min(1, fill)),
+      normalMilliseconds * engine.slowdownFactor * fillFactor * (request.costNoise?.() ?? 1),
     freeTokenLayers: capacity - engine.reservedTokenLayers,
   };
 }
--- a/src/layers/coverage-plan.test.ts
+++ b/src/layers/coverage-plan.test.ts
@@ -17,6 +17,7 @@
     layers: undefined,
     isInUse: false,
     hasOrderInProgress: false,
+    peakRequests: 0,
     ...overrides,
   };
 }
@@ -68,6 +69,23 @@
   });
 });
 
+// After a loss, the engines next to the gap took all of its layers, and their KV cache served less than
+// a third of the requests of the data centre.
+test('plan: the more requests a data centre has, the more KV cache a repair leaves', () => {
+  const smallestCache = (peakRequests: number): number => {
+    const remaining = PLACED.slice(1).map((each) => ({ ...each, peakRequests }));
+    const after = apply(remaining, planCoverage(remaining, PROFILE, false));
+    assert.deepEqual(findUncoveredRanges(rangesOf(after), 80), []);
+    return Math.min(
+      ...after.map(({ kind, layers }) => {
+        assert.ok(layers);
+        return cacheCapacityTokenLayers(PROFILE, kind, layers) / (layers.to - layers.from);
+      }),
+    );
+  };
+  assert.ok(smallestCache(110) > smallestCache(0), `${smallestCache(110)} ${smallestCache(0)}`);
+});
+
 // Guards against small engines being given as many layers as fit into their memory, which left them
 // almost no KV cache.
 test('plan: a data centre of small engines leaves some layers to another data centre', () => {
--- a/src/layers/coverage-plan.ts
+++ b/src/layers/coverage-plan.ts
@@ -24,6 +24,8 @@
   readonly slots: number;
   /** The layers that it holds or has been ordered to load. */
   readonly layers: LayerRange | undefined;
+  /** The most requests that ran in its data centre at once, lately. */
+  readonly peakRequests: number;
   /** Whether requests run on it; it waits for them to end before it drops layers. */
   readonly isInUse: boolean;
   /** Whether it is still carrying out an order, so that its layers cannot be changed now. */
@@ -166,14 +168,22 @@
   return lengthOf(range) - Math.max(0, kept);
 }
 
-/** Cost of a range that leaves little KV cache; rises with the square of the shortage. */
+/**
+ * Cost of a range that leaves little KV cache; rises with the square of the shortage. The KV cache
+ * should serve the requests that the data centre has at its peak, since one engine may be the only one
+ * to hold a layer.
+ */
 function cacheShortageCost(
   engine: PlannedEngine,
   range: LayerRange,
   profile: EngineProfile,
 ): number {
   const requestTokens = profile.typicalPromptTokens + profile.typicalOutputTokens;
-  const needed = CACHE_SHORTAGE_SLOT_SHARE * engine.slots * requestTokens;
+  const requests = Math.max(
+    CACHE_SHORTAGE_SLOT_SHARE * engine.slots,
+    Math.min(engine.slots, engine.peakRequests),
+  );
+  const needed = requests * requestTokens;
   const tokens = cacheCapacityTokenLayers(profile, engine.kind, range) / lengthOf(range);
   return CACHE_SHORTAGE_COST * (needed / Math.max(1, tokens)) ** 2;
 }
@@ -232,6 +242,13 @@
   sorted.forEach((engine) => {
     const { layers: held } = engine;
     const capacity = layerLimit(engine);
+    // With fewer layers, the engine drops some on one side for those it takes over on the other.
+    const capacityForDemand = maximumLayerCountWithCache(
+      profile,
+      engine.kind,
+      Math.min(engine.slots, engine.peakRequests),
+    );
+    const capacities = [...new Set([capacity, Math.min(capacity, capacityForDemand)])];
     const next = new Map<number, PartialPlan>();
     const addIfCheaper = (
       from: PartialPlan,
@@ -248,8 +265,10 @@
       if (engine.hasOrderInProgress) return;
       const lowestEnd = held && held.from <= covered ? Math.max(covered, held.to) + 1 : covered + 1;
       for (let to = lowestEnd; to <= Math.min(layerCount, covered + capacity); to += 1) {
-        const range = extendRange(held, covered, to, capacity);
-        if (range) addIfCheaper(partialPlan, range, Math.max(to, range.to));
+        capacities.forEach((each) => {
+          const range = extendRange(held, covered, to, each);
+          if (range) addIfCheaper(partialPlan, range, Math.max(to, range.to));
+        });
       }
     });
     best = next;
--- a/src/layers/objective-choice.test.ts
+++ b/src/layers/objective-choice.test.ts
@@ -39,6 +39,7 @@
     candidates,
     { ...REQUEST, pinnedStage: { engine: pinned, layers: { from: 0, to: 10 } } },
     OBJECTIVES,
+    'here',
   );
   assert.ok('stages' in chain);
   return [...new Set(chain.stages.map(({ engine: { dataCentre } }) => dataCentre))];
@@ -59,7 +60,7 @@
 
 test('objectives: a busy link delays the first event and the pauses of a chain that crosses', () => {
   const candidates = [engine('a', 0, 40), engine('b', 40, 80, { dataCentre: 'there' })];
-  const chain = chooseChainByObjectives(candidates, REQUEST, OBJECTIVES);
+  const chain = chooseChainByObjectives(candidates, REQUEST, OBJECTIVES, 'here');
   assert.ok('stages' in chain);
   const free = estimateStreamTimes(chain, { ...REQUEST, linkUtilisation: () => 0 });
   const busy = estimateStreamTimes(chain, { ...REQUEST, linkUtilisation: () => 0.8 });
@@ -68,10 +69,27 @@
 });
 
 test('objectives: without objectives the chain stays in its data centre', () => {
-  const chain = chooseChainByObjectives(createTwoDataCentres({ slowdownFactor: 12 }), REQUEST, {
-    firstEventMilliseconds: 0,
-    pauseMilliseconds: 0,
-  });
+  const chain = chooseChainByObjectives(
+    createTwoDataCentres({ slowdownFactor: 12 }),
+    REQUEST,
+    { firstEventMilliseconds: 0, pauseMilliseconds: 0 },
+    'here',
+  );
   assert.ok('stages' in chain);
   assert.equal(new Set(chain.stages.map(({ engine: { dataCentre } }) => dataCentre)).size, 1);
 });
+
+// Regression: on a calm day of a large fleet, one data centre with faster engines got 40 % of all
+// requests, and its first events took 350 ms and more.
+test('objectives: a request stays in the home data centre although another one is faster', () => {
+  const chain = chooseChainByObjectives(createTwoDataCentres(), REQUEST, OBJECTIVES, 'here');
+  assert.ok('stages' in chain);
+  assert.ok(chain.stages.every(({ engine: { dataCentre } }) => dataCentre === 'here'));
+});
+
+test('objectives: a home data centre without room leaves the request to another one', () => {
+  const candidates = createTwoDataCentres({ reservedTokenLayers: 1e9 });
+  const chain = chooseChainByObjectives(candidates, REQUEST, OBJECTIVES, 'here');
+  assert.ok('stages' in chain);
+  assert.ok(chain.stages.every(({ engine: { dataCentre } }) => dataCentre === 'there'));
+});
--- a/src/layers/objective-choice.ts
+++ b/src/layers/objective-choice.ts
@@ -86,18 +86,29 @@
 }
 
 /**
- * Chooses a chain for a stream.
+ * Chooses a chain for a stream. Engines of other data centres are considered only when those of the
+ * home data centre have no room or would be late: the faster ones elsewhere would otherwise get the
+ * requests of all instances, since nothing of their load is known for some hundred milliseconds.
  *
  * @param candidates - The engines that may be used.
  * @param request - The request and the conditions on the chain.
  * @param objectives - The objectives of its route.
+ * @param homeDataCentre - Name of the data centre of the instance or of the chain's first stage.
  * @returns The chain, or the first layer that no candidate may run.
  */
 export function chooseChainByObjectives<T extends ChainCandidate>(
   candidates: readonly T[],
   request: ChainRequest,
   objectives: StreamObjectives,
+  homeDataCentre: string,
 ): Chain<T> | NoChain {
+  const home = chooseChain(
+    candidates.filter(({ dataCentre }) => dataCentre === homeDataCentre),
+    request,
+  );
+  if ('stages' in home && !home.isOverCapacity) {
+    if (computeLateness(estimateStreamTimes(home, request), objectives) <= 1) return home;
+  }
   const local = chooseChain(candidates, {
     ...request,
     crossingPenaltyMilliseconds: CROSSING_PENALTY_MILLISECONDS,
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -15,6 +15,7 @@
 import { isEngineLost } from './engine-loss.js';
 import { maximumLayerCount } from './engine-estimates.js';
 import { planCoverage, type PlannedEngine } from './coverage-plan.js';
+import { PeakDemand } from './peak-demand.js';
 import type { LeaseState, PlannerLease } from './planner-lease.js';
 
 /** Options of {@link runPlanner}. */
@@ -64,6 +65,8 @@
 
   readonly #pendingOrders = new Map<string, PendingOrder>();
 
+  readonly #demand = new PeakDemand();
+
   /** By engine id: until when no order is sent to it, on the monotonic clock. */
   readonly #busyUntil = new Map<string, number>();
 
@@ -111,6 +114,21 @@
     });
   }
 
+  /** Records how many requests run in each data centre, by the KV cache that they have reserved. */
+  #recordDemand(service: string, profile: EngineProfile): void {
+    const requestTokens = profile.typicalPromptTokens + profile.typicalOutputTokens;
+    const requestsByDataCentre = new Map<string, number>();
+    this.#options.fleet.listForService(service).forEach(({ entry, ownLoad, peerLoad }) => {
+      const reserved = ownLoad.reservedTokenLayers + peerLoad.reservedTokenLayers;
+      const requests = reserved / (requestTokens * profile.layerCount);
+      const known = requestsByDataCentre.get(entry.dataCentre) ?? 0;
+      requestsByDataCentre.set(entry.dataCentre, known + requests);
+    });
+    requestsByDataCentre.forEach((requests, dataCentre) =>
+      this.#demand.record(`${service}/${dataCentre}`, requests),
+    );
+  }
+
   /** Lists a service's engines without lost and leaving ones, with pending orders applied. */
   #listPlannedEngines(service: string): PlannedEngine[] {
     const now = performance.now();
@@ -137,6 +155,7 @@
           layers: this.#pendingOrders.get(entry.id)?.layers ?? getHeldLayers(server),
           hasOrderInProgress: this.#busyUntil.get(entry.id) !== undefined,
           isInUse: ownLoad.requests + peerLoad.requests > 0,
+          peakRequests: this.#demand.peak(`${service}/${entry.dataCentre}`),
         };
       });
   }
@@ -146,6 +165,7 @@
    * holds the planner lease.
    */
   async #reviewService(service: string, profile: EngineProfile): Promise<void> {
+    this.#recordDemand(service, profile);
     const engines = this.#listPlannedEngines(service);
     const engineIds = engines.map(({ id }) => id).join();
     if (engineIds !== this.#engineIds) {
