Take nonsense from engines, callers and configuration without harm

The planner kept one settle timer for all services, so that with two services that have engines an idle one was never planned.

--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -61,6 +61,13 @@
 const MAXIMUM_LATE_RETRIES = 1;
 const RETRY_AFTER_BLOCKED_SECONDS = 30;
 
+/** A route without a target time has no timeout for the first event. */
+function getFirstEventTimeout(targetMilliseconds: number): number {
+  return targetMilliseconds > 0
+    ? targetMilliseconds * FIRST_EVENT_TIMEOUT_SHARE
+    : Number.POSITIVE_INFINITY;
+}
+
 function roundMilliseconds(milliseconds: number | undefined): number | undefined {
   return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
@@ -191,8 +198,7 @@
       lastProgressAt: performance.now(),
       isCallerBlocked: false,
       hasEvents: false,
-      firstEventTimeoutMilliseconds:
-        this.#request.route.targetMilliseconds * FIRST_EVENT_TIMEOUT_SHARE,
+      firstEventTimeoutMilliseconds: getFirstEventTimeout(this.#request.route.targetMilliseconds),
       retryElsewhere: () => {
         if (isRerouting || this.#lateRetries >= MAXIMUM_LATE_RETRIES) return;
         this.#lateRetries += 1;
--- a/src/layers/coverage-plan.test.ts
+++ b/src/layers/coverage-plan.test.ts
@@ -115,6 +115,13 @@
   assert.ok(!plan.has(third.id));
 });
 
+test('plan: an engine of a kind that the profile does not declare gets no layers', () => {
+  const fleet = [...FLEET, engine(11, { kind: 'undeclared' }), engine(12, { kind: undefined })];
+  const plan = planCoverage(fleet, PROFILE, true);
+  assert.ok(!plan.has('e11') && !plan.has('e12'));
+  assert.deepEqual(findUncoveredRanges([...plan.values()], 80), []);
+});
+
 test('plan: a new engine without layers gets layers at once', () => {
   const fleet = [...PLACED, engine(11)];
   const plan = planCoverage(fleet, PROFILE, false);
--- a/src/layers/coverage-plan.ts
+++ b/src/layers/coverage-plan.ts
@@ -375,6 +375,7 @@
 ): CoveragePlan {
   const groups = new Map<string, PlannedEngine[]>();
   [...engines]
+    .filter(({ kind }) => maximumLayerCount(profile, kind) > 0)
     .sort((one, other) => (one.id < other.id ? -1 : 1))
     .forEach((engine) => {
       const group = groups.get(engine.dataCentre) ?? [];
--- a/src/layers/engine-estimates.ts
+++ b/src/layers/engine-estimates.ts
@@ -5,13 +5,15 @@
 import type { AcceleratorKind, EngineProfile } from '../entry/serving-configuration.js';
 import type { LayerRange } from '../fleet/server-entry.js';
 
-/** Used for engines whose accelerator kind is not in the profile. */
+/** Used where the profile declares no accelerator kinds. */
 const REFERENCE_ACCELERATOR: AcceleratorKind = {
   name: '',
   memoryMegabytes: 80_000,
   decodeFactor: 1,
   prefillFactor: 1,
 };
+/** Used for engines of a kind that the profile does not declare: nothing is placed on them. */
+const UNDECLARED_ACCELERATOR: AcceleratorKind = { ...REFERENCE_ACCELERATOR, memoryMegabytes: 0 };
 const BYTES_PER_MEGABYTE = 1_000_000;
 
 /**
@@ -19,10 +21,13 @@
  *
  * @param profile - The service's profile.
  * @param kind - Name of the accelerator kind.
- * @returns The kind from the profile, or the reference accelerator if the profile does not have it.
+ * @returns The kind from the profile; one without memory if the profile declares other kinds only, and
+ *   the reference accelerator if it declares none.
  */
 export function findAccelerator(profile: EngineProfile, kind: string | undefined): AcceleratorKind {
-  return profile.acceleratorKinds.get(kind ?? '') ?? REFERENCE_ACCELERATOR;
+  const { acceleratorKinds } = profile;
+  const fallback = acceleratorKinds.size === 0 ? REFERENCE_ACCELERATOR : UNDECLARED_ACCELERATOR;
+  return acceleratorKinds.get(kind ?? '') ?? fallback;
 }
 
 /**
@@ -64,7 +69,7 @@
  * @param profile - The service's profile.
  * @param kind - Name of the accelerator kind.
  * @param requests - Number of simultaneous requests; may be a fraction.
- * @returns At least 1, at most the number of layers that fit into the memory.
+ * @returns At least 1 where a layer fits, at most the number of layers that fit into the memory.
  */
 export function maximumLayerCountWithCache(
   profile: EngineProfile,
@@ -77,7 +82,7 @@
   const fittingLayers = Math.floor(
     findAccelerator(profile, kind).memoryMegabytes / megabytesPerLayer,
   );
-  return Math.max(1, Math.min(fittingLayers, maximumLayerCount(profile, kind)));
+  return Math.min(Math.max(1, fittingLayers), maximumLayerCount(profile, kind));
 }
 
 /** Number of tokens in a request's prompt and answer. */
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -73,10 +73,8 @@
   /** By id of an ejected server: when this task first saw it ejected, on the monotonic clock. */
   readonly #ejectedSince = new Map<string, number>();
 
-  /** Ids of the engines at the last review, joined; shows whether the set has changed. */
-  #engineIds = '';
-
-  #enginesChangedAt = 0;
+  /** By service: the ids of its engines at the last review, and when their set last changed. */
+  readonly #engineSets = new Map<string, { readonly ids: string; readonly changedAt: number }>();
 
   constructor(options: PlannerOptions) {
     this.#options = options;
@@ -114,6 +112,16 @@
     });
   }
 
+  /** Returns for how many milliseconds the set of a service's engines has been the same. */
+  #trackEngineSet(service: string, engines: readonly PlannedEngine[]): number {
+    const now = performance.now();
+    const ids = engines.map(({ id }) => id).join();
+    const known = this.#engineSets.get(service);
+    if (known?.ids === ids) return now - known.changedAt;
+    this.#engineSets.set(service, { ids, changedAt: now });
+    return 0;
+  }
+
   /** Records how many requests run in each data centre, by the KV cache that they have reserved. */
   #recordDemand(service: string, profile: EngineProfile): void {
     const requestTokens = profile.typicalPromptTokens + profile.typicalOutputTokens;
@@ -167,14 +175,9 @@
   async #reviewService(service: string, profile: EngineProfile): Promise<void> {
     this.#recordDemand(service, profile);
     const engines = this.#listPlannedEngines(service);
-    const engineIds = engines.map(({ id }) => id).join();
-    if (engineIds !== this.#engineIds) {
-      this.#engineIds = engineIds;
-      this.#enginesChangedAt = performance.now();
-    }
     const isIdle = this.#options.isIdle(service);
     const isEmpty = engines.every(({ layers }) => layers === undefined);
-    const isSettled = performance.now() - this.#enginesChangedAt >= SETTLE_MILLISECONDS;
+    const isSettled = this.#trackEngineSet(service, engines) >= SETTLE_MILLISECONDS;
     if ((isEmpty || isIdle) && !isSettled) return;
     const plan = [...planCoverage(engines, profile, isIdle)].filter(
       ([id, range]) => isIdle || !this.#wouldUncoverLayers(id, range, service),
