--- a/eslint.config.js
+++ b/eslint.config.js
@@ -61,6 +61,7 @@
       'tests/**',
       'src/settings/**',
       'src/command-line/**',
+      'platform/launch.ts',
       'platform/settings.ts',
     ],
     rules: {
