Spread first stages over slots, abandon a late attempt only where a retry is sure

And an attempt without an event after 350 ms was abandoned although no retry was left, so that a late answer became a 502. Change: an empty data centre gets the first layer 1.2 times as often as the model; the first stage counts slots; a late attempt is abandoned only after budget, server limit and another chain are secured. Tests: chain-choice (slots), coverage-plan (first layer).

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -24,7 +24,7 @@
 } from '../fleet/server-observations.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { Gossip } from '../gossip/gossip.js';
-import type { PeerRecord } from '../gossip/peer-record.js';
+import type { PeerRecord, ServerLoads } from '../gossip/peer-record.js';
 import { getHeartbeatInterval } from '../gossip/record-interval.js';
 import { PeerTable } from '../gossip/peer-table.js';
 import { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
@@ -58,7 +58,7 @@
 const INSTANCE_KIND = 'instances';
 
 /** The shortest time between two updates of the servers from the peers' records. */
-const OBSERVATION_INTERVAL_MILLISECONDS = 60;
+const OBSERVATION_INTERVAL_MILLISECONDS = 100;
 const STALL_CHECK_INTERVAL_MILLISECONDS = 70;
 const PACE_CHECK_INTERVAL_MILLISECONDS = 500;
 const HEALTH_CHECK_INTERVAL_MILLISECONDS = 200;
@@ -100,6 +100,9 @@
 
   readonly #remoteLoads = new RemoteLoads();
 
+  /** Loads by all instances of this data centre, summed at each heartbeat. */
+  #dataCentreLoads: ServerLoads = {};
+
   #observationsAppliedAt = Number.NEGATIVE_INFINITY;
 
   #recordCounter = 0;
@@ -161,8 +164,7 @@
       seeds: settings.seeds,
       table: this.#peers,
       ownRecord: () => this.#record,
-      dataCentreLoads: () =>
-        sumDataCentreLoads([this.#record, ...this.#peers.aliveRecords], settings.dataCentre),
+      dataCentreLoads: () => this.#dataCentreLoads,
       onRecord: (record) => this.#acceptRecord(record),
       onRecords: () => this.#applyPeerObservations(),
       documents: {
@@ -269,7 +271,7 @@
   }
 
   #startTasks(): void {
-    const { platform, logs } = this.#options;
+    const { platform, settings, logs } = this.#options;
     const { signal } = this.#taskController;
     this.#storeFollower.start();
     void this.#register();
@@ -278,6 +280,10 @@
       async () => {
         if (this.#storeFollower.isStoreReachable) this.#configuration.markUpToDate();
         this.#record = this.#createRecord();
+        this.#dataCentreLoads = sumDataCentreLoads(
+          [this.#record, ...this.#peers.aliveRecords],
+          settings.dataCentre,
+        );
       },
     );
     void this.#runPeriodically(STALL_CHECK_INTERVAL_MILLISECONDS, () =>
--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -129,6 +129,7 @@
         dataCentre: server.entry.dataCentre,
         kind,
         layers,
+        slots: server.entry.slots,
         runningRequests: server.ownLoad.requests + server.peerLoad.requests,
         reservedTokenLayers:
           server.ownLoad.reservedTokenLayers + server.peerLoad.reservedTokenLayers,
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -89,6 +89,9 @@
 
   #refusedAttempts = 0;
 
+  /** Whether a retry of the budget has been taken for an attempt that is being abandoned. */
+  #hasReservedRetry = false;
+
   constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
     this.#context = context;
     this.#request = request;
@@ -133,8 +136,8 @@
     result: Extract<AttemptResult, { kind: 'notRun' | 'late' | 'broken' }>,
     chain: EngineChain,
   ): Promise<string | undefined> {
-    const { crashRecords, retryBudget, logs, metrics } = this.#context;
-    const { contentHash, route, service, metadata } = this.#request;
+    const { crashRecords, logs, metrics } = this.#context;
+    const { contentHash, route, metadata } = this.#request;
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
     const firstEngineId = chain.stages[0]?.engine.id ?? '';
     if (result.kind === 'notRun') this.#refusedAttempts += 1;
@@ -145,8 +148,7 @@
     const isContentAllowed = !crashRecords.isBlocked(contentHash);
     const isWithinLimits =
       this.#runs.total < MAXIMUM_ATTEMPTS && this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
-    const isRetried =
-      canRepeat && isContentAllowed && isWithinLimits && retryBudget.tryAcquire(service.name);
+    const isRetried = canRepeat && isContentAllowed && isWithinLimits && this.#tryAcquireRetry();
     logs('routing').info(isRetried ? 'Retrying request.' : 'Request failed; not retrying.', {
       requestId: metadata.requestId,
       after: result.kind,
@@ -163,6 +165,31 @@
     return this.#sendFailure('servers_refused');
   }
 
+  /**
+   * Whether an attempt without an event may be abandoned for another chain. Everything that a retry
+   * needs is secured first, since a late answer is better than none.
+   */
+  #canRetryElsewhere(chosen: EngineChain): boolean {
+    const { crashRecords, retryBudget } = this.#context;
+    const { contentHash, route, service } = this.#request;
+    if (!isIdempotent(route) || crashRecords.isBlocked(contentHash)) return false;
+    if (this.#runs.total + 1 >= MAXIMUM_ATTEMPTS) return false;
+    const firstEngineId = chosen.stages[0]?.engine.id ?? '';
+    const engineIds = chosen.stages.map(({ engine }) => engine.id);
+    if (!this.#runs.allowsAnotherAfter(firstEngineId)) return false;
+    if (!this.#chainSelector.avoidIfPossible(engineIds)) return false;
+    this.#hasReservedRetry = retryBudget.tryAcquire(service.name);
+    return this.#hasReservedRetry;
+  }
+
+  /** Uses the retry that was reserved before the attempt was abandoned, or one of the budget. */
+  #tryAcquireRetry(): boolean {
+    const { retryBudget } = this.#context;
+    if (!this.#hasReservedRetry) return retryBudget.tryAcquire(this.#request.service.name);
+    this.#hasReservedRetry = false;
+    return true;
+  }
+
   /** Finds a chain. A stream that has already started waits a limited time for one. */
   async #findChain(): Promise<EngineChain | undefined> {
     const until = performance.now() + MAXIMUM_CHAIN_WAIT_MILLISECONDS;
@@ -202,9 +229,8 @@
       retryElsewhere: () => {
         if (isRerouting || this.#lateRetries >= MAXIMUM_LATE_RETRIES) return;
         this.#lateRetries += 1;
-        const bypassed = chosen.stages.map(({ engine }) => engine.id);
-        if (!this.#chainSelector.avoidIfPossible(bypassed)) return;
-        engineIdsToAvoid = bypassed;
+        if (!this.#canRetryElsewhere(chosen)) return;
+        engineIdsToAvoid = chosen.stages.map(({ engine }) => engine.id);
         attempt.abort();
       },
       routeAround: (faultyEngineIds) => {
--- a/src/entry/stream-runs.ts
+++ b/src/entry/stream-runs.ts
@@ -58,4 +58,14 @@
     if (this.#runs.some((run) => run.serverId === serverId)) return true;
     return this.countedServers < limit;
   }
+
+  /**
+   * Whether one more server could run the request after an attempt on the given one.
+   *
+   * @param serverId - Id of the server that the request is on now.
+   */
+  allowsAnotherAfter(serverId: string): boolean {
+    const counted = new Set(this.#countedRuns.map((run) => run.serverId));
+    return counted.add(serverId).size < Math.max(1, this.#options.maximumServers);
+  }
 }
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -35,6 +35,8 @@
   readonly signal: AbortSignal;
 }
 
+const PeerRecords = PeerRecord.array();
+
 /** Incarnation and counter of the newest record that an instance has, by instance name. */
 const Digest = z.record(z.string(), z.tuple([z.number(), z.number()]));
 type Digest = z.infer<typeof Digest>;
@@ -277,7 +279,7 @@
 
   #mergeRecords(value: unknown): void {
     const { table, onRecord, onRecords, log } = this.#options;
-    const result = PeerRecord.array().safeParse(value);
+    const result = PeerRecords.safeParse(value);
     if (!result.success) {
       log.warn('Records from a peer do not match the schema; ignored.', {
         message: result.error.message.slice(0, 200),
--- a/src/layers/chain-choice.test.ts
+++ b/src/layers/chain-choice.test.ts
@@ -12,6 +12,7 @@
     dataCentre: 'here',
     kind: 'middle',
     layers: { from, to },
+    slots: 134,
     runningRequests: 0,
     reservedTokenLayers: 0,
     slowdownFactor: 1,
@@ -141,3 +142,14 @@
   assert.deepEqual(describeStages(chooseChain(engines, busy)), ['a=0-40', 'far=40-80']);
   assert.deepEqual(chooseChain(engines, { ...busy, canUseBusyLinks: false }), { missingLayer: 40 });
 });
+
+// Regression: the fastest engine with the first layer got the requests of a whole data centre, more than
+// it has slots, and their first events waited there for a second and more.
+test('chain: an engine whose slots are in use is not the first stage, but may be a later one', () => {
+  const engines = [
+    engine('a', 0, 10, { runningRequests: 134, kind: 'large' }),
+    engine('b', 0, 10),
+    engine('c', 10, 80, { runningRequests: 134, kind: 'large' }),
+  ];
+  assert.deepEqual(describeStages(chooseChain(engines, REQUEST)), ['b=0-10', 'c=10-80']);
+});
--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -21,6 +21,8 @@
   readonly kind: string | undefined;
   /** The layers that it holds. */
   readonly layers: LayerRange;
+  /** Number of requests that it runs at once as the first stage of their chains. */
+  readonly slots: number;
   /** Requests of all instances that run on it. */
   readonly runningRequests: number;
   /** KV cache reserved for these requests, in tokens times layers. */
@@ -126,12 +128,21 @@
 
 interface EngineEstimate<T extends ChainCandidate> {
   readonly engine: T;
-  /** Expected time that the whole request spends in one layer. */
+  /** Expected time that the whole request spends in one layer, raised by the use of the KV cache. */
   readonly millisecondsPerLayer: number;
+  /** The same for the first stage of a chain, which also needs a slot. */
+  readonly firstMillisecondsPerLayer: number;
   /** KV cache that is not reserved, in tokens times layers. */
   readonly freeTokenLayers: number;
 }
 
+/** Factor on an engine's cost for the share of its KV cache or of its slots that is in use. */
+function computeFillFactor(fill: number): number {
+  // Without anything free, the penalty for chains over capacity applies instead.
+  if (fill >= 1) return FULL_CACHE_FACTOR;
+  return 1 + (CACHE_FILL_WEIGHT * fill) / (FULL_CACHE_SHARE - fill);
+}
+
 function estimateEngine<T extends ChainCandidate>(
   engine: T,
   request: ChainRequest,
@@ -139,19 +150,19 @@
   const { profile, tokens } = request;
   const capacity = cacheCapacityTokenLayers(profile, engine.kind, engine.layers);
   const fill = capacity > 0 ? engine.reservedTokenLayers / capacity : 1;
-  // Without free KV cache, the penalty for chains over capacity applies instead.
-  const fillFactor =
-    fill < 1 ? 1 + (CACHE_FILL_WEIGHT * fill) / (FULL_CACHE_SHARE - fill) : FULL_CACHE_FACTOR;
   const normalMilliseconds = estimateLayerMilliseconds(
     profile,
     engine.kind,
     tokens,
     engine.runningRequests,
   );
+  const baseMilliseconds =
+    normalMilliseconds * engine.slowdownFactor * (request.costNoise?.() ?? 1);
+  const slotUse = engine.runningRequests / Math.max(1, engine.slots);
   return {
     engine,
-    millisecondsPerLayer:
-      normalMilliseconds * engine.slowdownFactor * fillFactor * (request.costNoise?.() ?? 1),
+    millisecondsPerLayer: baseMilliseconds * computeFillFactor(fill),
+    firstMillisecondsPerLayer: baseMilliseconds * computeFillFactor(Math.max(fill, slotUse)),
     freeTokenLayers: capacity - engine.reservedTokenLayers,
   };
 }
@@ -241,8 +252,11 @@
     if (eligible.length === 0) return { missingLayer: from };
     const previousSteps = lastSteps;
     lastSteps = eligible.flatMap((estimate): Step<T>[] => {
-      const { engine, millisecondsPerLayer, freeTokenLayers } = estimate;
-      const isOverCapacity = freeTokenLayers < requestTokens * (to - from);
+      const { engine, freeTokenLayers } = estimate;
+      const hasSlot = from > 0 || engine.runningRequests < engine.slots;
+      const isOverCapacity = !hasSlot || freeTokenLayers < requestTokens * (to - from);
+      const millisecondsPerLayer =
+        from === 0 ? estimate.firstMillisecondsPerLayer : estimate.millisecondsPerLayer;
       const ownCost =
         millisecondsPerLayer * (to - from) +
         (isOverCapacity ? OVER_CAPACITY_PENALTY_MILLISECONDS : 0);
--- a/src/layers/coverage-plan.test.ts
+++ b/src/layers/coverage-plan.test.ts
@@ -48,6 +48,21 @@
   });
 });
 
+// Regression: one engine of a data centre held the first layer, and with 31 engines its slots were fewer
+// than the requests that the others had KV cache for.
+test('plan: an empty data centre holds the first layer as often as the model', () => {
+  [1, 2, 3].forEach((size) => {
+    const fleet = Array.from({ length: size }, (_, group) =>
+      KINDS.map((_kind, index) => engine(index, { id: `g${group}-${index}` })),
+    ).flat();
+    const placed = apply(fleet, planCoverage(fleet, PROFILE, true));
+    const copies = rangesOf(placed).reduce((sum, { from, to }) => sum + to - from, 0) / 80;
+    const firstEngines = rangesOf(placed).filter(({ from }) => from === 0).length;
+    assert.deepEqual(findUncoveredRanges(rangesOf(placed), 80), []);
+    assert.ok(firstEngines >= Math.floor(copies), `${firstEngines} of ${copies} copies`);
+  });
+});
+
 test('plan: engines that hold every layer are left unchanged', () => {
   assert.equal(planCoverage(PLACED, PROFILE, false).size, 0);
 });
--- a/src/layers/coverage-plan.ts
+++ b/src/layers/coverage-plan.ts
@@ -59,14 +59,50 @@
 /** Returns the most layers that an engine may be given. */
 type LayerLimit = (engine: PlannedEngine) => number;
 
+/** Spare copies of the first layer for each copy of the model, so that these may be used unevenly. */
+const FIRST_LAYER_RESERVE = 1.2;
+
 /**
- * Plans a data centre's engines without regard to the layers they hold now. Returns undefined if
- * they cannot hold all layers within their limits.
+ * Plans a data centre's engines without regard to the layers they hold now. Each request occupies a
+ * slot of the engine that runs its first layer, and only there; so the first layer is held by as many
+ * engines as there are copies of the model, and some more. Returns undefined if the engines cannot
+ * hold all layers within their limits.
  */
 function planFromScratch(
   engines: readonly PlannedEngine[],
   profile: EngineProfile,
   layerLimit: LayerLimit,
+): Map<string, LayerRange> | undefined {
+  const { layerCount } = profile;
+  const counts = new Map(engines.map((engine) => [engine.id, targetLayerCount(engine, profile)]));
+  const total = [...counts.values()].reduce((sum, count) => sum + count, 0);
+  const wantedFirstEngines = Math.ceil((FIRST_LAYER_RESERVE * total) / layerCount);
+  const smallestFirst = [...engines].sort(
+    (one, other) => (counts.get(one.id) ?? 0) - (counts.get(other.id) ?? 0),
+  );
+  // The spread of the others gives the first layer to one engine at least.
+  let extraCount = Math.min(wantedFirstEngines - 1, engines.length - 1);
+  for (; extraCount >= 0; extraCount -= 1) {
+    const extra = new Set(smallestFirst.slice(0, Math.max(0, extraCount)));
+    const others = engines.filter((engine) => !extra.has(engine));
+    const left = others.reduce((sum, { id }) => sum + (counts.get(id) ?? 0), 0);
+    if (extraCount === 0 || left >= layerCount) {
+      const plan = spreadEvenly(others, profile, layerLimit);
+      extra.forEach(({ id }) => plan?.set(id, { from: 0, to: counts.get(id) ?? 1 }));
+      return plan;
+    }
+  }
+  return undefined;
+}
+
+/**
+ * Spreads the layers over engines in the given order, each with as many layers as leave it the target
+ * KV cache. Returns undefined if the engines cannot hold all layers within their limits.
+ */
+function spreadEvenly(
+  engines: readonly PlannedEngine[],
+  profile: EngineProfile,
+  layerLimit: LayerLimit,
 ): Map<string, LayerRange> | undefined {
   const { layerCount } = profile;
   const capacities = engines.map((engine) => layerLimit(engine));
--- a/src/layers/objective-choice.test.ts
+++ b/src/layers/objective-choice.test.ts
@@ -13,6 +13,7 @@
     dataCentre: 'here',
     kind: 'middle',
     layers: { from, to },
+    slots: 134,
     runningRequests: 0,
     reservedTokenLayers: 0,
     slowdownFactor: 1,
