--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -364,8 +364,7 @@
     };
     while (!signal.aborted && !this.#isStopping) {
       const created = await platform.store.create(INSTANCE_KIND, settings.instance, value);
-      // Records tell more than the list, which only has to name some peers.
-      const listed = await platform.store.list(INSTANCE_KIND, { canBeStale: true });
+      const listed = await platform.store.list(INSTANCE_KIND);
       if (listed.kind === 'listed' && created.kind !== 'unavailable') {
         listed.objects.forEach((object) => this.#acceptRegisteredInstance(object));
         logs('peer').info('Registered in the store.', { known: listed.objects.length });
--- a/src/store/object-store.ts
+++ b/src/store/object-store.ts
@@ -62,12 +62,6 @@
   | StoreUnavailable
   | { readonly kind: 'unknown'; readonly message: string };
 
-/** Options of {@link ObjectStore.list}. */
-export interface ListObjectsOptions {
-  /** Whether the list may be seconds old, which costs the store less; false by default. */
-  readonly canBeStale?: boolean;
-}
-
 /** Options of {@link ObjectStore.watch}. */
 export interface WatchObjectsOptions {
   /** Only changes after this revision are returned. */
@@ -79,7 +73,7 @@
 
 export interface ObjectStore {
   /** Reads all objects of a kind. */
-  readonly list: (objectKind: string, options?: ListObjectsOptions) => Promise<ListObjectsResult>;
+  readonly list: (objectKind: string) => Promise<ListObjectsResult>;
   /** Waits for changes to objects of a kind. */
   readonly watch: (objectKind: string, options: WatchObjectsOptions) => Promise<WatchObjectsResult>;
   readonly read: (objectKind: string, name: string) => Promise<ReadObjectResult>;
