--- a/src/entry/stream-runs.test.ts
+++ b/src/entry/stream-runs.test.ts
@@ -31,3 +31,13 @@
   ended.add('a');
   assert.ok(runs.allows('b'));
 });
+
+// Regression: an attempt without an event was abandoned although no further server could run the request,
+// and the caller got a failure in place of a late answer.
+test('stream runs: an attempt may only be abandoned if another server could run the request after it', () => {
+  const runs = new StreamRuns({ maximumServers: 2, hasEnded: () => false });
+  assert.ok(runs.allowsAnotherAfter('a'));
+  runs.record('a', false);
+  assert.ok(runs.allowsAnotherAfter('a'));
+  assert.ok(!runs.allowsAnotherAfter('b'));
+});
