Part the own record and placeholder records from the entry daemon

No change of behaviour but one: a registered instance whose entry does not match its schema is ignored as a whole.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -30,11 +30,11 @@
 import { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import { PlannerLease } from '../layers/planner-lease.js';
 import { runPlanner } from '../layers/planner-task.js';
-import type { StoredObject } from '../store/object-store.js';
 import type { LoggerFactory } from '../telemetry/log.js';
 import { createStatusDocuments } from './status-documents.js';
 import type { CallerAddresses, EntryPlatform } from './entry-platform.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
+import { createPlaceholderRecord, OwnRecord, type RecordState } from './own-record.js';
 import { isFollowedByPeers } from './store-follower-role.js';
 import { StoreFollower } from './store-follower.js';
 
@@ -105,15 +105,7 @@
 
   #observationsAppliedAt = Number.NEGATIVE_INFINITY;
 
-  #recordCounter = 0;
-
-  /** The fields of the last record that peers act on at once, as text, to find changes. */
-  #urgentFields = '';
-
-  #changeCounter = 0;
-
-  /** The record sent to peers, rebuilt at each heartbeat. */
-  #record: PeerRecord;
+  readonly #ownRecord: OwnRecord;
 
   #isStopping = false;
 
@@ -163,7 +155,7 @@
       dataCentre: settings.dataCentre,
       seeds: settings.seeds,
       table: this.#peers,
-      ownRecord: () => this.#record,
+      ownRecord: () => this.#ownRecord.current,
       dataCentreLoads: () => this.#dataCentreLoads,
       onRecord: (record) => this.#acceptRecord(record),
       onRecords: () => this.#applyPeerObservations(),
@@ -175,7 +167,7 @@
           fleet: this.#fleet,
           outlierEjection: this.#outlierEjection,
           lease: this.#lease,
-          getOwnRecord: () => this.#record,
+          getOwnRecord: () => this.#ownRecord.current,
           listPeerRecords: () => this.#peers.aliveRecords,
           countOpenRequests: () => this.#server?.openRequests() ?? 0,
         }),
@@ -208,7 +200,11 @@
       metrics: new EntryMetrics(),
       logs,
     };
-    this.#record = this.#createRecord();
+    this.#ownRecord = new OwnRecord({
+      settings,
+      incarnation: this.#incarnation,
+      describeState: () => this.#describeState(),
+    });
   }
 
   async start(): Promise<void> {
@@ -279,9 +275,9 @@
       () => getHeartbeatInterval(this.#peers.aliveCount),
       async () => {
         if (this.#storeFollower.isStoreReachable) this.#configuration.markUpToDate();
-        this.#record = this.#createRecord();
+        this.#ownRecord.refresh();
         this.#dataCentreLoads = sumDataCentreLoads(
-          [this.#record, ...this.#peers.aliveRecords],
+          [this.#ownRecord.current, ...this.#peers.aliveRecords],
           settings.dataCentre,
         );
       },
@@ -301,7 +297,7 @@
       configuration: this.#configuration,
       protocol: platform.protocol,
       lease: this.#lease,
-      isPlanner: () => isPlanner(this.#record, this.#peers.aliveRecords),
+      isPlanner: () => isPlanner(this.#ownRecord.current, this.#peers.aliveRecords),
       isHolderGone: (holder) => this.#isHolderGone(holder),
       isIdle: (service) => this.#isServiceIdle(service),
       metrics: this.#context.metrics,
@@ -312,13 +308,13 @@
 
   /** Rebuilds the record and sends it to peers without waiting for the next heartbeat. */
   #gossipImmediately(): void {
-    this.#record = this.#createRecord();
+    this.#ownRecord.refresh();
     void this.#gossip.runRound(true);
   }
 
   /** Tells peers of this data centre that this instance has a newer configuration or server list. */
   #pushNews(): void {
-    this.#record = this.#createRecord();
+    this.#ownRecord.refresh();
     void this.#gossip.pushRecord();
   }
 
@@ -366,7 +362,10 @@
       const created = await platform.store.create(INSTANCE_KIND, settings.instance, value);
       const listed = await platform.store.list(INSTANCE_KIND);
       if (listed.kind === 'listed' && created.kind !== 'unavailable') {
-        listed.objects.forEach((object) => this.#acceptRegisteredInstance(object));
+        listed.objects.forEach((object) => {
+          const record = createPlaceholderRecord(object);
+          if (record) this.#peers.accept(record);
+        });
         logs('peer').info('Registered in the store.', { known: listed.objects.length });
         void this.#gossip.runRound();
         return;
@@ -375,58 +374,18 @@
     }
   }
 
-  /**
-   * Adds an instance that is registered in the store to the peer table. Its placeholder record has the
-   * counter 0, so that the first record of the peer itself replaces it.
-   */
-  #acceptRegisteredInstance(object: StoredObject): void {
-    const { value } = object;
-    const placeholder = {
-      ...this.#record,
-      loads: {},
-      retries: {},
-      holdings: {},
-      plannerTerm: 0,
-      paces: {},
-      suspects: [],
-      crashes: {},
-      instance: object.name,
-      incarnation: 0,
-      counter: 0,
-      isReady: false,
-      isStoreReachable: false,
-    };
-    if (typeof value !== 'object' || value === null) return;
-    const { dataCentre, callers, peers } = value as Partial<PeerRecord>;
-    if (!dataCentre || !callers || !peers) return;
-    this.#peers.accept({ ...placeholder, dataCentre, callers, peers });
-  }
-
-  #createRecord(): PeerRecord {
-    const { settings } = this.#options;
-    this.#recordCounter += 1;
-    const urgentFields = {
-      isReady: this.#isReady,
-      isStopping: this.#isStopping,
-      configurationVersion: this.#configuration.current?.version ?? -1,
-      isStoreReachable: this.#storeFollower.isStoreReachable,
-      suspects: this.#outlierEjection.ownEjections,
-      plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
-      crashes: this.#context.crashRecords.serversByContent,
-    };
-    const urgentText = JSON.stringify(urgentFields);
-    if (urgentText !== this.#urgentFields) this.#changeCounter = this.#recordCounter;
-    this.#urgentFields = urgentText;
+  #describeState(): RecordState {
     return {
-      instance: settings.instance,
-      dataCentre: settings.dataCentre,
-      incarnation: this.#incarnation,
-      counter: this.#recordCounter,
-      callers: settings.listen.callers,
-      peers: settings.listen.peers,
-      changeCounter: this.#changeCounter,
+      urgent: {
+        isReady: this.#isReady,
+        isStopping: this.#isStopping,
+        configurationVersion: this.#configuration.current?.version ?? -1,
+        isStoreReachable: this.#storeFollower.isStoreReachable,
+        suspects: this.#outlierEjection.ownEjections,
+        plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
+        crashes: this.#context.crashRecords.serversByContent,
+      },
       fleetRevision: this.#fleet.revision,
-      ...urgentFields,
       ...collectServerObservations(this.#fleet),
       retries: this.#context.retryBudget.counts,
     };
