Name every instance to callers, also in a fleet of more than 64

Cause: an answer has 64 addresses at most, and took the first 64 peers, so that of 77 instances the last ones and always the one that answered got callers by other answers only or not at all. Found by reading. Each answer now begins elsewhere in the list. Test: caller-addresses.test.ts, fails on the code before.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -33,6 +33,7 @@
 import type { LoggerFactory } from '../telemetry/log.js';
 import { createStatusDocuments } from './status-documents.js';
 import type { CallerAddresses, EntryPlatform } from './entry-platform.js';
+import { listCallerAddresses } from './caller-addresses.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
 import { createPlaceholderRecord, OwnRecord, type RecordState } from './own-record.js';
 import { isFollowedByPeers } from './store-follower-role.js';
@@ -63,7 +64,6 @@
 const PACE_CHECK_INTERVAL_MILLISECONDS = 500;
 const HEALTH_CHECK_INTERVAL_MILLISECONDS = 200;
 const ADDRESS_LIFETIME_SECONDS = 1;
-const MAXIMUM_ADDRESSES = 64;
 /** Stopping ends this long before the platform kills the process, so that it exits in order. */
 const STOP_MARGIN_MILLISECONDS = 600;
 const STOP_POLL_INTERVAL_MILLISECONDS = 50;
@@ -409,19 +409,18 @@
     this.#storeFollower.catchUpWithPeer(record);
   }
 
-  /** Lists the caller addresses of all ready instances, this one last. */
   #listCallerAddresses(): CallerAddresses | undefined {
     const { settings } = this.#options;
-    const ready = this.#peers.aliveRecords.filter(
-      ({ isReady, isStopping }) => isReady && !isStopping,
+    const addresses = listCallerAddresses(
+      this.#isReady ? settings.listen.callers : undefined,
+      this.#peers.aliveRecords,
     );
-    const addresses = ready.map(({ callers }) => callers);
-    if (this.#isReady) addresses.push(settings.listen.callers);
     if (addresses.length === 0) return undefined;
-    return {
-      addresses: addresses.slice(0, MAXIMUM_ADDRESSES),
-      lifetimeSeconds: Math.min(ADDRESS_LIFETIME_SECONDS, settings.maximumAddressLifetimeSeconds),
-    };
+    const lifetimeSeconds = Math.min(
+      ADDRESS_LIFETIME_SECONDS,
+      settings.maximumAddressLifetimeSeconds,
+    );
+    return { addresses, lifetimeSeconds };
   }
 
   /** Checks the health of ejected servers, and readmits those that are healthy. */
