Run of two builds: lose an engine that alone holds a layer

Cause: the check that a lease goes to the other build closed the first engine, and with the first layer held more than once its loss no longer needs a planner, so the lease stayed. The fault was the check's choice of engine. Replaced by one as strict: an engine whose loss leaves a layer unheld, asserted to exist.

--- a/tools/mixed-builds/platform-check.ts
+++ b/tools/mixed-builds/platform-check.ts
@@ -63,13 +63,20 @@
   return members.filter(({ state }) => state === 'live').length;
 }
 
-function isCovered(group: PlatformGroup): boolean {
+function isCovered(group: PlatformGroup, withoutId?: string): boolean {
   const held = group.servers
-    .filter(({ isClosed }) => !isClosed)
+    .filter(({ isClosed, id }) => !isClosed && id !== withoutId)
     .flatMap(({ layers }) => layers ?? []);
   return findUncoveredRanges(held, LAYERS).length === 0;
 }
 
+/** Finds an engine that alone holds some layer, so that its loss must make a planner act. */
+function findNeededEngine(group: PlatformGroup): PlatformGroup['servers'][number] {
+  const engine = group.servers.find(({ isClosed, id }) => !isClosed && !isCovered(group, id));
+  assert.ok(engine, 'some engine alone holds a layer');
+  return engine;
+}
+
 /** Sends streams and calls to instances that are not stopping, until told to end. */
 function startLoad(targets: () => readonly PlatformInstance[]): () => Promise<ReceivedResponse[]> {
   const answers: Promise<ReceivedResponse>[] = [];
@@ -215,8 +222,7 @@
     await compareDocuments(unchanged, added);
     await crashServers(group);
     await replaceInstances(group, replacement);
-    const [engine] = group.servers;
-    assert.ok(engine);
+    const engine = findNeededEngine(group);
     await engine.close();
     group.store.remove('servers', engine.id);
     await waitUntil(() => isCovered(group), 'the layers of a lost engine are placed again');
