--- a/src/layers/objective-choice.test.ts
+++ b/src/layers/objective-choice.test.ts
@@ -94,3 +94,14 @@
   assert.ok('stages' in chain);
   assert.ok(chain.stages.every(({ engine: { dataCentre } }) => dataCentre === 'there'));
 });
+
+test('objectives: where home lacks layers, a slower chain inside another data centre is better than a crossing', () => {
+  const starts = Array.from({ length: 8 }, (_, index) => index * 10);
+  const candidates = [
+    ...starts.slice(0, 7).map((from) => engine(`h${from}`, from, from + 10, { kind: 'large' })),
+    ...starts.map((from) => engine(`f${from}`, from, from + 10, { dataCentre: 'there' })),
+  ];
+  const chain = chooseChainByObjectives(candidates, REQUEST, OBJECTIVES, 'here');
+  assert.ok('stages' in chain);
+  assert.ok(chain.stages.every(({ engine: { dataCentre } }) => dataCentre === 'there'));
+});
