--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -274,7 +274,7 @@
     void this.#runPeriodically(
       () => getHeartbeatInterval(this.#peers.aliveCount),
       async () => {
-        if (this.#storeFollower.isStoreReachable) this.#configuration.markUpToDate();
+        if (this.#storeFollower.isStoreReachable) this.#configuration.markUpToDate('store contact');
         this.#ownRecord.refresh();
         this.#dataCentreLoads = sumDataCentreLoads(
           [this.#ownRecord.current, ...this.#peers.aliveRecords],
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -124,7 +124,7 @@
     const version = configuration.current?.version ?? -1;
     if (record.configurationVersion > version) void this.#fetchConfiguration(record);
     else if (record.isStoreReachable && record.configurationVersion === version) {
-      configuration.markUpToDate();
+      configuration.markUpToDate(record.instance);
     }
     if (record.fleetRevision <= fleet.revision) return;
     const isExpected = record.dataCentre === dataCentre && !this.isStoreReachable;
@@ -166,7 +166,7 @@
       onChanges: (changes) => changes.forEach(({ object }) => this.#applyConfiguration(object)),
       onStoreAnswer: () => {
         this.#recordContact();
-        configuration.markUpToDate();
+        configuration.markUpToDate('store answer');
       },
       onStoreUnavailable: () => this.#recordFailure(),
       log: logs('configuration'),
--- a/src/entry/active-configuration.ts
+++ b/src/entry/active-configuration.ts
@@ -28,6 +28,8 @@
 
   #upToDateAt = Number.NEGATIVE_INFINITY;
 
+  #upToDateEvidence = 'none';
+
   /** The stored value that the current configuration was decoded from; peers fetch it. */
   storedValue: unknown;
 
@@ -50,9 +52,19 @@
     if (this.#currentConfiguration) listener(this.#currentConfiguration);
   }
 
-  /** Records that the store, or a peer that can reach it, has no newer version. */
-  markUpToDate(): void {
+  /**
+   * Records that the store, or a peer that can reach it, has no newer version.
+   *
+   * @param evidence - What shows it: `store answer`, `store contact` or the name of the peer.
+   */
+  markUpToDate(evidence: string): void {
     this.#upToDateAt = this.#now();
+    this.#upToDateEvidence = evidence;
+  }
+
+  /** What last showed that the configuration is the newest, for the log. */
+  get upToDateEvidence(): string {
+    return this.#upToDateEvidence;
   }
 
   /**
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -3,6 +3,7 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Address } from '../common/address.js';
 import { getErrorMessage } from '../common/http-client.js';
+import { CallerConnections } from './caller-connections.js';
 import { sendLocalResponse, type LocalResponse } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import type { AbortReason, EntryRequest } from './entry-request.js';
@@ -67,6 +68,7 @@
 };
 
 const CONTENT_HASH_BYTES = 8;
+const MAXIMUM_LOGGED_PATH_CHARACTERS = 200;
 const MAXIMUM_HEADER_BYTES = 65_536;
 /** The server keeps idle connections for this much longer than callers may. */
 const IDLE_TIMEOUT_MARGIN_MILLISECONDS = 3000;
@@ -124,8 +126,9 @@
  */
 export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
   const { address, context, configuration, isStopping } = options;
-  const { protocol, logs } = context;
+  const { protocol, metrics, logs } = context;
   const log = logs('caller');
+  const connections = new CallerConnections({ log, metrics });
   let openCount = 0;
 
   const rejectRequest = (
@@ -138,9 +141,14 @@
       requestId,
       status: localResponse.status,
       code: localResponse.code,
+      method: incoming.method,
+      host: incoming.headers.host,
+      path: incoming.url?.slice(0, MAXIMUM_LOGGED_PATH_CHARACTERS),
       configurationVersion: configuration.current?.version,
       configurationAgeMilliseconds: Math.round(configuration.ageMilliseconds()),
+      configurationEvidence: configuration.upToDateEvidence,
     });
+    metrics.countEvent(`rejected_${localResponse.code}`);
     sendLocalResponse(response, requestId, localResponse);
   };
 
@@ -209,9 +217,12 @@
       response.once('close', () => {
         openCount -= 1;
       });
+      const { requestId } = protocol.parseRequestHeaders(incoming.headers);
+      connections.addRequest(incoming.socket, requestId, response);
       void serve(incoming, response);
     },
   );
+  server.on('clientError', (error, socket) => connections.handleError(error, socket));
   server.requestTimeout = 0;
   configuration.onChange(({ limits }) => {
     server.keepAliveTimeout = limits.idleMilliseconds + IDLE_TIMEOUT_MARGIN_MILLISECONDS;
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -4,6 +4,7 @@
  */
 import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
+import { logFailureResponse } from './response-origin.js';
 import { getEndToEndHeaders, sendLocalResponse, appendHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, isIdempotent, type EntryRequest } from './entry-request.js';
@@ -222,6 +223,8 @@
     });
     const status = backendResponse.statusCode ?? 0;
     const responseMetadata = protocol.parseResponseHeaders(backendResponse.headers, status);
+    if (status >= 300)
+      logFailureResponse(this.#context, metadata, server.entry, status, responseMetadata);
     if (responseMetadata.isNotExecuted) {
       backendResponse.resume();
       return {
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -22,6 +22,7 @@
 import { CallerStream } from './caller-stream.js';
 import { rerouteStream } from './stream-reroute.js';
 import { StreamRuns } from './stream-runs.js';
+import { logFailureResponse } from './response-origin.js';
 import { listStageAddresses, ChainSelector, type EngineChain } from './chain-selector.js';
 
 /** The result of one attempt. */
@@ -334,6 +335,8 @@
     });
     const status = engineResponse.statusCode ?? 0;
     const responseMetadata = protocol.parseResponseHeaders(engineResponse.headers, status);
+    if (status >= 300)
+      logFailureResponse(this.#context, metadata, firstEngine.entry, status, responseMetadata);
     if (responseMetadata.isNotExecuted) {
       const refusingServer =
         responseMetadata.faultAddress === undefined
