--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -5,10 +5,9 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import http from 'node:http';
-import { test, type TestContext } from 'node:test';
+import { test } from 'node:test';
 import { sleep } from '../src/common/clock.js';
 import { EXIT_CODES } from '../src/command-line/exit-codes.js';
-import type { LayerRange } from '../src/fleet/server-entry.js';
 import { findUncoveredRanges } from '../src/layers/coverage-plan.js';
 import {
   sendRequest,
@@ -20,85 +19,18 @@
   type PlatformInstance,
 } from '../tools/platform-group.js';
 import { COMMAND_LINE, runProgram } from '../tools/run-program.js';
-
-const LAYER_COUNT = 8;
-let requestCount = 0;
-
-function createRequestId(): string {
-  requestCount += 1;
-  return `request-${requestCount}`;
-}
-
-async function startGroup(
-  context: TestContext,
-  options: { readonly instances?: number; readonly pauseMilliseconds?: number } = {},
-): Promise<PlatformGroup> {
-  const { instances = 1, pauseMilliseconds = 20 } = options;
-  const group = new PlatformGroup();
-  context.after(() => group.stop());
-  await group.start();
-  for (let index = 0; index < 4; index += 1) {
-    const id = `engine-${index}`;
-    await group.addServer({ id, service: 'drafter', kind: 'card', pauseMilliseconds });
-  }
-  await group.addServer({ id: 'case-0', service: 'casebook' });
-  await group.addServer({ id: 'case-1', service: 'casebook' });
-  for (let index = 0; index < instances; index += 1) await group.addReadyInstance(`entry-${index}`);
-  await waitUntil(() => {
-    const held = group.servers.flatMap(({ layers }) => layers ?? []);
-    return held.length === 4 && findUncoveredRanges(held, LAYER_COUNT).length === 0;
-  }, 'every layer is held');
-  await Promise.all(group.instances.map(waitUntilLayersKnown));
-  return group;
-}
-
-/** Waits until an instance knows which engines hold the layers; before that it refuses streams. */
-function waitUntilLayersKnown({ name, ports }: PlatformInstance): Promise<void> {
-  return waitUntil(async () => {
-    const answer = await sendRequest({ port: ports.control, path: '/v1/pipelines' });
-    if (answer.status !== 200) return false;
-    const { stages } = JSON.parse(answer.body) as { stages: LayerRange[] };
-    return stages.length === 4 && findUncoveredRanges(stages, LAYER_COUNT).length === 0;
-  }, `${name} knows the engines of every layer`);
-}
-
-/** Sends a request to the address of an instance that serves callers. */
-function sendCallerRequest(
-  instance: PlatformInstance,
-  path: string,
-  options: {
-    readonly method?: string;
-    readonly key?: string;
-    readonly headers?: object;
-    readonly body?: string;
-  } = {},
-): Promise<ReceivedResponse> {
-  const { method = 'POST', key = 'key-1', headers = {}, body = '' } = options;
-  return sendRequest({
-    body,
-    port: instance.ports.front,
-    method,
-    path,
-    headers: {
-      host: 'site.example',
-      'request-id': createRequestId(),
-      'deadline-ms': '4000',
-      'api-key': key,
-      ...headers,
-    },
-  });
-}
+import {
+  createRequestId,
+  getFirstInstance,
+  LAYER_COUNT,
+  sendCallerRequest,
+  startGroup,
+} from '../tools/serving-group.js';
 
 function readEventIds(answer: ReceivedResponse): number[] {
   return [...answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
 }
 
-function getFirstInstance(group: PlatformGroup): PlatformInstance {
-  const [instance] = group.instances;
-  assert.ok(instance);
-  return instance;
-}
-
 function findRuns(group: PlatformGroup, id: string | undefined) {
   return group.servers.flatMap(({ runs }) => runs).filter(({ requestId }) => requestId === id);
 }
--- /dev/null
+++ b/tools/serving-group.ts
@@ -0,0 +1,104 @@
+/** Starts groups of instances that serve streams and calls, and sends them callers' requests. */
+import assert from 'node:assert/strict';
+import type { TestContext } from 'node:test';
+import type { LayerRange } from '../src/fleet/server-entry.js';
+import { findUncoveredRanges } from '../src/layers/coverage-plan.js';
+import {
+  PlatformGroup,
+  sendRequest,
+  waitUntil,
+  type PlatformInstance,
+  type ReceivedResponse,
+} from './platform-group.js';
+
+export const LAYER_COUNT = 8;
+let requestCount = 0;
+
+/** Returns a request id that has not been used in this process. */
+export function createRequestId(): string {
+  requestCount += 1;
+  return `request-${requestCount}`;
+}
+
+/**
+ * Starts a store, engines, servers of a plain service and instances, and waits until streams and calls
+ * can be served. Everything is stopped when the test ends.
+ *
+ * @param context - The test.
+ * @param options - How many instances and servers there are, and how fast streams are.
+ * @returns The running group.
+ */
+export async function startGroup(
+  context: TestContext,
+  options: {
+    readonly instances?: number;
+    readonly plainServers?: number;
+    readonly pauseMilliseconds?: number;
+  } = {},
+): Promise<PlatformGroup> {
+  const { instances = 1, plainServers = 2, pauseMilliseconds = 20 } = options;
+  const group = new PlatformGroup();
+  context.after(() => group.stop());
+  await group.start();
+  for (let index = 0; index < 4; index += 1) {
+    const id = `engine-${index}`;
+    await group.addServer({ id, service: 'drafter', kind: 'card', pauseMilliseconds });
+  }
+  for (let index = 0; index < plainServers; index += 1)
+    await group.addServer({ id: `case-${index}`, service: 'casebook' });
+  for (let index = 0; index < instances; index += 1) await group.addReadyInstance(`entry-${index}`);
+  await waitUntil(() => {
+    const held = group.servers.flatMap(({ layers }) => layers ?? []);
+    return held.length === 4 && findUncoveredRanges(held, LAYER_COUNT).length === 0;
+  }, 'every layer is held');
+  await Promise.all(group.instances.map(waitUntilLayersKnown));
+  return group;
+}
+
+/** Waits until an instance knows which engines hold the layers; before that it refuses streams. */
+function waitUntilLayersKnown({ name, ports }: PlatformInstance): Promise<void> {
+  return waitUntil(async () => {
+    const answer = await sendRequest({ port: ports.control, path: '/v1/pipelines' });
+    if (answer.status !== 200) return false;
+    const { stages } = JSON.parse(answer.body) as { stages: LayerRange[] };
+    return stages.length === 4 && findUncoveredRanges(stages, LAYER_COUNT).length === 0;
+  }, `${name} knows the engines of every layer`);
+}
+
+/**
+ * Sends a request to the address of an instance that serves callers, on a new connection.
+ *
+ * @returns The response; status 0 if no complete one arrived.
+ */
+export function sendCallerRequest(
+  instance: PlatformInstance,
+  path: string,
+  options: {
+    readonly method?: string;
+    readonly key?: string;
+    readonly headers?: object;
+    readonly body?: string;
+  } = {},
+): Promise<ReceivedResponse> {
+  const { method = 'POST', key = 'key-1', headers = {}, body = '' } = options;
+  return sendRequest({
+    body,
+    port: instance.ports.front,
+    method,
+    path,
+    headers: {
+      host: 'site.example',
+      'request-id': createRequestId(),
+      'deadline-ms': '4000',
+      'api-key': key,
+      ...headers,
+    },
+  });
+}
+
+/** Returns the instance that was started first. */
+export function getFirstInstance(group: PlatformGroup): PlatformInstance {
+  const [instance] = group.instances;
+  assert.ok(instance);
+  return instance;
+}
--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -36,6 +36,13 @@
   sendsWrongRequestId: boolean;
   /** Sends an unrequested second response on the connection after each response to a call. */
   sendsExtraResponse: boolean;
+  /**
+   * Answers each request with this status and the request's id, but without a signature and without
+   * running it, as another program at the server's address might; 0 means normal operation.
+   */
+  unsignedStatus: number;
+  /** How long a call runs before it is answered. */
+  callMilliseconds: number;
   /** Crashes on each request whose body equals this text. */
   crashingBody: string | undefined;
 }
@@ -61,6 +68,8 @@
     closesWithoutAnswer: false,
     sendsWrongRequestId: false,
     sendsExtraResponse: false,
+    unsignedStatus: 0,
+    callMilliseconds: 0,
     crashingBody: undefined,
   };
 
@@ -146,6 +155,9 @@
       response.writeHead(421, { 'instance-id': this.#options.id }).end();
     } else if (this.faults.refusesAll) {
       response.writeHead(503, { 'not-executed': '1', 'at-server': this.address }).end();
+    } else if (this.faults.unsignedStatus > 0) {
+      const { unsignedStatus: status } = this.faults;
+      response.writeHead(status, { 'request-id': headers['request-id'] }).end('not the server');
     } else await this.#handleRun(request);
   }
 
@@ -186,8 +198,10 @@
     }
     const answerId = this.faults.sendsWrongRequestId ? 'another' : requestId;
     const responseHeaders = { 'request-id': answerId, 'response-signature': this.#options.id };
-    if (this.#options.kind === undefined) this.#sendResponse(response, responseHeaders, requestId);
-    else await this.#sendStream(response, responseHeaders, Number(headers['last-event-id'] ?? 0));
+    if (this.#options.kind === undefined) {
+      await sleep(this.faults.callMilliseconds);
+      this.#sendResponse(response, responseHeaders, requestId);
+    } else await this.#sendStream(response, responseHeaders, Number(headers['last-event-id'] ?? 0));
   }
 
   #sendResponse(
