Pass on only what a backend server has signed, whatever its status

Callers saw (in the tests) 301 and 404 for proper lookups, and 404 or 503 for bookings, that no backend server had signed: something else answered at the server's address and repeated the request's id. A 503 so passed on promises that the request never runs, which nobody knows.

Cause: relay-call asked for a signature only below 300, relay-stream passed statuses from 300 on before it looked. Class: an answer of unknown origin is taken for the server's. Now one check, assertOwnResponse, stands before every use of a response's status: id, signature, encoding. What fails it may have run: a lookup or resumable stream is tried elsewhere, a booking ends as unknown (502). It isn't counted as a crash of the server, or three such addresses would convict the request.

--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -4,7 +4,7 @@
  */
 import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
-import { logFailureResponse } from './response-origin.js';
+import { assertOwnResponse, ForeignResponseError, logFailureResponse } from './response-origin.js';
 import { getEndToEndHeaders, sendLocalResponse, appendHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, isIdempotent, type EntryRequest } from './entry-request.js';
@@ -172,7 +172,8 @@
         return { kind: 'notRun', message };
       }
       outlierEjection.recordFailure(id, message);
-      if (!attempt.signal.aborted) crashRecords.recordCrash(contentHash, id);
+      const hasCrashed = !attempt.signal.aborted && !(error instanceof ForeignResponseError);
+      if (hasCrashed) crashRecords.recordCrash(contentHash, id);
       return { kind: 'unknown', message };
     } finally {
       server.ownLoad.requests -= 1;
@@ -236,13 +237,7 @@
     for await (const chunk of backendResponse) parts.push(chunk as Buffer);
     if (!backendResponse.complete || !isBodyDelimited(backendResponse))
       throw new HttpRequestError('answering', 'The response was cut off before its end.');
-    if (responseMetadata.requestId !== metadata.requestId)
-      throw new Error('The response carries the id of another request.');
-    if (responseMetadata.isEncoded || (status < 300 && !responseMetadata.isSigned)) {
-      throw new Error(
-        'The response is not signed by the backend server or has a content encoding.',
-      );
-    }
+    assertOwnResponse(metadata, responseMetadata);
     const load =
       responseMetadata.load && responseMetadata.load.running + responseMetadata.load.waiting;
     callTimes.record(server.entry.id, performance.now() - startedAt, load);
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -22,7 +22,7 @@
 import { CallerStream } from './caller-stream.js';
 import { rerouteStream } from './stream-reroute.js';
 import { StreamRuns } from './stream-runs.js';
-import { logFailureResponse } from './response-origin.js';
+import { assertOwnResponse, logFailureResponse } from './response-origin.js';
 import { listStageAddresses, ChainSelector, type EngineChain } from './chain-selector.js';
 
 /** The result of one attempt. */
@@ -350,11 +350,8 @@
         message: `The engine refused the request with status ${status}.`,
       };
     }
-    if (responseMetadata.requestId !== metadata.requestId)
-      throw new Error('The response carries the id of another request.');
+    assertOwnResponse(metadata, responseMetadata);
     if (status >= 300) return this.#relayFailure(engineResponse, status);
-    if (!responseMetadata.isSigned || responseMetadata.isEncoded)
-      throw new Error('The response is not signed by the engine or has a content encoding.');
     let isAccepted = false;
     const splitter = new EventSplitter(this.#caller.lastEventId);
     for await (const chunk of engineResponse) {
--- a/src/entry/response-origin.ts
+++ b/src/entry/response-origin.ts
@@ -1,9 +1,15 @@
-/** Records where a backend server's failure came from. */
+/**
+ * Tells whether a response comes from the backend server that a request was sent to. Another program
+ * may have taken over the server's address, and a faulty server may send another request's response.
+ */
 import { formatAddress } from '../common/address.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import type { EntryContext } from './entry-context.js';
 import type { RequestMetadata, ResponseMetadata } from './protocol-adapter.js';
 
+/** A response that is not shown to be the backend server's own to the request. */
+export class ForeignResponseError extends Error {}
+
 /**
  * Logs a response with status 300 or above, and what it says about its origin.
  *
@@ -30,3 +36,19 @@
     isForRequest: response.requestId === request.requestId,
   });
 }
+
+/**
+ * Checks that a response is the backend server's own to the request, whatever its status. A response
+ * that is not is never passed on: it doesn't tell whether the request ran.
+ *
+ * @param request - The request's metadata.
+ * @param response - What the response's headers state.
+ * @throws ForeignResponseError when the response is for another request, is not signed or was altered on the way.
+ */
+export function assertOwnResponse(request: RequestMetadata, response: ResponseMetadata): void {
+  if (response.requestId !== request.requestId)
+    throw new ForeignResponseError('The response carries the id of another request.');
+  if (!response.isSigned)
+    throw new ForeignResponseError('The response is not signed by the backend server.');
+  if (response.isEncoded) throw new ForeignResponseError('The response has a content encoding.');
+}
--- a/tests/proper-requests.test.ts
+++ b/tests/proper-requests.test.ts
@@ -136,6 +136,16 @@
   }
 });
 
+test('proper requests: a lookup that something else answers at every address is not taken for one that crashes servers', async (context) => {
+  const group = await startGroup(context, { plainServers: 3 });
+  const lookUp = async (): Promise<number> =>
+    (await sendCallerRequest(getFirstInstance(group), '/lookups/1', { method: 'GET' })).status;
+  setPlainServerFault(group, 'unsignedStatus', 404);
+  for (let count = 0; count < 6; count += 1) assert.notEqual(await lookUp(), 404);
+  setPlainServerFault(group, 'unsignedStatus', 0);
+  await waitUntil(async () => (await lookUp()) === 200, 'the lookup is served again');
+});
+
 test("proper requests: a stream that something else answers 404 at its engines' addresses is not answered 404", async (context) => {
   const group = await startGroup(context);
   group.servers.forEach(({ faults }) => {
