Answer a request that was read, whatever follows it on its connection

Callers saw (in the tests) 400 to a proper lookup in flight, without a line in the log: Node.js answers an error of a connection by itself, to whatever request is open there, though the error is about bytes after it. It also wrote 400 on a connection whose caller had left within a head, and for bytes after an earlier request, of which nobody knows whose they are.

Class: a 4xx without a request that was read and judged. Now decideOnConnectionError decides: requests that were read are answered and the connection ends then; a body that doesn't parse, a head that is too large or too slow, and bytes at the start of a connection are rejected; all else is closed without an answer, which promises nothing. A caller that leaves meanwhile is still noticed, and its request cancelled.

Ruled out: Connection: close alone (the bytes after it are what counts).

--- a/src/entry/caller-connections.ts
+++ b/src/entry/caller-connections.ts
@@ -2,7 +2,7 @@
  * Handles what goes wrong on callers' connections outside of any request's handler: bytes that the
  * HTTP parser rejects, heads that take too long, and connections that break.
  */
-import { STATUS_CODES, type ServerResponse } from 'node:http';
+import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Logger } from '../telemetry/log.js';
 import type { EntryMetrics } from './entry-metrics.js';
@@ -14,11 +14,40 @@
   readonly bytesParsed?: number;
 }
 
-/** What is known about one connection. */
+/** What is known about a connection when an error is reported for it. */
+export interface ConnectionSituation {
+  readonly errorCode: string;
+  /** Requests that were read completely and whose responses have not ended. */
+  readonly openRequests: number;
+  /** Whether the body of a request is still being read. */
+  readonly isReadingBody: boolean;
+  /** Whether a response has begun, so that no other one can be written. */
+  readonly hasStartedResponse: boolean;
+  /** Requests that the connection has carried so far. */
+  readonly requestCount: number;
+  /** Whether the caller has ended its side. */
+  readonly hasCallerLeft: boolean;
+}
+
+/** What to do about an error. */
+export type ConnectionDecision =
+  | { readonly kind: 'reject'; readonly status: number }
+  /** Answer the requests that were read, then close. */
+  | { readonly kind: 'finishOpenRequests' }
+  | { readonly kind: 'close' };
+
+interface OpenRequest {
+  readonly incoming: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** What is kept about one connection. */
 interface ConnectionState {
-  readonly openResponses: Set<ServerResponse>;
+  readonly openRequests: Set<OpenRequest>;
   requestCount: number;
   lastRequestId: string;
+  /** Whether the connection is closed once its open requests are answered. */
+  isFinishing: boolean;
 }
 
 /** Options of {@link CallerConnections}. */
@@ -27,15 +56,42 @@
   readonly metrics: Pick<EntryMetrics, 'countEvent'>;
 }
 
+const PARSE_ERROR_PREFIX = 'HPE_';
 const BAD_REQUEST_STATUS = 400;
-/** Statuses of errors for which 400 says too little. */
+/** Errors that are certain on a connection that has carried requests before, too. */
 const STATUS_BY_ERROR_CODE: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
-function sendStatusAndClose(socket: Duplex, status: number): void {
+/**
+ * Decides what to do when a connection reports an error. A request that has been read is never answered
+ * for the bytes after it. Bytes that do not parse are answered 400 only where they are certainly a
+ * caller's request: within a body, or at the start of a connection.
+ *
+ * @param situation - What is known about the connection.
+ * @returns The decision.
+ */
+export function decideOnConnectionError(situation: ConnectionSituation): ConnectionDecision {
+  const { errorCode, openRequests, isReadingBody, hasStartedResponse } = situation;
+  const knownStatus = STATUS_BY_ERROR_CODE[errorCode];
+  const isParseError = errorCode.startsWith(PARSE_ERROR_PREFIX);
+  if (situation.hasCallerLeft || !(isParseError || knownStatus)) return { kind: 'close' };
+  if (openRequests > 0) return { kind: 'finishOpenRequests' };
+  if (hasStartedResponse) return { kind: 'close' };
+  if (knownStatus !== undefined) return { kind: 'reject', status: knownStatus };
+  const isCertain = isReadingBody || situation.requestCount === 0;
+  return isCertain ? { kind: 'reject', status: BAD_REQUEST_STATUS } : { kind: 'close' };
+}
+
+/** Lists the open requests that were read completely. */
+function listReadRequests(state: ConnectionState): OpenRequest[] {
+  return [...state.openRequests].filter(({ incoming }) => incoming.complete);
+}
+
+function sendStatus(socket: Duplex, status: number): void {
+  if (!socket.writable) return;
   socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`);
 }
 
@@ -50,42 +106,68 @@
   }
 
   /** Notes a request whose head has been read. */
-  addRequest(socket: Duplex, requestId: string, response: ServerResponse): void {
-    const state = this.#getState(socket);
+  addRequest(incoming: IncomingMessage, response: ServerResponse, requestId: string): void {
+    const state = this.#getState(incoming.socket);
+    const openRequest = { incoming, response };
     state.requestCount += 1;
     state.lastRequestId = requestId;
-    state.openResponses.add(response);
-    response.once('close', () => state.openResponses.delete(response));
+    state.openRequests.add(openRequest);
+    response.once('close', () => {
+      state.openRequests.delete(openRequest);
+      if (state.isFinishing && listReadRequests(state).length === 0)
+        incoming.socket.end(() => incoming.socket.destroy());
+    });
   }
 
   /** Handles an error that the HTTP server reports for a connection. */
   handleError(error: ConnectionError, socket: Duplex): void {
     const state = this.#getState(socket);
-    const hasStartedResponse = [...state.openResponses].some(({ headersSent }) => headersSent);
-    const isAnswered = socket.writable && !hasStartedResponse;
-    const status = STATUS_BY_ERROR_CODE[error.code ?? ''] ?? BAD_REQUEST_STATUS;
-    this.#record(error, state, isAnswered ? status : undefined);
-    if (isAnswered) sendStatusAndClose(socket, status);
-    if (!hasStartedResponse) socket.destroy();
+    const open = [...state.openRequests];
+    const decision = decideOnConnectionError({
+      errorCode: error.code ?? '',
+      openRequests: listReadRequests(state).length,
+      isReadingBody: open.some(({ incoming }) => !incoming.complete),
+      hasStartedResponse: open.some(({ response }) => response.headersSent),
+      requestCount: state.requestCount,
+      hasCallerLeft: socket.readableEnded,
+    });
+    // Each further packet reports the error again while the open requests are answered.
+    if (decision.kind === 'finishOpenRequests' && state.isFinishing) return;
+    this.#record(error, state, decision);
+    if (decision.kind === 'finishOpenRequests') {
+      state.isFinishing = true;
+      open.forEach(({ response }) => {
+        if (!response.headersSent) response.setHeader('Connection', 'close');
+      });
+      return;
+    }
+    if (decision.kind === 'reject') sendStatus(socket, decision.status);
+    socket.destroy();
   }
 
   #getState(socket: Duplex): ConnectionState {
     const known = this.#states.get(socket);
     if (known) return known;
-    const state = { openResponses: new Set<ServerResponse>(), requestCount: 0, lastRequestId: '' };
+    const state = {
+      openRequests: new Set<OpenRequest>(),
+      requestCount: 0,
+      lastRequestId: '',
+      isFinishing: false,
+    };
     this.#states.set(socket, state);
     return state;
   }
 
-  #record(error: ConnectionError, state: ConnectionState, status: number | undefined): void {
+  #record(error: ConnectionError, state: ConnectionState, decision: ConnectionDecision): void {
     const { log, metrics } = this.#options;
     metrics.countEvent(`connection_error_${error.code ?? 'unknown'}`);
     log.info("A caller's connection failed.", {
       code: error.code,
       message: error.message,
       bytesParsed: error.bytesParsed,
-      status,
-      openRequests: state.openResponses.size,
+      decision: decision.kind,
+      status: decision.kind === 'reject' ? decision.status : undefined,
+      openRequests: state.openRequests.size,
       requests: state.requestCount,
       lastRequestId: state.lastRequestId,
     });
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -218,7 +218,7 @@
         openCount -= 1;
       });
       const { requestId } = protocol.parseRequestHeaders(incoming.headers);
-      connections.addRequest(incoming.socket, requestId, response);
+      connections.addRequest(incoming, response, requestId);
       void serve(incoming, response);
     },
   );
--- a/tests/proper-requests.test.ts
+++ b/tests/proper-requests.test.ts
@@ -81,6 +81,53 @@
   assert.ok(connection.isClosed);
 });
 
+test('proper requests: a lookup that is followed by other bytes is cancelled when its caller leaves', async (context) => {
+  const group = await startGroup(context);
+  setPlainServerFault(group, 'callMilliseconds', 2000);
+  const connection = await openConnection(context, group);
+  const requestId = createRequestId();
+  connection.write(formatRequest({ requestId, lines: 'Connection: close\r\n' }));
+  await sleep(50);
+  connection.write('these bytes are no request\r\n\r\n');
+  await sleep(50);
+  connection.destroy();
+  await waitUntil(
+    () =>
+      new RegExp(`"requestId":"${requestId}".*"outcome":"callerGone"`).test(
+        getFirstInstance(group).log.join(''),
+      ),
+    'the instance notices that the caller left',
+  );
+});
+
+test('proper requests: a body that does not parse is answered 400', async (context) => {
+  const group = await startGroup(context);
+  const connection = await openConnection(context, group);
+  connection.write(
+    formatRequest({
+      method: 'POST',
+      target: '/bookings/1',
+      lines: 'Transfer-Encoding: chunked\r\n',
+    }),
+  );
+  await sleep(50);
+  connection.write('no chunk\r\n');
+  assert.equal((await connection.readResponse(ANSWER_TIMEOUT_MILLISECONDS))?.status, 400);
+});
+
+test('proper requests: a lookup is answered and its connection ends when the body of the request after it does not parse', async (context) => {
+  const group = await startGroup(context);
+  setPlainServerFault(group, 'callMilliseconds', 200);
+  const connection = await openConnection(context, group);
+  const lines = 'Transfer-Encoding: chunked\r\n';
+  connection.write(formatRequest() + formatRequest({ method: 'POST', lines }));
+  await sleep(50);
+  connection.write('no chunk\r\n');
+  assert.equal((await connection.readResponse(ANSWER_TIMEOUT_MILLISECONDS))?.status, 200);
+  assert.equal(await connection.readResponse(1000), undefined);
+  assert.ok(connection.isClosed);
+});
+
 test('proper requests: bytes that are no request end a reused connection without an answer', async (context) => {
   const group = await startGroup(context);
   const connection = await openConnection(context, group);
--- a/tools/raw-connection.ts
+++ b/tools/raw-connection.ts
@@ -45,9 +45,11 @@
       this.#received += part.toString('latin1');
     });
     socket.on('error', () => undefined);
-    socket.on('close', () => {
+    const markClosed = (): void => {
       this.#isClosed = true;
-    });
+    };
+    socket.on('end', markClosed);
+    socket.on('close', markClosed);
   }
 
   /**
@@ -61,6 +63,7 @@
     return new RawConnection(socket);
   }
 
+  /** Whether the other side has ended the connection. */
   get isClosed(): boolean {
     return this.#isClosed;
   }
@@ -105,11 +108,13 @@
       const finish = (): void => {
         clearTimeout(timer);
         this.#socket.off('data', finish);
+        this.#socket.off('end', finish);
         this.#socket.off('close', finish);
         resolve();
       };
       const timer = setTimeout(finish, milliseconds);
       this.#socket.on('data', finish);
+      this.#socket.on('end', finish);
       this.#socket.on('close', finish);
     });
   }
