Judge a request by one version of the configuration

Callers saw (in the test) 401 for a key that the instance knew: the key came with a newer configuration while the body was read. Cause: accounts and services were taken from before the body, routes from after it, and freshness from now. Class: a decision that mixes two versions. Now all but the limit on the body is read after the body, from one version; the window was the time that a body takes, so lookups hardly met it. Not shown: that the incident was this.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -154,8 +154,8 @@
 
   const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
     const receivedAt = performance.now();
-    const { current } = configuration;
-    if (!current) return rejectRequest(incoming, response, NO_CONFIGURATION);
+    if (!configuration.current) return rejectRequest(incoming, response, NO_CONFIGURATION);
+    const { bodyBytes } = configuration.current.limits;
     const metadata = protocol.parseRequestHeaders(incoming.headers);
     if (metadata.requestId === '' || !incoming.url?.startsWith('/')) {
       return rejectRequest(incoming, response, BAD_REQUEST);
@@ -168,7 +168,9 @@
     response.on('close', onClose);
     let timer: NodeJS.Timeout | undefined;
     try {
-      const body = await readBody(incoming, current.limits.bodyBytes);
+      const body = await readBody(incoming, bodyBytes);
+      // A newer version may have come while the body was read; one version decides on all of the rest.
+      const { current } = configuration;
       const route = findRouteOrRejection(current, configuration, incoming, metadata);
       if (isLocalResponse(route)) return rejectRequest(incoming, response, route);
       const service = current.services.get(pickService(route, Math.random()));
