Ignore an expectation that the instance does not know

Callers saw (in the test) 417, without a line in the log: Node.js answers an unknown Expect header by itself. A server may ignore such an expectation, and then the request is an ordinary one. Class: as for the connection errors, a 4xx that the program never decided. Not shown: that the incident was this.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -211,19 +211,23 @@
     }
   };
 
+  const serveRequest = (incoming: IncomingMessage, response: ServerResponse): void => {
+    openCount += 1;
+    if (isStopping()) response.setHeader('Connection', 'close');
+    response.once('close', () => {
+      openCount -= 1;
+    });
+    const { requestId } = protocol.parseRequestHeaders(incoming.headers);
+    connections.addRequest(incoming, response, requestId);
+    void serve(incoming, response);
+  };
+
   const server = http.createServer(
     { maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true },
-    (incoming, response) => {
-      openCount += 1;
-      if (isStopping()) response.setHeader('Connection', 'close');
-      response.once('close', () => {
-        openCount -= 1;
-      });
-      const { requestId } = protocol.parseRequestHeaders(incoming.headers);
-      connections.addRequest(incoming, response, requestId);
-      void serve(incoming, response);
-    },
+    serveRequest,
   );
+  // An expectation other than 100-continue may be ignored; Node.js would answer 417 by itself.
+  server.on('checkExpectation', serveRequest);
   server.on('clientError', (error, socket) => connections.handleError(error, socket));
   server.requestTimeout = 0;
   configuration.onChange(({ limits }) => {
