Route a request whose target names scheme and host

Callers saw (in the test) 400 for a target in absolute form, which a server has to accept: the target was required to start with a slash. Its host goes before the Host header, and the backend server gets path and query as the caller sent them. Class: a proper request is taken for a wrong one.

--- a/src/entry/entry-request.ts
+++ b/src/entry/entry-request.ts
@@ -8,6 +8,8 @@
   readonly incoming: IncomingMessage;
   readonly response: ServerResponse;
   readonly metadata: RequestMetadata;
+  /** The path with its query, as the caller sent it. */
+  readonly path: string;
   readonly route: Route;
   readonly service: Service;
   /** Undefined for public routes and where no accounts are configured. */
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -8,6 +8,7 @@
 import type { EntryContext } from './entry-context.js';
 import type { AbortReason, EntryRequest } from './entry-request.js';
 import type { RequestMetadata } from './protocol-adapter.js';
+import { parseRequestTarget, type RequestTarget } from './request-target.js';
 import { relayCall } from './relay-call.js';
 import { relayStream } from './relay-stream.js';
 import type { ActiveConfiguration } from './active-configuration.js';
@@ -89,12 +90,8 @@
   return Buffer.concat(parts);
 }
 
-function getHost(incoming: IncomingMessage): string {
-  return (incoming.headers.host ?? '').replace(/:\d+$/, '').toLowerCase();
-}
-
-function hashContent(incoming: IncomingMessage, account: string, body: Buffer): string {
-  const hash = createHash('sha1').update(`${account}\n${incoming.url}\n`).update(body);
+function hashContent(path: string, account: string, body: Buffer): string {
+  const hash = createHash('sha1').update(`${account}\n${path}\n`).update(body);
   return hash.digest('hex').slice(0, 2 * CONTENT_HASH_BYTES);
 }
 
@@ -102,10 +99,10 @@
 function findRouteOrRejection(
   configuration: ServingConfiguration,
   activeConfiguration: ActiveConfiguration,
-  incoming: IncomingMessage,
+  target: RequestTarget,
   metadata: RequestMetadata,
 ): Route | LocalResponse {
-  const route = activeConfiguration.routes.find(getHost(incoming), incoming.url ?? '');
+  const route = activeConfiguration.routes.find(target.host, target.path);
   const isFresh = activeConfiguration.isFresh();
   if (!route) return isFresh ? NO_ROUTE : STALE_CONFIGURATION;
   if (!configuration.hasAccounts || route.isPublic) return route;
@@ -157,7 +154,8 @@
     if (!configuration.current) return rejectRequest(incoming, response, NO_CONFIGURATION);
     const { bodyBytes } = configuration.current.limits;
     const metadata = protocol.parseRequestHeaders(incoming.headers);
-    if (metadata.requestId === '' || !incoming.url?.startsWith('/')) {
+    const target = parseRequestTarget(incoming.url ?? '', incoming.headers.host);
+    if (metadata.requestId === '' || !target) {
       return rejectRequest(incoming, response, BAD_REQUEST);
     }
     const abortController = new AbortController();
@@ -171,7 +169,7 @@
       const body = await readBody(incoming, bodyBytes);
       // A newer version may have come while the body was read; one version decides on all of the rest.
       const { current } = configuration;
-      const route = findRouteOrRejection(current, configuration, incoming, metadata);
+      const route = findRouteOrRejection(current, configuration, target, metadata);
       if (isLocalResponse(route)) return rejectRequest(incoming, response, route);
       const service = current.services.get(pickService(route, Math.random()));
       if (!service) return rejectRequest(incoming, response, STALE_CONFIGURATION);
@@ -186,6 +184,7 @@
         incoming,
         response,
         metadata,
+        path: target.path,
         route,
         service,
         account,
@@ -193,7 +192,7 @@
         receivedAt,
         deadline,
         signal: abortController.signal,
-        contentHash: hashContent(incoming, account?.name ?? '', body),
+        contentHash: hashContent(target.path, account?.name ?? '', body),
       };
       if (isStopping()) response.setHeader('Connection', 'close');
       if (service.engine) await relayStream(context, request, service.engine);
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -204,12 +204,12 @@
    */
   async #sendToServer(server: FleetServer, signal: AbortSignal): Promise<AttemptResult> {
     const { protocol, callTimes } = this.#context;
-    const { incoming, account, body, deadline, metadata, route } = this.#request;
+    const { incoming, path, account, body, deadline, metadata, route } = this.#request;
     const startedAt = performance.now();
     const backendResponse = await sendBackendRequest({
       address: server.entry.address,
       method: incoming.method ?? 'GET',
-      target: incoming.url ?? '/',
+      target: path,
       headers: protocol.buildBackendHeaders(incoming.rawHeaders, {
         remainingMilliseconds: deadline - startedAt,
         account: account?.name,
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -316,11 +316,11 @@
     signal: AbortSignal,
   ): Promise<AttemptResult> {
     const { protocol, outlierEjection, fleet } = this.#context;
-    const { incoming, account, body, deadline, metadata, route } = this.#request;
+    const { incoming, path, account, body, deadline, metadata, route } = this.#request;
     const engineResponse = await sendBackendRequest({
       address: firstEngine.entry.address,
       method: incoming.method ?? 'GET',
-      target: incoming.url ?? '/',
+      target: path,
       headers: protocol.buildBackendHeaders(incoming.rawHeaders, {
         remainingMilliseconds: deadline - performance.now(),
         account: account?.name,
