The product's own interface: answer a request that was read, whatever follows it on its connection

The same cause elsewhere: the server for callers of the product's own interface had no listener for connection errors either, so that a generation under way was answered 400 for the bytes after its request. It now uses the same CallerConnections, which moves to src/common, with a line in the log and a counter. Evidence: the new test in tests/bad-input failed before (400 instead of 200) and passes.

--- a/src/caller/caller-server.ts
+++ b/src/caller/caller-server.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import { CallerConnections } from '../common/caller-connections.js';
 import { getErrorMessage } from '../common/http-client.js';
 import { createRefusal, createRejection, type Outcome, type Refusal } from '../routing/outcome.js';
 import { chooseAddresses } from './addresses.js';
@@ -178,6 +179,11 @@
   return undefined;
 }
 
+/** The id that the caller gave the request, or an empty string. */
+function readGivenRequestId(request: IncomingMessage): string {
+  return request.headers['x-request-id']?.toString() ?? '';
+}
+
 /** Answers one request; exactly one outcome is sent, measured and logged. */
 async function handleRequest(
   request: IncomingMessage,
@@ -190,7 +196,7 @@
     sendPublic(request, response, context);
     return;
   }
-  const givenId = request.headers['x-request-id']?.toString() ?? '';
+  const givenId = readGivenRequestId(request);
   const requestId = REQUEST_ID_PATTERN.test(givenId) ? givenId : randomUUID();
   response.setHeader('x-request-id', requestId);
   const state = context.membership.find(context.settings.instance)?.state;
@@ -221,6 +227,10 @@
 export function startCallerServer(context: CallerContext): Promise<CallerServer> {
   const { settings, log } = context;
   let openRequests = 0;
+  const connections = new CallerConnections({
+    log,
+    countError: (code) => context.metrics.count('connection_error', { code }),
+  });
   const server = http.createServer(
     {
       maxHeaderSize: settings.sizeLimits.headerBytes,
@@ -231,6 +241,7 @@
     (request, response) => {
       openRequests += 1;
       response.on('error', () => undefined);
+      connections.addRequest(request, response, readGivenRequestId(request));
       handleRequest(request, response, context, openRequests)
         .catch((error: unknown) => {
           log.error('A caller request failed with an unexpected error; its connection is closed.', {
@@ -243,6 +254,7 @@
         });
     },
   );
+  server.on('clientError', (error, socket) => connections.handleError(error, socket));
   const { host, port } = settings.callerAddress;
   return new Promise((resolve, rejectStart) => {
     server.once('error', rejectStart);
--- a/src/entry/caller-connections.ts
+++ b/src/common/caller-connections.ts
@@ -5,7 +5,6 @@
 import { STATUS_CODES, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Logger } from '../telemetry/log.js';
-import type { EntryMetrics } from './entry-metrics.js';
 
 /** An error of the HTTP server on a connection. */
 export interface ConnectionError extends Error {
@@ -53,7 +52,8 @@
 /** Options of {@link CallerConnections}. */
 export interface CallerConnectionsOptions {
   readonly log: Logger;
-  readonly metrics: Pick<EntryMetrics, 'countEvent'>;
+  /** Counts an error under its code. */
+  readonly countError: (code: string) => void;
 }
 
 const PARSE_ERROR_PREFIX = 'HPE_';
@@ -159,8 +159,8 @@
   }
 
   #record(error: ConnectionError, state: ConnectionState, decision: ConnectionDecision): void {
-    const { log, metrics } = this.#options;
-    metrics.countEvent(`connection_error_${error.code ?? 'unknown'}`);
+    const { log, countError } = this.#options;
+    countError(error.code ?? 'unknown');
     log.info("A caller's connection failed.", {
       code: error.code,
       message: error.message,
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -2,8 +2,8 @@
 import { createHash } from 'node:crypto';
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Address } from '../common/address.js';
+import { CallerConnections } from '../common/caller-connections.js';
 import { getErrorMessage } from '../common/http-client.js';
-import { CallerConnections } from './caller-connections.js';
 import { sendLocalResponse, type LocalResponse } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import type { AbortReason, EntryRequest } from './entry-request.js';
@@ -125,7 +125,10 @@
   const { address, context, configuration, isStopping } = options;
   const { protocol, metrics, logs } = context;
   const log = logs('caller');
-  const connections = new CallerConnections({ log, metrics });
+  const connections = new CallerConnections({
+    log,
+    countError: (code) => metrics.countEvent(`connection_error_${code}`),
+  });
   let openCount = 0;
 
   const rejectRequest = (
--- a/tests/bad-input.test.ts
+++ b/tests/bad-input.test.ts
@@ -12,6 +12,7 @@
 import { sendRequest, createIdempotencyKey, requestStream } from '../tools/caller.js';
 import { tryFetchJson, waitFor } from '../tools/daemon-group.js';
 import { startFleet, type Fleet } from '../tools/fleet.js';
+import { RawConnection } from '../tools/raw-connection.js';
 
 const BOOKINGS_PATH = '/v1/services/bookings/movers';
 
@@ -123,6 +124,22 @@
   assert.equal(answer.outcome, 'completed');
 });
 
+test('bad input: a generation that is under way is answered, whatever bytes follow its request', async (context) => {
+  const fleet = await startSingleInstanceFleet(context);
+  const connection = await RawConnection.open(fleet.first.callerAddress.port);
+  context.after(() => connection.destroy());
+  const body = JSON.stringify({ model: 'drafting', prompt: 'x', max_tokens: 15 });
+  connection.write(
+    'POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Client-Account: planner\r\n' +
+      `Content-Type: application/json\r\nConnection: close\r\n` +
+      `Content-Length: ${body.length}\r\n\r\n${body}`,
+  );
+  await sleep(60);
+  connection.write('these bytes are no request\r\n\r\n');
+  assert.equal((await connection.readResponse(5000))?.status, 200);
+  await waitUntilNoOpenRequests(fleet);
+});
+
 test('bad input: the generation of a caller that disconnects is cancelled on the engine', async (context) => {
   const fleet = await startSingleInstanceFleet(context);
   const abortController = new AbortController();
