Deny no key or route on word of the store that is over 10 s old

Callers saw (in the test) 401 for a proper key 10 s after the store had fallen silent, and could for 17.5 s: an open watch counts as contact for 11.5 s, each heartbeat renewed the freshness of the configuration on it, peers confirmed each other with it, and a rejection asked for 6 s. Class: a 4xx without evidence; only a change that has to be in force within 10 s elsewhere can be missing here.

Now only answers of the store are evidence: a watch of the configuration answers within 3.5 s, contact lasts 5 s, and a rejection asks for 4.5 s, so that also by a peer's word it is below 10 s. A silent store is noticed after 5 s instead of 11.5 s, and another instance of the data centre follows it then. Ruled out: removing only the heartbeat's renewal (peers go on confirming each other). Evidence: the new test failed before (401, 401) and passes (503, 503).

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -274,7 +274,6 @@
     void this.#runPeriodically(
       () => getHeartbeatInterval(this.#peers.aliveCount),
       async () => {
-        if (this.#storeFollower.isStoreReachable) this.#configuration.markUpToDate('store contact');
         this.#ownRecord.refresh();
         this.#dataCentreLoads = sumDataCentreLoads(
           [this.#ownRecord.current, ...this.#peers.aliveRecords],
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -41,11 +41,13 @@
 const NEWS_DELAY_MILLISECONDS = 400;
 /** Longer while idle, so that servers that register in quick succession are applied together. */
 const IDLE_WATCH_PAUSE_MILLISECONDS = 500;
+/** How long one watch of the configuration waits for a change; its answer shows that there is none. */
+const CONFIGURATION_WATCH_MILLISECONDS = 3500;
 /**
  * The store counts as reachable for this long after a response, unless a call fails. Longer than one
- * watch, which may wait 10 s without a change.
+ * watch of the configuration.
  */
-const STORE_REACHABLE_MILLISECONDS = 11_500;
+const STORE_REACHABLE_MILLISECONDS = 5000;
 
 /** An instance's list of backend servers, as peers fetch it. */
 interface FleetDocument {
@@ -161,6 +163,7 @@
     return followObjects({
       store: platform.store,
       objectKind: platform.configurationKind,
+      waitMilliseconds: CONFIGURATION_WATCH_MILLISECONDS,
       isPaused: () => isFollowedByPeers() && configuration.current !== undefined,
       onList: (objects) => objects.forEach((object) => this.#applyConfiguration(object)),
       onChanges: (changes) => changes.forEach(({ object }) => this.#applyConfiguration(object)),
--- a/src/entry/active-configuration.ts
+++ b/src/entry/active-configuration.ts
@@ -10,9 +10,10 @@
 
 /**
  * A route or API key that the configuration lacks is only reported as unknown while the
- * configuration was confirmed to be the newest within this time.
+ * configuration was confirmed to be the newest within this time. A peer that confirms it may itself
+ * have heard from the store 5 s ago; together that is below the 10 s in which a change is in force.
  */
-const FRESHNESS_LIMIT_MILLISECONDS = 6000;
+const FRESHNESS_LIMIT_MILLISECONDS = 4500;
 
 /** The configuration by which an instance serves requests. It is never replaced by an older one. */
 export class ActiveConfiguration {
@@ -55,7 +56,7 @@
   /**
    * Records that the store, or a peer that can reach it, has no newer version.
    *
-   * @param evidence - What shows it: `store answer`, `store contact` or the name of the peer.
+   * @param evidence - What shows it: `store answer` or the name of the peer.
    */
   markUpToDate(evidence: string): void {
     this.#upToDateAt = this.#now();
--- a/tests/proper-requests.test.ts
+++ b/tests/proper-requests.test.ts
@@ -222,6 +222,25 @@
   assert.equal((await connection.readResponse(ANSWER_TIMEOUT_MILLISECONDS))?.status, 200);
 });
 
+// A change of the configuration is in force within 10 s; an instance that cannot know it has to say so.
+test('proper requests: 10 s after the store has fallen silent, no key of a newer configuration is denied', async (context) => {
+  const group = await startGroup(context, { instances: 2 });
+  group.store.faults.neverAnswers = true;
+  const [planner, dealer] = PLATFORM_CONFIGURATION.tenants;
+  const tenants = [planner, { ...dealer, 'api-keys': ['key-3', 'key-9'] }];
+  group.store.put('config', 'main', { ...PLATFORM_CONFIGURATION, version: 2, tenants });
+  await sleep(10_000);
+  const answers = await Promise.all(
+    group.instances.map((instance) =>
+      sendCallerRequest(instance, '/lookups/1', { method: 'GET', key: 'key-9' }),
+    ),
+  );
+  assert.deepEqual(
+    answers.map(({ status }) => status),
+    [503, 503],
+  );
+});
+
 test('proper requests: a request whose target names scheme and host is routed by its host and path', async (context) => {
   const group = await startGroup(context);
   const connection = await openConnection(context, group);
--- a/tools/stand-ins/platform-store.ts
+++ b/tools/stand-ins/platform-store.ts
@@ -37,6 +37,8 @@
 export interface StoreFaults {
   /** The status with which every call is answered; 0 means normal operation. */
   status: number;
+  /** Accepts every call and never answers it, as behind a partition. */
+  neverAnswers: boolean;
   /** Executes each write, but closes the connection without a response. */
   closesAfterWrite: boolean;
   /**
@@ -51,6 +53,7 @@
 export class PlatformStore {
   readonly faults: StoreFaults = {
     status: 0,
+    neverAnswers: false,
     closesAfterWrite: false,
     keepsExpiredWatchesOpen: false,
   };
@@ -142,11 +145,13 @@
   #finishWatch(watcher: Watcher): void {
     clearTimeout(watcher.timer);
     this.#watchers.delete(watcher);
+    if (this.faults.neverAnswers) return;
     const events = this.#listEventsSince(watcher.kind, watcher.since);
     sendJson(watcher.response, 200, { events, 'store-revision': this.#revision });
   }
 
   #handleRequest({ method, path, query, body, response }: StandInRequest): void {
+    if (this.faults.neverAnswers) return;
     if (this.faults.status > 0) {
       sendJson(response, this.faults.status, {});
       return;
