Soak: no proper request is denied while faults come in series and overlap

16 callers with kept connections, requests in segments, early leavers and stray bytes, against four instances that freeze, die and stop, a store that fails, falls silent and loses its history, configurations in quick succession, and servers that refuse, fall silent, close, confuse ids, or whose address something else answers.

An instance can be started again in a group.

--- a/tests/proper-requests.test.ts
+++ b/tests/proper-requests.test.ts
@@ -6,6 +6,8 @@
 import { test, type TestContext } from 'node:test';
 import { sleep } from '../src/common/clock.js';
 import { PLATFORM_CONFIGURATION, waitUntil, type PlatformGroup } from '../tools/platform-group.js';
+import { runProperRequestSoak } from '../tools/proper-request-soak.js';
+import { createRandom } from '../tools/random.js';
 import { RawConnection } from '../tools/raw-connection.js';
 import {
   createRequestId,
@@ -256,3 +258,17 @@
   const response = await connection.readResponse(ANSWER_TIMEOUT_MILLISECONDS);
   assert.equal(response?.status, 200);
 });
+
+test('proper requests: none is denied while instances freeze, die and stop, the store fails and servers misbehave, from a seed', async (context) => {
+  const group = await startGroup(context, { instances: 4, plainServers: 3 });
+  const result = await runProperRequestSoak({
+    group,
+    random: createRandom(Number(process.env.SEED ?? 24)),
+    seconds: Number(process.env.SECONDS ?? 20),
+    callers: 16,
+  });
+  const served = result.answers[200] ?? 0;
+  context.diagnostic(JSON.stringify(result.answers));
+  assert.deepEqual(result.denied, [], result.faults.join('\n'));
+  assert.ok(served > 200, `only ${served} requests were served`);
+});
--- a/tools/platform-group.ts
+++ b/tools/platform-group.ts
@@ -21,7 +21,8 @@
 /** A running instance, its process and its ports. */
 export interface PlatformInstance {
   readonly name: string;
-  readonly process: ChildProcess;
+  /** The current process; another one after a restart. */
+  process: ChildProcess;
   readonly ports: Readonly<Record<'front' | 'ready' | 'control' | 'directory', number>>;
   readonly settingsFile: string;
   /** The output of the process so far, in pieces as they arrived. */
@@ -176,6 +177,21 @@
 `;
 }
 
+function launch(program: string, settingsFile: string, log: string[]): ChildProcess {
+  const child = spawn(process.execPath, [program], {
+    env: { ...process.env, SESAMEDYKE_NODE_FILE: settingsFile },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  child.stdout.on('data', (part: Buffer) => log.push(part.toString()));
+  child.stderr.on('data', (part: Buffer) => log.push(part.toString()));
+  return child;
+}
+
+/** Starts the process of an instance that has ended once more, without waiting until it is ready. */
+export function relaunchInstance(instance: PlatformInstance, program = PLATFORM_PROGRAM): void {
+  instance.process = launch(program, instance.settingsFile, instance.log);
+}
+
 /** A store, backend servers and instances under the control of a test. */
 export class PlatformGroup {
   readonly store = new PlatformStore();
@@ -216,14 +232,8 @@
     this.#seedPort ||= control;
     const file = path.join(this.#directory, `${name}.toml`);
     await writeFile(file, formatSettings(name, ports, this.#storePort, this.#seedPort));
-    const child = spawn(process.execPath, [program], {
-      env: { ...process.env, SESAMEDYKE_NODE_FILE: file },
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
     const log: string[] = [];
-    child.stdout.on('data', (part: Buffer) => log.push(part.toString()));
-    child.stderr.on('data', (part: Buffer) => log.push(part.toString()));
-    const instance = { name, process: child, ports, settingsFile: file, log };
+    const instance = { name, process: launch(program, file, log), ports, settingsFile: file, log };
     this.instances.push(instance);
     return instance;
   }
