Send a relayed request in one place, and end streams in a module of their own

The relays of calls and streams each built the request to a backend server, read the head of the response and logged its failures; sendRelayedRequest does that for both.

--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -4,11 +4,12 @@
  */
 import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
-import { assertOwnResponse, ForeignResponseError, logFailureResponse } from './response-origin.js';
+import { sendRelayedRequest } from './relay-request.js';
+import { assertOwnResponse, ForeignResponseError } from './response-origin.js';
 import { getEndToEndHeaders, sendLocalResponse, appendHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, isIdempotent, type EntryRequest } from './entry-request.js';
-import { isBodyDelimited, sendBackendRequest } from './backend-request.js';
+import { isBodyDelimited } from './backend-request.js';
 
 /** A backend server's response, read completely. */
 interface BufferedResponse {
@@ -203,29 +204,19 @@
    * @throws Error when the response fails, is incomplete or is not the backend server's own.
    */
   async #sendToServer(server: FleetServer, signal: AbortSignal): Promise<AttemptResult> {
-    const { protocol, callTimes } = this.#context;
-    const { incoming, path, account, body, deadline, metadata, route } = this.#request;
+    const { callTimes } = this.#context;
+    const { metadata } = this.#request;
     const startedAt = performance.now();
-    const backendResponse = await sendBackendRequest({
-      address: server.entry.address,
-      method: incoming.method ?? 'GET',
-      target: path,
-      headers: protocol.buildBackendHeaders(incoming.rawHeaders, {
-        remainingMilliseconds: deadline - startedAt,
-        account: account?.name,
-        serverId: server.entry.id,
-        chain: undefined,
-        lastEventId: metadata.lastEventId,
-        urgency: Math.min(9, account?.priority ?? route.priority),
-        bodyBytes: body.length,
-      }),
-      body,
+    const {
+      message: backendResponse,
+      status,
+      metadata: responseMetadata,
+    } = await sendRelayedRequest(this.#context, this.#request, {
+      server: server.entry,
+      chain: undefined,
+      lastEventId: metadata.lastEventId,
       signal,
     });
-    const status = backendResponse.statusCode ?? 0;
-    const responseMetadata = protocol.parseResponseHeaders(backendResponse.headers, status);
-    if (status >= 300)
-      logFailureResponse(this.#context, metadata, server.entry, status, responseMetadata);
     if (responseMetadata.isNotExecuted) {
       backendResponse.resume();
       return {
--- /dev/null
+++ b/src/entry/relay-request.ts
@@ -0,0 +1,91 @@
+/** Sends a caller's request to a backend server and reads the head of the response. */
+import type { IncomingMessage } from 'node:http';
+import { formatAddress } from '../common/address.js';
+import type { ServerEntry } from '../fleet/server-entry.js';
+import { sendBackendRequest } from './backend-request.js';
+import type { EntryContext } from './entry-context.js';
+import type { EntryRequest } from './entry-request.js';
+import type { ResponseMetadata, StageAddress } from './protocol-adapter.js';
+
+/** Options of {@link sendRelayedRequest}. */
+export interface RelayedRequestOptions {
+  readonly server: ServerEntry;
+  /** The chain to run over; undefined for plain services. */
+  readonly chain: readonly StageAddress[] | undefined;
+  /** The last event that the caller has, when a stream resumes. */
+  readonly lastEventId: number | undefined;
+  /** Aborts the request, and its response if that has begun. */
+  readonly signal: AbortSignal;
+}
+
+/** The head of a backend server's response; its body can be read from `message`. */
+export interface RelayedResponse {
+  readonly message: IncomingMessage;
+  readonly status: number;
+  readonly metadata: ResponseMetadata;
+}
+
+/** Statuses from here on are logged with what they say about the response's origin. */
+const FIRST_LOGGED_STATUS = 300;
+/** The least urgent of the ten degrees that backend servers know. */
+const LEAST_URGENT = 9;
+
+function logFailure(
+  context: EntryContext,
+  requestId: string,
+  server: ServerEntry,
+  { status, metadata }: RelayedResponse,
+): void {
+  context.logs('routing').info('Backend server responded with a failure.', {
+    requestId,
+    server: server.id,
+    address: formatAddress(server.address),
+    status,
+    isNotExecuted: metadata.isNotExecuted,
+    isSigned: metadata.isSigned,
+    isForRequest: metadata.requestId === requestId,
+  });
+}
+
+/**
+ * Sends a request to a backend server and waits for the head of the response.
+ *
+ * @param context - What the instance shares between requests.
+ * @param request - The caller's request.
+ * @param options - Where it goes, and how.
+ * @returns The response; whether it is the server's own has not been checked.
+ * @throws HttpRequestError whose phase tells whether any byte may have reached the backend server.
+ */
+export async function sendRelayedRequest(
+  context: EntryContext,
+  request: EntryRequest,
+  options: RelayedRequestOptions,
+): Promise<RelayedResponse> {
+  const { protocol } = context;
+  const { incoming, path, account, body, deadline, metadata, route } = request;
+  const { server, chain, lastEventId, signal } = options;
+  const message = await sendBackendRequest({
+    address: server.address,
+    method: incoming.method ?? 'GET',
+    target: path,
+    headers: protocol.buildBackendHeaders(incoming.rawHeaders, {
+      remainingMilliseconds: deadline - performance.now(),
+      account: account?.name,
+      serverId: server.id,
+      chain,
+      lastEventId,
+      urgency: Math.min(LEAST_URGENT, account?.priority ?? route.priority),
+      bodyBytes: body.length,
+    }),
+    body,
+    signal,
+  });
+  const status = message.statusCode ?? 0;
+  const response = {
+    message,
+    status,
+    metadata: protocol.parseResponseHeaders(message.headers, status),
+  };
+  if (status >= FIRST_LOGGED_STATUS) logFailure(context, metadata.requestId, server, response);
+  return response;
+}
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -7,22 +7,19 @@
 import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
 import { recordRefusal, recordAcceptance, type FleetServer } from '../fleet/backend-fleet.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
-import {
-  getEndToEndHeaders,
-  sendLocalResponse,
-  appendHeaders,
-  type LocalResponse,
-} from './entry-response.js';
+import { getEndToEndHeaders, appendHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
-import { getAbortReason, isIdempotent, type EntryRequest } from './entry-request.js';
+import { isIdempotent, type EntryRequest } from './entry-request.js';
 import { EventSplitter } from './event-splitter.js';
-import { isBodyDelimited, sendBackendRequest } from './backend-request.js';
+import { isBodyDelimited } from './backend-request.js';
 import type { EngineProfile } from './serving-configuration.js';
 import type { WatchedStream } from './stall-detector.js';
 import { CallerStream } from './caller-stream.js';
 import { rerouteStream } from './stream-reroute.js';
+import { StreamEnding } from './stream-ending.js';
 import { StreamRuns } from './stream-runs.js';
-import { assertOwnResponse, logFailureResponse } from './response-origin.js';
+import { sendRelayedRequest } from './relay-request.js';
+import { assertOwnResponse } from './response-origin.js';
 import { listStageAddresses, ChainSelector, type EngineChain } from './chain-selector.js';
 
 /** The result of one attempt. */
@@ -60,7 +57,6 @@
  */
 const FIRST_EVENT_TIMEOUT_SHARE = 0.7;
 const MAXIMUM_LATE_RETRIES = 1;
-const RETRY_AFTER_BLOCKED_SECONDS = 30;
 
 /** A route without a target time has no timeout for the first event. */
 function getFirstEventTimeout(targetMilliseconds: number): number {
@@ -69,10 +65,6 @@
     : Number.POSITIVE_INFINITY;
 }
 
-function roundMilliseconds(milliseconds: number | undefined): number | undefined {
-  return milliseconds === undefined ? undefined : Math.round(milliseconds);
-}
-
 /** Relays one streaming request, from its first attempt to its outcome. */
 class StreamRelay {
   readonly #context: EntryContext;
@@ -88,6 +80,8 @@
 
   readonly #runs: StreamRuns;
 
+  readonly #ending: StreamEnding;
+
   #refusedAttempts = 0;
 
   /** Whether a retry of the budget has been taken for an attempt that is being abandoned. */
@@ -104,27 +98,24 @@
       this.#runs.allows(id),
     );
     this.#caller = new CallerStream(request);
+    this.#ending = new StreamEnding({ context, request, caller: this.#caller, runs: this.#runs });
   }
 
   async serve(): Promise<string> {
     const { crashRecords, retryBudget } = this.#context;
     const { contentHash, service, signal } = this.#request;
     if (crashRecords.isBlocked(contentHash)) {
-      return this.#sendLocalResponse('convicted', {
-        status: 503,
-        code: 'crashes_servers',
-        message: 'Requests like this one have crashed several servers; it was not run.',
-        retryAfterSeconds: RETRY_AFTER_BLOCKED_SECONDS,
-      });
+      return this.#ending.refuseBlocked();
     }
     retryBudget.recordFirstAttempt(service.name);
     for (;;) {
       const chain = await this.#findChain();
-      if (signal.aborted) return this.#sendTimeout();
-      if (!chain) return this.#sendFailure('no_chain');
+      if (signal.aborted) return this.#ending.sendTimeout();
+      if (!chain) return this.#ending.sendFailure('no_chain');
       const result = await this.#attempt(chain);
-      if (signal.aborted) return this.#sendTimeout();
-      if (result.kind === 'completed' || result.kind === 'answered') return this.#complete(result);
+      if (signal.aborted) return this.#ending.sendTimeout();
+      if (result.kind === 'completed' || result.kind === 'answered')
+        return this.#ending.complete(result.kind);
       const outcome = await this.#handleFault(result, chain);
       if (outcome !== undefined) return outcome;
     }
@@ -163,7 +154,7 @@
     });
     metrics.countEvent(isRetried ? 'retry' : 'given_up');
     if (isRetried) return undefined;
-    return this.#sendFailure('servers_refused');
+    return this.#ending.sendFailure('servers_refused');
   }
 
   /**
@@ -315,28 +306,18 @@
     watched: WatchedStream,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { protocol, outlierEjection, fleet } = this.#context;
-    const { incoming, path, account, body, deadline, metadata, route } = this.#request;
-    const engineResponse = await sendBackendRequest({
-      address: firstEngine.entry.address,
-      method: incoming.method ?? 'GET',
-      target: path,
-      headers: protocol.buildBackendHeaders(incoming.rawHeaders, {
-        remainingMilliseconds: deadline - performance.now(),
-        account: account?.name,
-        serverId: firstEngine.entry.id,
-        chain: listStageAddresses(chain),
-        lastEventId: this.#caller.lastEventId,
-        urgency: Math.min(9, account?.priority ?? route.priority),
-        bodyBytes: body.length,
-      }),
-      body,
+    const { outlierEjection, fleet } = this.#context;
+    const { metadata } = this.#request;
+    const {
+      message: engineResponse,
+      status,
+      metadata: responseMetadata,
+    } = await sendRelayedRequest(this.#context, this.#request, {
+      server: firstEngine.entry,
+      chain: listStageAddresses(chain),
+      lastEventId: this.#caller.lastEventId,
       signal,
     });
-    const status = engineResponse.statusCode ?? 0;
-    const responseMetadata = protocol.parseResponseHeaders(engineResponse.headers, status);
-    if (status >= 300)
-      logFailureResponse(this.#context, metadata, firstEngine.entry, status, responseMetadata);
     if (responseMetadata.isNotExecuted) {
       const refusingServer =
         responseMetadata.faultAddress === undefined
@@ -398,69 +379,6 @@
     this.#context.refusalPacing.recordAccepted();
     this.#caller.start(getEndToEndHeaders(engineResponse), status);
   }
-
-  #complete(result: Extract<AttemptResult, { kind: 'completed' | 'answered' }>): string {
-    if (result.kind === 'completed') this.#request.response.end();
-    return this.#recordOutcome(result.kind);
-  }
-
-  /** Ends the request with a refusal, or with a failure if it may have run. */
-  #sendFailure(refusalCode: string): string {
-    if (this.#runs.total > 0) {
-      return this.#sendLocalResponse('broken', {
-        status: 502,
-        code: 'engine_failed',
-        message: 'An engine failed while it ran the request.',
-      });
-    }
-    this.#context.refusalPacing.recordRefused();
-    return this.#sendLocalResponse('refused', {
-      status: 503,
-      code: refusalCode,
-      message: 'No chain of engines could run the request; it was not run.',
-      retryAfterSeconds: this.#context.refusalPacing.chooseRetryAfterSeconds(),
-    });
-  }
-
-  #sendTimeout(): string {
-    const reason = getAbortReason(this.#request.signal) ?? 'deadline';
-    return this.#sendLocalResponse(reason, {
-      status: 504,
-      code: 'timeout',
-      message: 'The request was not finished in its time.',
-    });
-  }
-
-  #sendLocalResponse(outcome: string, localResponse: LocalResponse): string {
-    const { response, metadata } = this.#request;
-    // A stream that has started is destroyed without its last chunk, so it does not look complete.
-    sendLocalResponse(response, metadata.requestId, localResponse);
-    return this.#recordOutcome(outcome);
-  }
-
-  #recordOutcome(outcome: string): string {
-    const { metrics, logs } = this.#context;
-    const { account, route, metadata, receivedAt } = this.#request;
-    const { firstEventMilliseconds, longestPauseMilliseconds } = this.#caller;
-    const labels = { account: account?.name ?? '', kind: route.kind, outcome };
-    metrics.recordRequest(
-      labels,
-      firstEventMilliseconds === undefined ? undefined : firstEventMilliseconds / 1000,
-    );
-    logs('caller').info('Request finished.', {
-      requestId: metadata.requestId,
-      ...labels,
-      route: route.name,
-      firstEventMilliseconds: roundMilliseconds(firstEventMilliseconds),
-      totalMilliseconds: Math.round(performance.now() - receivedAt),
-      longestPauseMilliseconds: roundMilliseconds(longestPauseMilliseconds),
-      targetMilliseconds: route.targetMilliseconds,
-      gapTargetMilliseconds: route.gapTargetMilliseconds,
-      lastEventId: this.#caller.lastEventId,
-      runs: this.#runs.countedServers,
-    });
-    return outcome;
-  }
 }
 
 /**
--- /dev/null
+++ b/src/entry/stream-ending.ts
@@ -0,0 +1,109 @@
+/** Ends a streaming request: completes, refuses or fails it, and records its outcome. */
+import type { CallerStream } from './caller-stream.js';
+import type { EntryContext } from './entry-context.js';
+import { getAbortReason, type EntryRequest } from './entry-request.js';
+import { sendLocalResponse, type LocalResponse } from './entry-response.js';
+import type { StreamRuns } from './stream-runs.js';
+
+/** Options of {@link StreamEnding}. */
+export interface StreamEndingOptions {
+  readonly context: EntryContext;
+  readonly request: EntryRequest;
+  readonly caller: CallerStream;
+  readonly runs: StreamRuns;
+}
+
+const RETRY_AFTER_BLOCKED_SECONDS = 30;
+
+function roundMilliseconds(milliseconds: number | undefined): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
+/** The ways in which one streaming request may end; each returns the outcome for the metrics. */
+export class StreamEnding {
+  readonly #options: StreamEndingOptions;
+
+  constructor(options: StreamEndingOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Ends a request whose stream is whole, or whose engine's failure was passed on.
+   *
+   * @param kind - Which of the two.
+   */
+  complete(kind: 'completed' | 'answered'): string {
+    if (kind === 'completed') this.#options.request.response.end();
+    return this.#recordOutcome(kind);
+  }
+
+  /** Refuses a request whose like has crashed several servers. */
+  refuseBlocked(): string {
+    return this.#sendLocalResponse('convicted', {
+      status: 503,
+      code: 'crashes_servers',
+      message: 'Requests like this one have crashed several servers; it was not run.',
+      retryAfterSeconds: RETRY_AFTER_BLOCKED_SECONDS,
+    });
+  }
+
+  /** Ends the request with a refusal, or with a failure if it may have run. */
+  sendFailure(refusalCode: string): string {
+    const { runs, context } = this.#options;
+    if (runs.total > 0) {
+      return this.#sendLocalResponse('broken', {
+        status: 502,
+        code: 'engine_failed',
+        message: 'An engine failed while it ran the request.',
+      });
+    }
+    context.refusalPacing.recordRefused();
+    return this.#sendLocalResponse('refused', {
+      status: 503,
+      code: refusalCode,
+      message: 'No chain of engines could run the request; it was not run.',
+      retryAfterSeconds: context.refusalPacing.chooseRetryAfterSeconds(),
+    });
+  }
+
+  /** Ends a request whose deadline has passed or whose caller has left. */
+  sendTimeout(): string {
+    const reason = getAbortReason(this.#options.request.signal) ?? 'deadline';
+    return this.#sendLocalResponse(reason, {
+      status: 504,
+      code: 'timeout',
+      message: 'The request was not finished in its time.',
+    });
+  }
+
+  #sendLocalResponse(outcome: string, localResponse: LocalResponse): string {
+    const { response, metadata } = this.#options.request;
+    // A stream that has started is destroyed without its last chunk, so it does not look complete.
+    sendLocalResponse(response, metadata.requestId, localResponse);
+    return this.#recordOutcome(outcome);
+  }
+
+  #recordOutcome(outcome: string): string {
+    const { context, request, caller, runs } = this.#options;
+    const { account, route, metadata, receivedAt } = request;
+    const { firstEventMilliseconds, longestPauseMilliseconds } = caller;
+    const labels = { account: account?.name ?? '', kind: route.kind, outcome };
+    context.metrics.recordRequest(
+      labels,
+      firstEventMilliseconds === undefined ? undefined : firstEventMilliseconds / 1000,
+    );
+    context.logs('caller').info('Request finished.', {
+      requestId: metadata.requestId,
+      ...labels,
+      route: route.name,
+      firstEventMilliseconds: roundMilliseconds(firstEventMilliseconds),
+      totalMilliseconds: Math.round(performance.now() - receivedAt),
+      longestPauseMilliseconds: roundMilliseconds(longestPauseMilliseconds),
+      targetMilliseconds: route.targetMilliseconds,
+      gapTargetMilliseconds: route.gapTargetMilliseconds,
+      lastEventId: caller.lastEventId,
+      runs: runs.countedServers,
+    });
+    return outcome;
+  }
+}
