Write no line for the reset of a connection that carries no request

Callers reset idle connections at any time; each wrote a line though nothing was decided. They are still counted (connection_error_ECONNRESET). Lines stay for errors that meet a request, and for bytes that don't parse.

--- a/src/common/caller-connections.ts
+++ b/src/common/caller-connections.ts
@@ -65,6 +65,10 @@
   ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
+function isParseError(errorCode = ''): boolean {
+  return errorCode.startsWith(PARSE_ERROR_PREFIX);
+}
+
 /**
  * Decides what to do when a connection reports an error. A request that has been read is never answered
  * for the bytes after it. Bytes that do not parse are answered 400 only where they are certainly a
@@ -76,8 +80,8 @@
 export function decideOnConnectionError(situation: ConnectionSituation): ConnectionDecision {
   const { errorCode, openRequests, isReadingBody, hasStartedResponse } = situation;
   const knownStatus = STATUS_BY_ERROR_CODE[errorCode];
-  const isParseError = errorCode.startsWith(PARSE_ERROR_PREFIX);
-  if (situation.hasCallerLeft || !(isParseError || knownStatus)) return { kind: 'close' };
+  const isCallersFault = isParseError(errorCode) || knownStatus !== undefined;
+  if (situation.hasCallerLeft || !isCallersFault) return { kind: 'close' };
   if (openRequests > 0) return { kind: 'finishOpenRequests' };
   if (hasStartedResponse) return { kind: 'close' };
   if (knownStatus !== undefined) return { kind: 'reject', status: knownStatus };
@@ -161,6 +165,9 @@
   #record(error: ConnectionError, state: ConnectionState, decision: ConnectionDecision): void {
     const { log, countError } = this.#options;
     countError(error.code ?? 'unknown');
+    // A reset of a connection that carries no request decides nothing.
+    if (decision.kind === 'close' && state.openRequests.size === 0 && !isParseError(error.code))
+      return;
     log.info("A caller's connection failed.", {
       code: error.code,
       message: error.message,
