Refuse what comes to a stopping instance too late to be finished

All six instances were being stopped in turn, 1 s apart, each held for 7.4 s by its streams, so that for 2 s none was listed. Callers then keep the addresses that they have, and came up to 6 s after the SIGTERM; their streams were taken, and cut when the stop ended.

Cause: an instance took every request until its process ended, whether or not it could finish it. Now, once callers may no longer use its cached address, it refuses what its route allows to last beyond the end of the stop (503, not run, come back in 0.6 s); short calls are still served.

The new test failed before (a cut stream) and passes.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -109,6 +109,9 @@
 
   #isStopping = false;
 
+  /** Set while the instance stops, once callers may no longer use its cached address. */
+  #mustFinishBy: number | undefined;
+
   #server: EntryServer | undefined;
 
   #closeEndpoints: (() => void) | undefined;
@@ -216,6 +219,7 @@
         context: this.#context,
         configuration: this.#configuration,
         isStopping: () => this.#isStopping,
+        mustFinishBy: () => this.#mustFinishBy,
       }),
       platform.startEndpoints({
         isReady: () => this.#isReady,
@@ -249,7 +253,10 @@
     const cachedUntil = startedAt + CACHED_ADDRESS_LIFETIMES * ADDRESS_LIFETIME_SECONDS * 1000;
     while (performance.now() < deadline) {
       const isAddressCached = performance.now() < cachedUntil;
-      if (!isAddressCached) this.#server?.closeIdleConnections();
+      if (!isAddressCached) {
+        this.#mustFinishBy = deadline;
+        this.#server?.closeIdleConnections();
+      }
       if (!isAddressCached && this.#server?.openRequests() === 0) break;
       await sleep(STOP_POLL_INTERVAL_MILLISECONDS);
     }
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -23,6 +23,11 @@
    * Whether the instance is stopping, in which case connections are closed after their response.
    */
   readonly isStopping: () => boolean;
+  /**
+   * When callers should have left a stopping instance: the time, on the monotonic clock, by which
+   * requests that still arrive must be finished. Undefined before.
+   */
+  readonly mustFinishBy: () => number | undefined;
 }
 
 /** A running HTTP server for callers. */
@@ -47,6 +52,12 @@
   message: 'The instance may not have the newest configuration; the request was not run.',
   retryAfterSeconds: 0.3,
 };
+const STOPPING: LocalResponse = {
+  status: 503,
+  code: 'stopping',
+  message: 'The instance is stopping; the request was not run.',
+  retryAfterSeconds: 0.6,
+};
 const NO_ROUTE: LocalResponse = {
   status: 404,
   code: 'no_route',
@@ -122,7 +133,7 @@
  * @throws Error when the address cannot be listened on.
  */
 export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
-  const { address, context, configuration, isStopping } = options;
+  const { address, context, configuration, isStopping, mustFinishBy } = options;
   const { protocol, metrics, logs } = context;
   const log = logs('caller');
   const connections = new CallerConnections({
@@ -176,6 +187,8 @@
       if (isLocalResponse(route)) return rejectRequest(incoming, response, route);
       const service = current.services.get(pickService(route, Math.random()));
       if (!service) return rejectRequest(incoming, response, STALE_CONFIGURATION);
+      if (performance.now() + route.timeoutMilliseconds > (mustFinishBy() ?? Infinity))
+        return rejectRequest(incoming, response, STOPPING);
       const account =
         metadata.apiKey === undefined || route.isPublic
           ? undefined
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -101,6 +101,23 @@
   assert.ok(answers.every(({ status }) => status === 200));
 });
 
+test('platform: a stream that comes late to a stopping instance is refused instead of being cut off', async (context) => {
+  const group = await startGroup(context, { pauseMilliseconds: 550 });
+  const instance = getFirstInstance(group);
+  const headers = { 'deadline-ms': '10000' };
+  const early = sendCallerRequest(instance, '/drafts/1', { headers });
+  await sleep(300);
+  instance.process.kill('SIGTERM');
+  // Callers may use an address for three lifetimes of 1 s.
+  await sleep(3300);
+  const late = await sendCallerRequest(instance, '/drafts/2');
+  assert.equal(late.status, 503);
+  assert.ok(Number(late.headers['retry-after']) > 0);
+  const call = await sendCallerRequest(instance, '/lookups/1', { method: 'GET' });
+  assert.equal(call.status, 200);
+  assert.equal((await early).status, 200);
+});
+
 test('platform: a stream that breaks off within an event is resumed by another run, and each event is sent once', async (context) => {
   const group = await startGroup(context);
   group.servers.forEach(({ faults }) => {
