Write log lines in order, and end a flush only when all is written

Cause: a flush that is called while another one runs took the lines that had come meanwhile and wrote them at the same time, so that lines could change places, and the first flush ended before the second had written; at the end of a process the last lines, those that explain a stop, could be lost.

Now one drain runs at a time and takes up what comes meanwhile; every flush ends with it. Ruled out: the busy machine alone (it only chose the moment).

--- a/src/telemetry/log-sink.ts
+++ b/src/telemetry/log-sink.ts
@@ -12,6 +12,12 @@
   readonly descriptor: number;
   /** The most that may wait to be written, counted in UTF-16 code units. */
   readonly maximumBufferedLength?: number;
+  /** Writes bytes from an offset on to a descriptor; the file system's by default. */
+  readonly writeBytes?: (
+    descriptor: number,
+    bytes: Buffer,
+    offset: number,
+  ) => Promise<{ readonly bytesWritten: number }>;
 }
 
 const DEFAULT_MAXIMUM_LENGTH = 1_048_576;
@@ -24,18 +30,25 @@
 
   readonly #maximumBufferedLength: number;
 
+  readonly #writeBytes: NonNullable<LogSinkOptions['writeBytes']>;
+
   #bufferedLines: string[] = [];
 
   #bufferedLength = 0;
 
   #droppedLineCount = 0;
 
-  #isFlushing = false;
+  #isScheduled = false;
+
+  #isDraining = false;
+
+  #drained: Promise<void> = Promise.resolve();
 
   constructor(options: LogSinkOptions) {
     super({ decodeStrings: false });
     this.#descriptor = options.descriptor;
     this.#maximumBufferedLength = options.maximumBufferedLength ?? DEFAULT_MAXIMUM_LENGTH;
+    this.#writeBytes = options.writeBytes ?? writeAsync;
   }
 
   override write(line: unknown): boolean {
@@ -46,17 +59,31 @@
     }
     this.#bufferedLines.push(text);
     this.#bufferedLength += text.length;
-    if (!this.#isFlushing) {
-      this.#isFlushing = true;
+    if (!this.#isScheduled && !this.#isDraining) {
+      this.#isScheduled = true;
       setImmediate(() => {
+        this.#isScheduled = false;
         void this.flush();
       });
     }
     return true;
   }
 
-  /** Writes all buffered lines, and a line with the number of dropped ones if there are any. */
-  async flush(): Promise<void> {
+  /**
+   * Writes all buffered lines, and a line with the number of dropped ones if there are any.
+   *
+   * @returns Resolves when everything that was buffered before the call is written.
+   */
+  flush(): Promise<void> {
+    if (!this.#isDraining) {
+      this.#isDraining = true;
+      this.#drained = this.#drain();
+    }
+    return this.#drained;
+  }
+
+  /** Only one runs at a time, so that lines stay in order; it takes up lines that come meanwhile. */
+  async #drain(): Promise<void> {
     while (this.#bufferedLines.length > 0) {
       const text = this.#bufferedLines.join('');
       this.#bufferedLines = [];
@@ -68,14 +95,14 @@
       }
       await this.#writeAll(Buffer.from(text));
     }
-    this.#isFlushing = false;
+    this.#isDraining = false;
   }
 
   async #writeAll(bytes: Buffer): Promise<void> {
     let written = 0;
     try {
       while (written < bytes.length) {
-        const result = await writeAsync(this.#descriptor, bytes, written);
+        const result = await this.#writeBytes(this.#descriptor, bytes, written);
         written += result.bytesWritten;
       }
     } catch {
