--- /dev/null
+++ b/src/entry/crash-records.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createSilentLogger } from '../telemetry/log.js';
+import { CrashRecords, CRASHES_TO_BLOCK } from './crash-records.js';
+
+function createRecords() {
+  const clock = { now: 1000 };
+  const records = new CrashRecords({ log: createSilentLogger(), now: () => clock.now });
+  return { clock, records };
+}
+
+// Each server that ends cuts the streams of many contents; these pushed the guilty one out.
+test('crash request: it is still known after servers have ended under hundreds of other requests', () => {
+  const { records } = createRecords();
+  for (let crash = 0; crash < CRASHES_TO_BLOCK; crash += 1) {
+    records.recordCrash('guilty', `server-${crash}`);
+    for (let other = 0; other < 300; other += 1)
+      records.recordCrash(`other-${crash}-${other}`, `server-${crash}`);
+  }
+  assert.ok(records.isBlocked('guilty'));
+  assert.ok(!records.isBlocked('other-0-0'));
+});
+
+// Two instances whose tables overflowed gave each other the same records again and again.
+test('crash request: records that a peer reports again do not live longer', () => {
+  const { clock, records } = createRecords();
+  const peer = createRecords();
+  for (let crash = 0; crash < CRASHES_TO_BLOCK; crash += 1) {
+    records.recordCrash('guilty', `server-${crash}`);
+    peer.records.recordCrash('guilty', `server-${crash}`);
+  }
+  for (let second = 0; second < 300; second += 1) {
+    clock.now += 1000;
+    peer.clock.now += 1000;
+    for (let other = 0; other < 10; other += 1)
+      records.recordCrash(`other-${second}-${other}`, 'server-x');
+    records.merge(peer.records.serversByContent);
+    peer.records.merge(records.serversByContent);
+  }
+  assert.ok(!records.isBlocked('guilty'));
+  assert.ok(!('guilty' in peer.records.serversByContent));
+});
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { HttpRequestError } from '../common/http-client.js';
 import { BackendFleet, type FleetServer } from '../fleet/backend-fleet.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { createSilentLogger } from '../telemetry/log.js';
@@ -19,7 +20,9 @@
 }
 
 /** Creates a detector for engines a, b and c, which send the given reports. */
-function createDetector(reports: Readonly<Record<string, EngineReport | 'silent'>>) {
+function createDetector(
+  reports: Readonly<Record<string, EngineReport | 'silent' | 'unconnected'>>,
+) {
   const clock = { now: 1000 };
   const fleet = new BackendFleet({ log: createSilentLogger(), now: () => clock.now });
   ['a', 'b', 'c'].forEach((id, index) => {
@@ -39,6 +42,8 @@
       const id = ['a', 'b', 'c'][port - 1] ?? '';
       askedEngineIds.push(id);
       const report = reports[id] ?? REPORT_WITHOUT_STALLS;
+      if (report === 'unconnected')
+        return Promise.reject(new HttpRequestError('connecting', 'The call timed out.'));
       if (report === 'silent') return Promise.reject(new Error('silent'));
       return Promise.resolve(report);
     },
@@ -69,6 +74,7 @@
   return {
     clock,
     detector,
+    fleet,
     outlierEjection,
     askedEngineIds,
     reroutes,
@@ -141,3 +147,10 @@
   await detector.checkStreams();
   assert.deepEqual(retriedRequestIds, ['one']);
 });
+
+// A slow link or a busy process of this instance looks the same; the stream then ran on a third server.
+test('extra servers: an engine that could not be connected to in time is not taken for one that has ended', async () => {
+  const { detector, fleet } = createDetector({ a: 'unconnected' });
+  await detector.checkEngine('a');
+  assert.equal(fleet.find('a')?.isUnreachable, false);
+});
--- a/tools/platform-group.ts
+++ b/tools/platform-group.ts
@@ -167,6 +167,8 @@
 directory = "127.0.0.1:${ports.directory}"
 [bounds]
 grace-s = 8
+config-ms = 2000
+contact-ms = 3000
 budget-ratio = 0.2
 budget-window-s = 10
 budget-slack = 200
--- a/tools/serving-group.ts
+++ b/tools/serving-group.ts
@@ -32,15 +32,16 @@
   context: TestContext,
   options: {
     readonly instances?: number;
+    readonly engines?: number;
     readonly plainServers?: number;
     readonly pauseMilliseconds?: number;
   } = {},
 ): Promise<PlatformGroup> {
-  const { instances = 1, plainServers = 2, pauseMilliseconds = 20 } = options;
+  const { instances = 1, engines = 4, plainServers = 2, pauseMilliseconds = 20 } = options;
   const group = new PlatformGroup();
   context.after(() => group.stop());
   await group.start();
-  for (let index = 0; index < 4; index += 1) {
+  for (let index = 0; index < engines; index += 1) {
     const id = `engine-${index}`;
     await group.addServer({ id, service: 'drafter', kind: 'card', pauseMilliseconds });
   }
@@ -49,19 +50,19 @@
   for (let index = 0; index < instances; index += 1) await group.addReadyInstance(`entry-${index}`);
   await waitUntil(() => {
     const held = group.servers.flatMap(({ layers }) => layers ?? []);
-    return held.length === 4 && findUncoveredRanges(held, LAYER_COUNT).length === 0;
+    return held.length === engines && findUncoveredRanges(held, LAYER_COUNT).length === 0;
   }, 'every layer is held');
-  await Promise.all(group.instances.map(waitUntilLayersKnown));
+  await Promise.all(group.instances.map((instance) => waitUntilLayersKnown(instance, engines)));
   return group;
 }
 
 /** Waits until an instance knows which engines hold the layers; before that it refuses streams. */
-function waitUntilLayersKnown({ name, ports }: PlatformInstance): Promise<void> {
+function waitUntilLayersKnown({ name, ports }: PlatformInstance, engines: number): Promise<void> {
   return waitUntil(async () => {
     const answer = await sendRequest({ port: ports.control, path: '/v1/pipelines' });
     if (answer.status !== 200) return false;
     const { stages } = JSON.parse(answer.body) as { stages: LayerRange[] };
-    return stages.length === 4 && findUncoveredRanges(stages, LAYER_COUNT).length === 0;
+    return stages.length === engines && findUncoveredRanges(stages, LAYER_COUNT).length === 0;
   }, `${name} knows the engines of every layer`);
 }
 
--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -45,6 +45,12 @@
   callMilliseconds: number;
   /** Crashes on each request whose body equals this text. */
   crashingBody: string | undefined;
+  /** How many events of a stream it still sends before it crashes on such a request. */
+  eventsBeforeCrash: number;
+  /** After a crash it starts again under its id this much later; undefined means never. */
+  restartMilliseconds: number | undefined;
+  /** Withdraws its entry from the store when it has begun a stream, and goes on serving. */
+  unregistersWhileRunning: boolean;
 }
 
 /** One request that the server executed, with the headers that matter to tests. */
@@ -71,8 +77,14 @@
     unsignedStatus: 0,
     callMilliseconds: 0,
     crashingBody: undefined,
+    eventsBeforeCrash: 0,
+    restartMilliseconds: undefined,
+    unregistersWhileRunning: false,
   };
 
+  /** How often it crashed on a request. */
+  crashCount = 0;
+
   readonly runs: Run[] = [];
 
   readonly orders: { readonly from: number; readonly to: number }[] = [];
@@ -87,6 +99,9 @@
 
   #isClosed = false;
 
+  /** Grows with each start under the same id. */
+  #born = 1;
+
   constructor(options: PlatformServerOptions) {
     this.#options = options;
   }
@@ -127,6 +142,7 @@
       slots: 20,
       state,
       seq: 1,
+      born: this.#born,
       ...engine,
     });
   }
@@ -162,7 +178,14 @@
   }
 
   #buildReport(): Record<string, unknown> {
-    return { busy: false, seq: this.#orderSequence, layers: this.layers, pace: 1, stalled: [] };
+    return {
+      busy: false,
+      seq: this.#orderSequence,
+      layers: this.layers,
+      pace: 1,
+      stalled: [],
+      born: this.#born,
+    };
   }
 
   #handleOrder({ body, response }: StandInRequest): void {
@@ -191,9 +214,9 @@
       lastEventId: Number(headers['last-event-id'] ?? 0),
       hops: headers['hop-count'] as string | undefined,
     });
-    if (body !== '' && body === this.faults.crashingBody) {
-      response.socket?.resetAndDestroy();
-      await this.close();
+    const isCrashing = body !== '' && body === this.faults.crashingBody;
+    if (isCrashing && this.faults.eventsBeforeCrash === 0) {
+      await this.#crash(response);
       return;
     }
     const answerId = this.faults.sendsWrongRequestId ? 'another' : requestId;
@@ -201,7 +224,28 @@
     if (this.#options.kind === undefined) {
       await sleep(this.faults.callMilliseconds);
       this.#sendResponse(response, responseHeaders, requestId);
-    } else await this.#sendStream(response, responseHeaders, Number(headers['last-event-id'] ?? 0));
+    } else {
+      if (this.faults.unregistersWhileRunning)
+        this.#options.store.remove('servers', this.#options.id);
+      await this.#sendStream(response, responseHeaders, {
+        lastEventId: Number(headers['last-event-id'] ?? 0),
+        eventsBeforeCrash: isCrashing ? this.faults.eventsBeforeCrash : Number.POSITIVE_INFINITY,
+      });
+    }
+  }
+
+  async #crash(response: http.ServerResponse): Promise<void> {
+    const { restartMilliseconds } = this.faults;
+    this.crashCount += 1;
+    response.socket?.resetAndDestroy();
+    await this.close();
+    if (restartMilliseconds === undefined) return;
+    await sleep(restartMilliseconds);
+    this.#isClosed = false;
+    this.#born += 1;
+    this.#orderSequence = 0;
+    this.layers = null;
+    await this.start();
   }
 
   #sendResponse(
@@ -227,7 +271,7 @@
   async #sendStream(
     response: http.ServerResponse,
     responseHeaders: Record<string, string>,
-    lastEventId: number,
+    { lastEventId, eventsBeforeCrash }: { lastEventId: number; eventsBeforeCrash: number },
   ): Promise<void> {
     const { events = DEFAULT_EVENTS, pauseMilliseconds = DEFAULT_PAUSE_MILLISECONDS } =
       this.#options;
@@ -242,6 +286,10 @@
       }
       response.write(`id: ${id}\ndata: ${id}\n\n`);
       await sleep(pauseMilliseconds);
+      if (id - lastEventId >= eventsBeforeCrash) {
+        await this.#crash(response);
+        return;
+      }
     }
     response.end();
   }
