Log why a server is left out of the count of servers that ran a stream

The lines of a retry said how many servers count, not which are left out and on what evidence, so that the hypotheses of the incident (taken for unreachable, no longer registered, never recorded) could not be told apart. Field uncountedRuns of 'Retrying request.' and 'Request failed; not retrying.': the id, whether it is registered, whether it is marked unreachable. No decision changes.

--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -150,6 +150,11 @@
       lastEventId: this.#caller.lastEventId,
       attempts: this.#runs.total,
       runs: this.#runs.countedServers,
+      uncountedRuns: this.#runs.uncountedServerIds.map((id) => ({
+        id,
+        isRegistered: this.#context.fleet.find(id) !== undefined,
+        isUnreachable: this.#context.fleet.find(id)?.isUnreachable,
+      })),
       refusedTries: this.#refusedAttempts,
     });
     metrics.countEvent(isRetried ? 'retry' : 'given_up');
--- a/src/entry/stream-runs.ts
+++ b/src/entry/stream-runs.ts
@@ -41,6 +41,12 @@
     return this.#runs.filter(({ serverId }) => !this.#options.hasEnded(serverId));
   }
 
+  /** Ids of the servers that are left out of the count, for the log. */
+  get uncountedServerIds(): string[] {
+    const ended = this.#runs.filter(({ serverId }) => this.#options.hasEnded(serverId));
+    return [...new Set(ended.map(({ serverId }) => serverId))];
+  }
+
   /** Number of servers that may have run the request, without those that have ended. */
   get countedServers(): number {
     return new Set(this.#countedRuns.map(({ serverId }) => serverId)).size;
