Count a server out of a stream's runs only when its own host shows that it has ended

What callers saw: streams ran on 3 servers of a route that allows 2 (BUDGET, 24 of them by 2.7 s).

Cause: a server did not count when its entry was gone or when it was marked isUnreachable, and one connection that took longer than 250 or 300 ms set that mark. A busy instance, or one behind a full link, times out connections that were made long ago; entries go while their servers run on. Class: what an instance fails to see is taken for what has happened elsewhere.

Now a server has ended when its host refuses the connection, or when its address is given to another server; a health check that it passes withdraws the first. All else counts as a run.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -12,13 +12,28 @@
 export class HttpRequestError extends Error {
   readonly phase: RequestPhase;
 
-  constructor(phase: RequestPhase, message: string) {
+  /** The system's error code, such as `ECONNRESET`, where the system reported the failure. */
+  readonly code: string | undefined;
+
+  constructor(phase: RequestPhase, message: string, code?: string) {
     super(message);
     this.name = 'HttpRequestError';
     this.phase = phase;
+    this.code = code;
   }
 }
 
+/**
+ * Tells whether a failure shows that no process listens at the address. Unlike a timeout, this can't be
+ * caused by a slow link or a busy process on this side.
+ *
+ * @param error - The failure of a request.
+ * @returns Whether the other host itself refused the connection.
+ */
+export function isConnectionRefused(error: unknown): boolean {
+  return error instanceof HttpRequestError && error.code === 'ECONNREFUSED';
+}
+
 /** An HTTP request to send. */
 export interface HttpRequest {
   readonly address: Address;
@@ -62,10 +77,10 @@
       headers: { ...request.headers, 'content-length': Buffer.byteLength(request.body ?? '') },
       agent: request.agent ?? false,
     });
-    const fail = (message: string): void => {
+    const fail = (message: string, code?: string): void => {
       removeListeners();
       clientRequest.destroy();
-      reject(new HttpRequestError(phase, message));
+      reject(new HttpRequestError(phase, message, code));
     };
     const failOnAbort = (): void => fail('The call was cancelled.');
     const timer = setTimeout(() => fail('The call timed out.'), request.timeoutMilliseconds);
@@ -81,7 +96,7 @@
         });
       }
     });
-    clientRequest.on('error', (error) => fail(error.message));
+    clientRequest.on('error', (error: NodeJS.ErrnoException) => fail(error.message, error.code));
     clientRequest.on('response', (response) => {
       removeListeners();
       // Without a listener, an error of the body would end the process; readers of the stream receive
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -444,7 +444,7 @@
     const service = this.#configuration.current?.services.get(server.entry.service);
     const path = service?.healthPath ?? '/health';
     if (!(await isHealthy(server.entry.address, path))) return;
-    server.isUnreachable = false;
+    this.#fleet.recordLife(id);
     this.#outlierEjection.readmitIfHoldElapsed(id);
   }
 
--- a/src/entry/backend-request.ts
+++ b/src/entry/backend-request.ts
@@ -51,11 +51,11 @@
       });
     });
     let backendResponse: http.IncomingMessage | undefined;
-    request.on('error', (error) => {
+    request.on('error', (error: NodeJS.ErrnoException) => {
       clearTimeout(timer);
       // Without this, a response that has no length would end here as if it were complete.
       backendResponse?.destroy(error);
-      reject(new HttpRequestError(phase, error.message));
+      reject(new HttpRequestError(phase, error.message, error.code));
     });
     request.on('response', (response) => {
       // Whoever reads the body receives its errors; without a listener they would end the process.
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 import { sleep } from '../common/clock.js';
-import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
+import { HttpRequestError, getErrorMessage, isConnectionRefused } from '../common/http-client.js';
 import { recordRefusal, recordAcceptance, type FleetServer } from '../fleet/backend-fleet.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import { getEndToEndHeaders, appendHeaders } from './entry-response.js';
@@ -92,7 +92,7 @@
     this.#request = request;
     this.#runs = new StreamRuns({
       maximumServers: request.route.maximumAttempts,
-      hasEnded: (id) => context.fleet.find(id)?.isUnreachable ?? true,
+      hasEnded: (id) => context.fleet.hasEnded(id),
     });
     this.#chainSelector = new ChainSelector(context, request, profile, (id) =>
       this.#runs.allows(id),
@@ -150,11 +150,7 @@
       lastEventId: this.#caller.lastEventId,
       attempts: this.#runs.total,
       runs: this.#runs.countedServers,
-      uncountedRuns: this.#runs.uncountedServerIds.map((id) => ({
-        id,
-        isRegistered: this.#context.fleet.find(id) !== undefined,
-        isUnreachable: this.#context.fleet.find(id)?.isUnreachable,
-      })),
+      endedServerIds: this.#runs.endedServerIds,
       refusedTries: this.#refusedAttempts,
     });
     metrics.countEvent(isRetried ? 'retry' : 'given_up');
@@ -284,13 +280,12 @@
 
   /** Finds out what a failed exchange with the first engine means for further attempts. */
   #classifyError(firstEngine: ServerEntry, error: unknown): AttemptResult {
-    const { outlierEjection, crashRecords } = this.#context;
+    const { outlierEjection, crashRecords, fleet } = this.#context;
     const engineIdsToAvoid = [firstEngine.id];
     const message = getErrorMessage(error);
     if (this.#request.signal.aborted) return { kind: 'broken', engineIdsToAvoid: [], message };
     if (error instanceof HttpRequestError && error.phase === 'connecting') {
-      const server = this.#context.fleet.find(firstEngine.id);
-      if (server) server.isUnreachable = true;
+      if (isConnectionRefused(error)) fleet.recordEnd(firstEngine.id, message);
       outlierEjection.eject(firstEngine.id, message);
       return { kind: 'notRun', engineIdsToAvoid, message };
     }
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -21,7 +21,7 @@
 
 /** Creates a detector for engines a, b and c, which send the given reports. */
 function createDetector(
-  reports: Readonly<Record<string, EngineReport | 'silent' | 'unconnected'>>,
+  reports: Readonly<Record<string, EngineReport | 'silent' | 'unconnected' | 'refused'>>,
 ) {
   const clock = { now: 1000 };
   const fleet = new BackendFleet({ log: createSilentLogger(), now: () => clock.now });
@@ -44,6 +44,8 @@
       const report = reports[id] ?? REPORT_WITHOUT_STALLS;
       if (report === 'unconnected')
         return Promise.reject(new HttpRequestError('connecting', 'The call timed out.'));
+      if (report === 'refused')
+        return Promise.reject(new HttpRequestError('connecting', 'refused', 'ECONNREFUSED'));
       if (report === 'silent') return Promise.reject(new Error('silent'));
       return Promise.resolve(report);
     },
@@ -152,5 +154,13 @@
 test('extra servers: an engine that could not be connected to in time is not taken for one that has ended', async () => {
   const { detector, fleet } = createDetector({ a: 'unconnected' });
   await detector.checkEngine('a');
-  assert.equal(fleet.find('a')?.isUnreachable, false);
+  assert.equal(fleet.hasEnded('a'), false);
+});
+
+test('stall: an engine whose host refuses the connection has ended, until a server at its id answers again', async () => {
+  const { detector, fleet } = createDetector({ a: 'refused' });
+  await detector.checkEngine('a');
+  assert.ok(fleet.hasEnded('a'));
+  fleet.recordLife('a');
+  assert.ok(!fleet.hasEnded('a'));
 });
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -3,7 +3,7 @@
  * engines themselves give such a stream up. The first engine of a chain reports which engine a
  * request is waiting for.
  */
-import { HttpRequestError } from '../common/http-client.js';
+import { getErrorMessage, isConnectionRefused } from '../common/http-client.js';
 import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
@@ -172,10 +172,11 @@
 
   /** Ejects an engine that sent no report, unless this process was too busy to receive one. */
   #ejectUnresponsive(server: FleetServer, requestedAt: number, error: unknown): void {
+    if (isConnectionRefused(error))
+      this.#options.fleet.recordEnd(server.entry.id, getErrorMessage(error));
     const elapsedMilliseconds = this.#now() - requestedAt;
     if (elapsedMilliseconds > REPORT_TIMEOUT_MILLISECONDS + LOCAL_DELAY_TOLERANCE_MILLISECONDS)
       return;
-    server.isUnreachable = error instanceof HttpRequestError && error.phase === 'connecting';
     this.#options.outlierEjection.eject(server.entry.id, 'No report within the report timeout.');
   }
 
--- a/src/entry/stream-runs.ts
+++ b/src/entry/stream-runs.ts
@@ -8,7 +8,7 @@
 export interface StreamRunsOptions {
   /** The maximum number of backend servers that may run the request; at least 1. */
   readonly maximumServers: number;
-  /** Whether a server is known to have ended or to be unreachable; such a server does not count. */
+  /** Whether a server is shown to have ended; such a server does not count. */
   readonly hasEnded: (serverId: string) => boolean;
 }
 
@@ -41,8 +41,8 @@
     return this.#runs.filter(({ serverId }) => !this.#options.hasEnded(serverId));
   }
 
-  /** Ids of the servers that are left out of the count, for the log. */
-  get uncountedServerIds(): string[] {
+  /** Ids of the servers that are left out of the count since they have ended, for the log. */
+  get endedServerIds(): string[] {
     const ended = this.#runs.filter(({ serverId }) => this.#options.hasEnded(serverId));
     return [...new Set(ended.map(({ serverId }) => serverId))];
   }
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -2,6 +2,7 @@
  * Registry of all backend servers with their load and state as seen by this instance and its peers.
  */
 import { formatAddress } from '../common/address.js';
+import { LruMap } from '../common/lru-map.js';
 import type { Logger } from '../telemetry/log.js';
 import type { LayerRange, ServerEntry } from './server-entry.js';
 
@@ -40,8 +41,6 @@
   refusingSince: number | undefined;
   /** Number of requests refused since it last accepted one. */
   consecutiveRefusals: number;
-  /** Whether no connection could be opened when this instance last tried to reach it. */
-  isUnreachable: boolean;
   /** When its entry disappeared from the store, while the entry may still come back. */
   missingSince: number | undefined;
 }
@@ -57,6 +56,9 @@
  */
 const MISSING_ENTRY_GRACE_MILLISECONDS = 1900;
 
+/** Ended servers that are remembered; far more than may run one request. */
+const MAXIMUM_ENDED_SERVERS = 1000;
+
 /** After this long an engine's registry entry shows the reported layers. */
 const LAYER_REPORT_MAX_AGE_MILLISECONDS = 6000;
 /** How long a server is assumed to be full; doubles with each consecutive refusal. */
@@ -121,11 +123,37 @@
   /** When the store was last known to be unavailable, in milliseconds on the monotonic clock. */
   storeUnavailableAt = Number.NEGATIVE_INFINITY;
 
+  /** Ids of servers that are shown to have ended, also when they are no longer registered. */
+  readonly #endedIds = new LruMap<string, true>(MAXIMUM_ENDED_SERVERS);
+
   constructor(options: BackendFleetOptions) {
     this.#log = options.log;
     this.#now = options.now ?? (() => performance.now());
   }
 
+  /**
+   * Notes that a server's process has ended. Only what the server's own host says shows this; silence
+   * doesn't, as a slow link or a busy process on this side looks the same.
+   *
+   * @param id - Id of the server.
+   * @param evidence - What shows it, for the log.
+   */
+  recordEnd(id: string, evidence: string): void {
+    if (this.hasEnded(id)) return;
+    this.#endedIds.set(id, true);
+    this.#log.info('Backend server has ended.', { id, evidence, revision: this.revision });
+  }
+
+  /** Withdraws {@link recordEnd}, since the server has answered. */
+  recordLife(id: string): void {
+    this.#endedIds.delete(id);
+  }
+
+  /** Whether a server's process is shown to have ended; false while that is only likely. */
+  hasEnded(id: string): boolean {
+    return this.#endedIds.get(id) === true;
+  }
+
   /**
    * All registered servers, including leaving ones; discards those that have been missing too long.
    */
@@ -227,6 +255,7 @@
   #applyEntry(entry: ServerEntry): void {
     const known = this.#servers.get(entry.id);
     if (!known) {
+      this.#recordReplacedServers(entry);
       this.#log.info('Backend server registered.', { ...entry, revision: this.revision });
       this.#servers.set(entry.id, {
         entry,
@@ -239,7 +268,6 @@
         fullUntil: 0,
         refusingSince: undefined,
         consecutiveRefusals: 0,
-        isUnreachable: false,
         missingSince: undefined,
       });
       return;
@@ -255,6 +283,15 @@
     known.missingSince = undefined;
   }
 
+  /** An address is given to another server only after the one that listened there has ended. */
+  #recordReplacedServers({ id, address }: ServerEntry): void {
+    const text = formatAddress(address);
+    this.#servers.forEach(({ entry }) => {
+      if (entry.id !== id && formatAddress(entry.address) === text)
+        this.recordEnd(entry.id, `its address was given to ${id}`);
+    });
+  }
+
   #removeOrMarkMissing(id: string): void {
     const known = this.#servers.get(id);
     if (!known) return;
