Do not count the process's own delay towards timeouts on others

What callers saw: on slow instances streams broke off and were sent again, and live servers were ejected, everywhere, since ejections are shared.

Cause: timers run before sockets are looked at, so a process that was held up ends connections and reports that were there long ago (300 and 250 ms). Timeouts of connections and of our HTTP client (reports, health checks, peers, store) now wait in four parts, with a look at the sockets after each; time in which the process stood still counts as one part.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -4,6 +4,7 @@
  */
 import http from 'node:http';
 import type { Address } from './address.js';
+import { startPatientTimer } from './patient-timer.js';
 
 /** How far a failed request got. Only `connecting` proves that the server received nothing of it. */
 export type RequestPhase = 'connecting' | 'sent' | 'answering';
@@ -83,9 +84,11 @@
       reject(new HttpRequestError(phase, message, code));
     };
     const failOnAbort = (): void => fail('The call was cancelled.');
-    const timer = setTimeout(() => fail('The call timed out.'), request.timeoutMilliseconds);
+    const cancelTimer = startPatientTimer(request.timeoutMilliseconds, () =>
+      fail('The call timed out.'),
+    );
     function removeListeners(): void {
-      clearTimeout(timer);
+      cancelTimer();
       request.signal?.removeEventListener('abort', failOnAbort);
     }
     clientRequest.on('socket', (socket) => {
@@ -151,15 +154,14 @@
  */
 export async function fetchResponse(request: HttpRequest): Promise<HttpResponse> {
   const response = await fetchResponseStream(request);
-  const timer = setTimeout(
-    () => response.destroy(new Error('The answer timed out.')),
-    request.timeoutMilliseconds,
+  const cancelTimer = startPatientTimer(request.timeoutMilliseconds, () =>
+    response.destroy(new Error('The answer timed out.')),
   );
   try {
     const body = await readBody(response);
     return { status: response.statusCode ?? 0, headers: response.headers, body };
   } finally {
-    clearTimeout(timer);
+    cancelTimer();
   }
 }
 
--- a/src/entry/backend-request.ts
+++ b/src/entry/backend-request.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import type { Address } from '../common/address.js';
 import { HttpRequestError, type RequestPhase } from '../common/http-client.js';
+import { startPatientTimer } from '../common/patient-timer.js';
 
 /** A request to a backend server. */
 export interface BackendRequest {
@@ -40,19 +41,19 @@
     const abort = (): void => {
       request.destroy(new Error('The request to the backend server was cancelled.'));
     };
-    const timer = setTimeout(() => {
+    const cancelTimer = startPatientTimer(CONNECT_TIMEOUT_MILLISECONDS, () => {
       request.destroy(new Error('Connecting to the backend server timed out.'));
-    }, CONNECT_TIMEOUT_MILLISECONDS);
+    });
     request.on('socket', (socket) => {
       socket.setNoDelay(true);
       socket.once('connect', () => {
         phase = 'sent';
-        clearTimeout(timer);
+        cancelTimer();
       });
     });
     let backendResponse: http.IncomingMessage | undefined;
     request.on('error', (error: NodeJS.ErrnoException) => {
-      clearTimeout(timer);
+      cancelTimer();
       // Without this, a response that has no length would end here as if it were complete.
       backendResponse?.destroy(error);
       reject(new HttpRequestError(phase, error.message, error.code));
@@ -64,7 +65,7 @@
       resolve(response);
     });
     request.on('close', () => {
-      clearTimeout(timer);
+      cancelTimer();
       signal.removeEventListener('abort', abort);
     });
     if (signal.aborted) abort();
