Count a connection that an instance cancels as one failure, not as a server that is gone

What callers saw: calls that found no server: an attempt that took three times as long as expected was cancelled, and if its connection was still being made, the server was ejected at once, for all instances. Cause: the phase of the failure was looked at, not who ended the attempt. Now it counts as one failure (two eject), and the time of an attempt leaves out the process's own delay.

The test failed before: 'case-silent' was ejected after one cancelled connection. Its stand-in listens and never accepts.

--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -3,6 +3,7 @@
  * once; an idempotent one may be retried on further backend servers.
  */
 import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
+import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import { sendRelayedRequest } from './relay-request.js';
 import { assertOwnResponse, ForeignResponseError } from './response-origin.js';
@@ -156,7 +157,7 @@
     const attempt = new AbortController();
     const abort = (): void => attempt.abort();
     signal.addEventListener('abort', abort, { once: true });
-    const timer = this.#startAttemptTimer(id, attempt);
+    const cancelTimer = this.#startAttemptTimer(id, attempt);
     const startedAt = performance.now();
     server.ownLoad.requests += 1;
     try {
@@ -169,7 +170,8 @@
       if (signal.aborted) return { kind: 'unknown', message };
       callTimes.record(id, performance.now() - startedAt, undefined);
       if (error instanceof HttpRequestError && error.phase === 'connecting') {
-        outlierEjection.eject(id, message);
+        if (attempt.signal.aborted) outlierEjection.recordFailure(id, message);
+        else outlierEjection.eject(id, message);
         return { kind: 'notRun', message };
       }
       outlierEjection.recordFailure(id, message);
@@ -178,7 +180,7 @@
       return { kind: 'unknown', message };
     } finally {
       server.ownLoad.requests -= 1;
-      clearTimeout(timer);
+      cancelTimer();
       signal.removeEventListener('abort', abort);
       attempt.abort();
     }
@@ -187,14 +189,15 @@
   /**
    * Aborts an attempt that takes far longer than expected, if the call may be retried elsewhere.
    */
-  #startAttemptTimer(id: string, attempt: AbortController): NodeJS.Timeout | undefined {
+  #startAttemptTimer(id: string, attempt: AbortController): () => void {
     const { route } = this.#request;
-    if (!isIdempotent(route) || this.#possibleRuns + 1 >= route.maximumAttempts) return undefined;
+    if (!isIdempotent(route) || this.#possibleRuns + 1 >= route.maximumAttempts)
+      return () => undefined;
     const timeoutMilliseconds =
       ATTEMPT_TIMEOUT_FACTOR * this.#context.callTimes.expectedMilliseconds(id);
-    return setTimeout(
-      () => attempt.abort(),
+    return startPatientTimer(
       Math.max(MINIMUM_ATTEMPT_TIMEOUT_MILLISECONDS, timeoutMilliseconds),
+      () => attempt.abort(),
     );
   }
 
--- a/tests/backend-server-ends.test.ts
+++ b/tests/backend-server-ends.test.ts
@@ -5,13 +5,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { sleep } from '../src/common/clock.js';
-import type { PlatformGroup } from '../tools/platform-group.js';
+import { waitUntil, type PlatformGroup } from '../tools/platform-group.js';
 import {
   createRequestId,
   getFirstInstance,
   sendCallerRequest,
   startGroup,
 } from '../tools/serving-group.js';
+import { startUnacceptingServer } from '../tools/stand-ins/unaccepting-server.js';
 
 /** Long enough for all instances to learn of a crash before the next request is sent. */
 const GOSSIP_WAIT_MILLISECONDS = 1200;
@@ -76,3 +77,22 @@
   const other = await sendCallerRequest(getFirstInstance(group), '/lookups/1');
   assert.equal(other.status, 200);
 });
+
+// Cancelling an attempt while its connection was made looked like a server that can't be connected to.
+test('own delay: a server is not ejected because its instance cancelled one connection early', async (context) => {
+  const group = await startGroup(context, { plainServers: 1 });
+  const port = await startUnacceptingServer(context);
+  group.store.put('servers', 'case-silent', {
+    service: 'casebook',
+    address: `127.0.0.1:${port}`,
+    zone: 'zone-a',
+    slots: 2000,
+    state: 'ready',
+  });
+  const instance = getFirstInstance(group);
+  await waitUntil(() => instance.log.join('').includes('case-silent'), 'the server is registered');
+  const answer = await sendCallerRequest(instance, '/lookups/1', { method: 'GET' });
+  assert.equal(answer.status, 200);
+  assert.match(instance.log.join(''), /case-silent.*Retrying request/);
+  assert.doesNotMatch(instance.log.join(''), /case-silent.*Backend server ejected/);
+});
