Leave the process's own delay out of the silence of streams

What callers saw: on slow instances requests that were answered in time were sent again over another chain ('late'), which makes the load worse. Cause: silence is the time since the last event was read, and a process that is held up reads late. The check now takes off what it came late itself, as the table of peers does. The test failed before: held up for 900 ms, the detector sent the request elsewhere.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -199,6 +199,7 @@
         fleet: this.#fleet,
         outlierEjection: this.#outlierEjection,
         log: logs('routing'),
+        checkIntervalMilliseconds: STALL_CHECK_INTERVAL_MILLISECONDS,
       }),
       metrics: new EntryMetrics(),
       logs,
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -7,6 +7,8 @@
 import type { ProtocolAdapter, EngineReport } from './protocol-adapter.js';
 import { StallDetector, type WatchedStream } from './stall-detector.js';
 
+const CHECK_INTERVAL_MILLISECONDS = 70;
+
 const REPORT_WITHOUT_STALLS: EngineReport = {
   slowdownFactor: 1,
   isBusy: false,
@@ -55,6 +57,7 @@
     fleet,
     outlierEjection,
     log: createSilentLogger(),
+    checkIntervalMilliseconds: CHECK_INTERVAL_MILLISECONDS,
     now: () => clock.now,
   });
   const reroutes: string[][] = [];
@@ -164,3 +167,19 @@
   fleet.recordLife('a');
   assert.ok(!fleet.hasEnded('a'));
 });
+
+// The process looked at the events only after the check, and sent the request over another chain.
+test('own delay: time in which the process was held up is not taken for silence of the engines', async () => {
+  const { clock, detector, reroutes, retriedRequestIds, askedEngineIds, addStream } =
+    createDetector({});
+  await detector.checkStreams();
+  addStream('one', 'ab', false);
+  clock.now += 900;
+  await detector.checkStreams();
+  assert.deepEqual([reroutes, retriedRequestIds, askedEngineIds], [[], [], []]);
+  for (let check = 0; check < 6; check += 1) {
+    clock.now += CHECK_INTERVAL_MILLISECONDS;
+    await detector.checkStreams();
+  }
+  assert.ok(retriedRequestIds.length > 0);
+});
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -33,6 +33,8 @@
   readonly fleet: BackendFleet;
   readonly outlierEjection: OutlierEjection;
   readonly log: Logger;
+  /** The time between two calls of {@link StallDetector.checkStreams}. */
+  readonly checkIntervalMilliseconds: number;
   readonly now?: () => number;
 }
 
@@ -45,6 +47,8 @@
 const STALL_REPORT_INTERVAL_MILLISECONDS = 150;
 /** The same for reports that are read for the slowdown factor. */
 const SLOWDOWN_REPORT_INTERVAL_MILLISECONDS = 1500;
+/** A check that comes this much later than the interval shows that this process was held up. */
+const CHECK_DELAY_TOLERANCE_MILLISECONDS = 30;
 /** A report that takes this much longer than its timeout was delayed by this process itself. */
 const LOCAL_DELAY_TOLERANCE_MILLISECONDS = 100;
 
@@ -58,6 +62,8 @@
 
   readonly #lastRequestedAt = new Map<string, number>();
 
+  #lastCheckAt: number | undefined;
+
   constructor(options: StallDetectorOptions) {
     this.#options = options;
     this.#now = options.now ?? (() => performance.now());
@@ -74,6 +80,7 @@
   /** Checks every stream once and acts on those that have stalled; call it periodically. */
   async checkStreams(): Promise<void> {
     const now = this.#now();
+    this.#discountOwnDelay(now);
     const { outlierEjection } = this.#options;
     const firstEngines = new Map<string, FleetServer>();
     [...this.#streams].forEach((stream) => {
@@ -96,6 +103,17 @@
     await Promise.all([...firstEngines.values()].map((server) => this.#refreshStalls(server)));
   }
 
+  /** Time in which this process was held up is no silence of the engines. */
+  #discountOwnDelay(now: number): void {
+    const { checkIntervalMilliseconds } = this.#options;
+    const delay = now - (this.#lastCheckAt ?? now) - checkIntervalMilliseconds;
+    this.#lastCheckAt = now;
+    if (delay <= CHECK_DELAY_TOLERANCE_MILLISECONDS) return;
+    this.#streams.forEach((stream) => {
+      stream.lastProgressAt = Math.min(now, stream.lastProgressAt + delay);
+    });
+  }
+
   /**
    * Asks an engine for a report. Ejects it when it does not respond, and reroutes the streams that
    * it reports as stalled.
