Tell the processes of a server that starts again under its id apart

What callers saw (reported): a request under which servers had ended went on ending them. Inventory of what is kept by id: what outlived the process and now does not: ends under a content, runs of a stream, ended servers, ejections and failures, refusals, slowdown, layer reports, times of calls, pending orders and busy pauses of the planner. What stays by id: loads (each request releases its own), counts of accepted orders (read from the engine before each order), ejections in peers' records (each clears its own).

A changed incarnation shows that the old process has ended. Where the platform gives each start its own id, nothing changes. The value of crashes in peers' records is the key; a build from before takes it for another id, and both block no later than before.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -122,7 +122,13 @@
     // Every task adds an abort listener; without this, Node.js warns of a listener leak.
     setMaxListeners(0, this.#taskController.signal);
     this.#configuration = new ActiveConfiguration({ log: logs('configuration') });
-    this.#fleet = new BackendFleet({ log: logs('backend') });
+    this.#fleet = new BackendFleet({
+      log: logs('backend'),
+      onRestarted: (id) => {
+        this.#outlierEjection.forget(id);
+        this.#context.callTimes.forget(id);
+      },
+    });
     this.#outlierEjection = new OutlierEjection({
       log: logs('backend'),
       onEjected: () => this.#gossipImmediately(),
@@ -445,7 +451,7 @@
     const service = this.#configuration.current?.services.get(server.entry.service);
     const path = service?.healthPath ?? '/health';
     if (!(await isHealthy(server.entry.address, path))) return;
-    this.#fleet.recordLife(id);
+    this.#fleet.recordLife(server.entry);
     this.#outlierEjection.readmitIfHoldElapsed(id);
   }
 
--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -1,5 +1,6 @@
 /** Selects chains of engines for one streaming request and reserves its work at their engines. */
 import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
+import type { ServerEntry } from '../fleet/server-entry.js';
 import type { Chain, ChainCandidate, ChainStage } from '../layers/chain-choice.js';
 import { chooseChainByObjectives } from '../layers/objective-choice.js';
 import type { RequestTokens } from '../layers/engine-estimates.js';
@@ -76,13 +77,13 @@
   /** Engines that failed this request or were too slow for it. */
   readonly avoidedEngineIds = new Set<string>();
 
-  readonly #canStartAt: (engineId: string) => boolean;
+  readonly #canStartAt: (entry: ServerEntry) => boolean;
 
   constructor(
     context: EntryContext,
     request: EntryRequest,
     profile: EngineProfile,
-    canStartAt: (engineId: string) => boolean,
+    canStartAt: (entry: ServerEntry) => boolean,
   ) {
     this.#context = context;
     this.#canStartAt = canStartAt;
@@ -142,7 +143,7 @@
       {
         profile: this.#profile,
         tokens: this.#tokens,
-        ...(pinnedStage ? { pinnedStage } : { canStartAt: this.#canStartAt }),
+        ...(pinnedStage ? { pinnedStage } : { canStartAt: (id: string) => this.#canStartAtId(id) }),
         linkUtilisation: (from, to) => linkLoad.estimateUtilisation(from, to),
         canUseBusyLinks,
         costNoise: () => 1 + COST_NOISE_SHARE * (2 * Math.random() - 1),
@@ -194,6 +195,11 @@
     };
   }
 
+  #canStartAtId(id: string): boolean {
+    const server = this.#context.fleet.find(id);
+    return server !== undefined && this.#canStartAt(server.entry);
+  }
+
   #recordLinkTransfers(chain: EngineChain): void {
     const { activationBytesPerToken, dataCentreLinkMegabitsPerSecond } = this.#profile;
     const bits = 8 * (this.#tokens.prompt + this.#tokens.output) * activationBytesPerToken;
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -5,6 +5,7 @@
 import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
+import { getProcessKey } from '../fleet/server-entry.js';
 import { sendRelayedRequest } from './relay-request.js';
 import { assertOwnResponse, ForeignResponseError } from './response-origin.js';
 import { getEndToEndHeaders, sendLocalResponse, appendHeaders } from './entry-response.js';
@@ -159,6 +160,7 @@
     signal.addEventListener('abort', abort, { once: true });
     const cancelTimer = this.#startAttemptTimer(id, attempt);
     const startedAt = performance.now();
+    const processKey = getProcessKey(server.entry);
     server.ownLoad.requests += 1;
     try {
       const result = await this.#sendToServer(server, attempt.signal);
@@ -177,7 +179,7 @@
       }
       outlierEjection.recordFailure(id, message);
       const hasCrashed = !attempt.signal.aborted && !(error instanceof ForeignResponseError);
-      if (hasCrashed) crashRecords.recordCrash(contentHash, id);
+      if (hasCrashed) crashRecords.recordCrash(contentHash, processKey);
       return { kind: 'unknown', message };
     } finally {
       server.ownLoad.requests -= 1;
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -6,7 +6,7 @@
 import { sleep } from '../common/clock.js';
 import { HttpRequestError, getErrorMessage, isConnectionRefused } from '../common/http-client.js';
 import { recordRefusal, recordAcceptance, type FleetServer } from '../fleet/backend-fleet.js';
-import type { ServerEntry } from '../fleet/server-entry.js';
+import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { getEndToEndHeaders, appendHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import { isIdempotent, type EntryRequest } from './entry-request.js';
@@ -92,10 +92,10 @@
     this.#request = request;
     this.#runs = new StreamRuns({
       maximumServers: request.route.maximumAttempts,
-      hasEnded: (id) => context.fleet.hasEnded(id),
+      hasEnded: (processKey) => context.fleet.hasEnded(processKey),
     });
-    this.#chainSelector = new ChainSelector(context, request, profile, (id) =>
-      this.#runs.allows(id),
+    this.#chainSelector = new ChainSelector(context, request, profile, (entry) =>
+      this.#runs.allows(getProcessKey(entry)),
     );
     this.#caller = new CallerStream(request);
     this.#ending = new StreamEnding({ context, request, caller: this.#caller, runs: this.#runs });
@@ -112,11 +112,12 @@
       const chain = await this.#findChain();
       if (signal.aborted) return this.#ending.sendTimeout();
       if (!chain) return this.#ending.sendFailure('no_chain');
+      const firstEngine = chain.stages[0]?.engine.server.entry;
       const result = await this.#attempt(chain);
       if (signal.aborted) return this.#ending.sendTimeout();
       if (result.kind === 'completed' || result.kind === 'answered')
         return this.#ending.complete(result.kind);
-      const outcome = await this.#handleFault(result, chain);
+      const outcome = await this.#handleFault(result, firstEngine);
       if (outcome !== undefined) return outcome;
     }
   }
@@ -126,16 +127,16 @@
    */
   async #handleFault(
     result: Extract<AttemptResult, { kind: 'notRun' | 'late' | 'broken' }>,
-    chain: EngineChain,
+    firstEngine: ServerEntry | undefined,
   ): Promise<string | undefined> {
     const { crashRecords, logs, metrics } = this.#context;
     const { contentHash, route, metadata } = this.#request;
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
-    const firstEngineId = chain.stages[0]?.engine.id ?? '';
     if (result.kind === 'notRun') this.#refusedAttempts += 1;
-    else this.#runs.record(firstEngineId, result.kind === 'broken');
+    else if (firstEngine) this.#runs.record(getProcessKey(firstEngine), result.kind === 'broken');
     // Whether the first engine still lives decides how many further engines may run the request.
-    if (result.kind === 'broken') await this.#context.stallDetector.checkEngine(firstEngineId);
+    if (result.kind === 'broken' && firstEngine)
+      await this.#context.stallDetector.checkEngine(firstEngine.id);
     const canRepeat = isIdempotent(route) || this.#runs.total === 0;
     const isContentAllowed = !crashRecords.isBlocked(contentHash);
     const isWithinLimits =
@@ -146,11 +147,11 @@
       after: result.kind,
       message: result.message,
       engineIdsToAvoid: result.engineIdsToAvoid,
-      first: firstEngineId,
+      first: firstEngine?.id,
       lastEventId: this.#caller.lastEventId,
       attempts: this.#runs.total,
       runs: this.#runs.countedServers,
-      endedServerIds: this.#runs.endedServerIds,
+      endedServers: this.#runs.endedProcessKeys,
       refusedTries: this.#refusedAttempts,
     });
     metrics.countEvent(isRetried ? 'retry' : 'given_up');
@@ -167,9 +168,9 @@
     const { contentHash, route, service } = this.#request;
     if (!isIdempotent(route) || crashRecords.isBlocked(contentHash)) return false;
     if (this.#runs.total + 1 >= MAXIMUM_ATTEMPTS) return false;
-    const firstEngineId = chosen.stages[0]?.engine.id ?? '';
+    const firstEngine = chosen.stages[0]?.engine.server.entry;
     const engineIds = chosen.stages.map(({ engine }) => engine.id);
-    if (!this.#runs.allowsAnotherAfter(firstEngineId)) return false;
+    if (!firstEngine || !this.#runs.allowsAnotherAfter(getProcessKey(firstEngine))) return false;
     if (!this.#chainSelector.avoidIfPossible(engineIds)) return false;
     this.#hasReservedRetry = retryBudget.tryAcquire(service.name);
     return this.#hasReservedRetry;
@@ -252,6 +253,7 @@
       },
     };
     stallDetector.add(watched);
+    const { entry } = firstEngine;
     try {
       return await this.#relayEvents(chosen, firstEngine, watched, attempt.signal);
     } catch (error) {
@@ -268,7 +270,7 @@
           engineIdsToAvoid,
           message: 'The stream stalled and could not be rerouted.',
         };
-      return this.#classifyError(firstEngine.entry, error);
+      return this.#classifyError(entry, error);
     } finally {
       isEnded = true;
       release();
@@ -285,12 +287,12 @@
     const message = getErrorMessage(error);
     if (this.#request.signal.aborted) return { kind: 'broken', engineIdsToAvoid: [], message };
     if (error instanceof HttpRequestError && error.phase === 'connecting') {
-      if (isConnectionRefused(error)) fleet.recordEnd(firstEngine.id, message);
+      if (isConnectionRefused(error)) fleet.recordEnd(firstEngine, message);
       outlierEjection.eject(firstEngine.id, message);
       return { kind: 'notRun', engineIdsToAvoid, message };
     }
     if (error instanceof HttpRequestError && error.phase === 'sent') {
-      crashRecords.recordCrash(this.#request.contentHash, firstEngine.id);
+      crashRecords.recordCrash(this.#request.contentHash, getProcessKey(firstEngine));
     }
     return { kind: 'broken', engineIdsToAvoid, message };
   }
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -164,7 +164,7 @@
   const { detector, fleet } = createDetector({ a: 'refused' });
   await detector.checkEngine('a');
   assert.ok(fleet.hasEnded('a'));
-  fleet.recordLife('a');
+  fleet.recordLife((fleet.find('a') as FleetServer).entry);
   assert.ok(!fleet.hasEnded('a'));
 });
 
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -191,7 +191,7 @@
   /** Ejects an engine that sent no report, unless this process was too busy to receive one. */
   #ejectUnresponsive(server: FleetServer, requestedAt: number, error: unknown): void {
     if (isConnectionRefused(error))
-      this.#options.fleet.recordEnd(server.entry.id, getErrorMessage(error));
+      this.#options.fleet.recordEnd(server.entry, getErrorMessage(error));
     const elapsedMilliseconds = this.#now() - requestedAt;
     if (elapsedMilliseconds > REPORT_TIMEOUT_MILLISECONDS + LOCAL_DELAY_TOLERANCE_MILLISECONDS)
       return;
--- a/src/entry/stream-runs.ts
+++ b/src/entry/stream-runs.ts
@@ -8,14 +8,14 @@
 export interface StreamRunsOptions {
   /** The maximum number of backend servers that may run the request; at least 1. */
   readonly maximumServers: number;
-  /** Whether a server is shown to have ended; such a server does not count. */
-  readonly hasEnded: (serverId: string) => boolean;
+  /** Whether a server's process is shown to have ended; such a one does not count. */
+  readonly hasEnded: (processKey: string) => boolean;
 }
 
 export class StreamRuns {
   readonly #options: StreamRunsOptions;
 
-  readonly #runs: { readonly serverId: string; readonly hadEvents: boolean }[] = [];
+  readonly #runs: { readonly processKey: string; readonly hadEvents: boolean }[] = [];
 
   constructor(options: StreamRunsOptions) {
     this.#options = options;
@@ -24,11 +24,11 @@
   /**
    * Records an attempt that may have run.
    *
-   * @param serverId - Id of the server that the request was sent to.
+   * @param processKey - The process of the server that the request was sent to.
    * @param hadEvents - Whether the attempt failed after it had begun to answer, so that it did run.
    */
-  record(serverId: string, hadEvents: boolean): void {
-    this.#runs.push({ serverId, hadEvents });
+  record(processKey: string, hadEvents: boolean): void {
+    this.#runs.push({ processKey, hadEvents });
   }
 
   /** Number of attempts that may have run. */
@@ -37,41 +37,41 @@
   }
 
   /** The attempts that may have run, without those on servers that have ended. */
-  get #countedRuns(): readonly { readonly serverId: string; readonly hadEvents: boolean }[] {
-    return this.#runs.filter(({ serverId }) => !this.#options.hasEnded(serverId));
+  get #countedRuns(): readonly { readonly processKey: string; readonly hadEvents: boolean }[] {
+    return this.#runs.filter(({ processKey }) => !this.#options.hasEnded(processKey));
   }
 
-  /** Ids of the servers that are left out of the count since they have ended, for the log. */
-  get endedServerIds(): string[] {
-    const ended = this.#runs.filter(({ serverId }) => this.#options.hasEnded(serverId));
-    return [...new Set(ended.map(({ serverId }) => serverId))];
+  /** Processes of servers that are left out of the count since they have ended, for the log. */
+  get endedProcessKeys(): string[] {
+    const ended = this.#runs.filter(({ processKey }) => this.#options.hasEnded(processKey));
+    return [...new Set(ended.map(({ processKey }) => processKey))];
   }
 
   /** Number of servers that may have run the request, without those that have ended. */
   get countedServers(): number {
-    return new Set(this.#countedRuns.map(({ serverId }) => serverId)).size;
+    return new Set(this.#countedRuns.map(({ processKey }) => processKey)).size;
   }
 
   /**
    * Whether the request may be sent to a server: to any while the limit is not reached, otherwise
    * only to one that may have run it, and only if fewer attempts than the limit have run for certain.
    *
-   * @param serverId - Id of the server.
+   * @param processKey - The server's process.
    */
-  allows(serverId: string): boolean {
+  allows(processKey: string): boolean {
     const limit = Math.max(1, this.#options.maximumServers);
     if (this.#countedRuns.filter(({ hadEvents }) => hadEvents).length >= limit) return false;
-    if (this.#runs.some((run) => run.serverId === serverId)) return true;
+    if (this.#runs.some((run) => run.processKey === processKey)) return true;
     return this.countedServers < limit;
   }
 
   /**
    * Whether one more server could run the request after an attempt on the given one.
    *
-   * @param serverId - Id of the server that the request is on now.
+   * @param processKey - The process of the server that the request is on now.
    */
-  allowsAnotherAfter(serverId: string): boolean {
-    const counted = new Set(this.#countedRuns.map((run) => run.serverId));
-    return counted.add(serverId).size < Math.max(1, this.#options.maximumServers);
+  allowsAnotherAfter(processKey: string): boolean {
+    const counted = new Set(this.#countedRuns.map((run) => run.processKey));
+    return counted.add(processKey).size < Math.max(1, this.#options.maximumServers);
   }
 }
--- a/src/fleet/backend-fleet.test.ts
+++ b/src/fleet/backend-fleet.test.ts
@@ -1,12 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createSilentLogger } from '../telemetry/log.js';
-import { BackendFleet } from './backend-fleet.js';
-import type { ServerEntry } from './server-entry.js';
+import { BackendFleet, getHeldLayers, recordRefusal } from './backend-fleet.js';
+import { getProcessKey, type ServerEntry } from './server-entry.js';
 
-function createEntry(id: string, port: number): ServerEntry {
+function createEntry(id: string, port: number, incarnation?: string): ServerEntry {
   return {
     id,
+    incarnation,
     service: 'service',
     address: { host: '127.0.0.1', port },
     dataCentre: 'one',
@@ -26,3 +27,29 @@
   assert.ok(fleet.hasEnded('a'));
   assert.ok(!fleet.hasEnded('c'));
 });
+
+// Ejections, layers, slowdown and refusals of the old process were taken for those of the new one.
+test('server that starts again under its id: what was observed of its old process is void', () => {
+  const restarted: string[] = [];
+  const fleet = new BackendFleet({
+    log: createSilentLogger(),
+    onRestarted: (id) => restarted.push(id),
+  });
+  const [before, after] = [createEntry('a', 1, '7'), createEntry('a', 1, '8')];
+  fleet.put(before, 1);
+  const server = fleet.find('a');
+  assert.ok(server);
+  server.ownSlowdownFactor = 9;
+  server.ownLayerReport = { layers: { from: 0, to: 4 }, reportedAt: performance.now() };
+  recordRefusal(server, performance.now());
+  fleet.put({ ...before, isLeaving: true }, 2);
+  assert.deepEqual(restarted, []);
+  fleet.put(after, 3);
+  assert.deepEqual(restarted, ['a']);
+  assert.ok(fleet.hasEnded(getProcessKey(before)));
+  assert.ok(!fleet.hasEnded(getProcessKey(after)));
+  assert.deepEqual(
+    [server.ownSlowdownFactor, server.fullUntil, getHeldLayers(server)],
+    [1, 0, undefined],
+  );
+});
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -4,7 +4,7 @@
 import { formatAddress } from '../common/address.js';
 import { LruMap } from '../common/lru-map.js';
 import type { Logger } from '../telemetry/log.js';
-import type { LayerRange, ServerEntry } from './server-entry.js';
+import { getProcessKey, type LayerRange, type ServerEntry } from './server-entry.js';
 
 /** Requests that run on a server. */
 export interface ServerLoad {
@@ -48,16 +48,29 @@
 /** Options of {@link BackendFleet}. */
 export interface BackendFleetOptions {
   readonly log: Logger;
+  /** Called when a server has started again under its id; what is known of the old process is void. */
+  readonly onRestarted?: (id: string) => void;
   readonly now?: () => number;
 }
 
+/** What is observed of one process of a server and doesn't hold for the next. */
+const STATE_OF_NEW_PROCESS = {
+  ownSlowdownFactor: 1,
+  peerSlowdownFactor: 1,
+  ownLayerReport: undefined,
+  peerLayerReport: undefined,
+  fullUntil: 0,
+  refusingSince: undefined,
+  consecutiveRefusals: 0,
+} satisfies Partial<FleetServer>;
+
 /**
  * While the store recovers from an outage, entries of running servers may be missing for this long.
  */
 const MISSING_ENTRY_GRACE_MILLISECONDS = 1900;
 
-/** Ended servers that are remembered; far more than may run one request. */
-const MAXIMUM_ENDED_SERVERS = 1000;
+/** Ended processes that are remembered; far more than may run one request. */
+const MAXIMUM_ENDED_PROCESSES = 1000;
 
 /** After this long an engine's registry entry shows the reported layers. */
 const LAYER_REPORT_MAX_AGE_MILLISECONDS = 6000;
@@ -115,6 +128,8 @@
 
   readonly #log: Logger;
 
+  readonly #onRestarted: (id: string) => void;
+
   readonly #now: () => number;
 
   /** Revision of the store that the servers reflect. */
@@ -123,11 +138,12 @@
   /** When the store was last known to be unavailable, in milliseconds on the monotonic clock. */
   storeUnavailableAt = Number.NEGATIVE_INFINITY;
 
-  /** Ids of servers that are shown to have ended, also when they are no longer registered. */
-  readonly #endedIds = new LruMap<string, true>(MAXIMUM_ENDED_SERVERS);
+  /** Keys of processes that are shown to have ended, also when they are no longer registered. */
+  readonly #endedProcesses = new LruMap<string, true>(MAXIMUM_ENDED_PROCESSES);
 
   constructor(options: BackendFleetOptions) {
     this.#log = options.log;
+    this.#onRestarted = options.onRestarted ?? (() => undefined);
     this.#now = options.now ?? (() => performance.now());
   }
 
@@ -135,23 +151,30 @@
    * Notes that a server's process has ended. Only what the server's own host says shows this; silence
    * doesn't, as a slow link or a busy process on this side looks the same.
    *
-   * @param id - Id of the server.
+   * @param entry - The entry of that process.
    * @param evidence - What shows it, for the log.
    */
-  recordEnd(id: string, evidence: string): void {
-    if (this.hasEnded(id)) return;
-    this.#endedIds.set(id, true);
-    this.#log.info('Backend server has ended.', { id, evidence, revision: this.revision });
+  recordEnd(entry: ServerEntry, evidence: string): void {
+    const { id, incarnation } = entry;
+    const processKey = getProcessKey(entry);
+    if (this.hasEnded(processKey)) return;
+    this.#endedProcesses.set(processKey, true);
+    const { revision } = this;
+    this.#log.info('Backend server has ended.', { id, incarnation, evidence, revision });
   }
 
-  /** Withdraws {@link recordEnd}, since the server has answered. */
-  recordLife(id: string): void {
-    this.#endedIds.delete(id);
+  /** Withdraws {@link recordEnd}, since the process has answered. */
+  recordLife(entry: ServerEntry): void {
+    this.#endedProcesses.delete(getProcessKey(entry));
   }
 
-  /** Whether a server's process is shown to have ended; false while that is only likely. */
-  hasEnded(id: string): boolean {
-    return this.#endedIds.get(id) === true;
+  /**
+   * Whether a server's process is shown to have ended; false while that is only likely.
+   *
+   * @param processKey - As {@link getProcessKey} returns it.
+   */
+  hasEnded(processKey: string): boolean {
+    return this.#endedProcesses.get(processKey) === true;
   }
 
   /**
@@ -261,17 +284,16 @@
         entry,
         ownLoad: { requests: 0, reservedTokenLayers: 0 },
         peerLoad: { requests: 0, reservedTokenLayers: 0 },
-        ownSlowdownFactor: 1,
-        peerSlowdownFactor: 1,
-        ownLayerReport: undefined,
-        peerLayerReport: undefined,
-        fullUntil: 0,
-        refusingSince: undefined,
-        consecutiveRefusals: 0,
+        ...STATE_OF_NEW_PROCESS,
         missingSince: undefined,
       });
       return;
     }
+    if (getProcessKey(known.entry) !== getProcessKey(entry)) {
+      this.recordEnd(known.entry, `it started again, incarnation ${entry.incarnation}`);
+      Object.assign(known, STATE_OF_NEW_PROCESS);
+      this.#onRestarted(entry.id);
+    }
     if (known.entry.isLeaving !== entry.isLeaving) {
       this.#log.info('Backend server is leaving.', { id: entry.id, revision: this.revision });
     }
@@ -288,7 +310,7 @@
     const text = formatAddress(address);
     this.#servers.forEach(({ entry }) => {
       if (entry.id !== id && formatAddress(entry.address) === text)
-        this.recordEnd(entry.id, `its address was given to ${id}`);
+        this.recordEnd(entry, `its address was given to ${id}`);
     });
   }
 
--- a/src/fleet/call-times.ts
+++ b/src/fleet/call-times.ts
@@ -73,6 +73,11 @@
     return known.reportedLoad;
   }
 
+  /** Discards the measurements of a server, since another process has its id now. */
+  forget(id: string): void {
+    this.#times.delete(id);
+  }
+
   /** Discards the measurements of servers that are no longer registered. */
   retain(isRegistered: (id: string) => boolean): void {
     [...this.#times.keys()]
--- a/src/fleet/outlier-ejection.ts
+++ b/src/fleet/outlier-ejection.ts
@@ -105,6 +105,12 @@
     this.#log.info('Backend server readmitted.', { id });
   }
 
+  /** Discards what this instance has observed of a server, since another process has its id now. */
+  forget(id: string): void {
+    this.#ownEjections.delete(id);
+    this.#failureCounts.delete(id);
+  }
+
   /** Discards the state of servers that are no longer registered. */
   retain(isRegistered: (id: string) => boolean): void {
     [...this.#ownEjections.keys()]
--- a/src/fleet/server-entry.ts
+++ b/src/fleet/server-entry.ts
@@ -7,9 +7,12 @@
   readonly to: number;
 }
 
+/** The registry entry of one server. */
 export interface ServerEntry {
-  /** Unique id of this run of the server's process; changes when the server restarts. */
+  /** Names the server. A server that starts again may get a new id or keep its own. */
   readonly id: string;
+  /** Which start under its id this is; undefined where each start has an id of its own. */
+  readonly incarnation?: string | undefined;
   readonly service: string;
   readonly address: Address;
   readonly dataCentre: string;
@@ -22,3 +25,17 @@
   /** The layers that it holds; undefined if it holds none or is not a model engine. */
   readonly layers: LayerRange | undefined;
 }
+
+/**
+ * Names one run of a server's process. What holds only for that run, such as the requests that it runs,
+ * is kept by this key; the id alone also means the process that takes its place.
+ *
+ * @param entry - The server's entry.
+ * @returns A key that no other process of a server has.
+ */
+export function getProcessKey({
+  id,
+  incarnation,
+}: Pick<ServerEntry, 'id' | 'incarnation'>): string {
+  return incarnation === undefined ? id : `${id}/${incarnation}`;
+}
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -9,7 +9,7 @@
 import type { EntryMetrics } from '../entry/entry-metrics.js';
 import type { EngineProfile } from '../entry/serving-configuration.js';
 import { getHeldLayers, type BackendFleet, type FleetServer } from '../fleet/backend-fleet.js';
-import type { LayerRange } from '../fleet/server-entry.js';
+import { getProcessKey, type LayerRange } from '../fleet/server-entry.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
 import { isEngineLost } from './engine-loss.js';
@@ -63,11 +63,12 @@
 class Planner {
   readonly #options: PlannerOptions;
 
+  /** By process of an engine, as an order doesn't reach the process that takes its place. */
   readonly #pendingOrders = new Map<string, PendingOrder>();
 
   readonly #demand = new PeakDemand();
 
-  /** By engine id: until when no order is sent to it, on the monotonic clock. */
+  /** By process of an engine: until when no order is sent to it, on the monotonic clock. */
   readonly #busyUntil = new Map<string, number>();
 
   /** By id of an ejected server: when this task first saw it ejected, on the monotonic clock. */
@@ -148,20 +149,20 @@
       .filter((server) => !this.#isLost(server))
       .map((server) => {
         const { entry, ownLoad, peerLoad } = server;
-        const pending = this.#pendingOrders.get(entry.id);
+        const pending = this.#pendingOrders.get(getProcessKey(entry));
         if (
           pending &&
           (pending.expiresAt < now || isSameRange(pending.layers, getHeldLayers(server)))
         ) {
-          this.#pendingOrders.delete(entry.id);
+          this.#pendingOrders.delete(getProcessKey(entry));
         }
         return {
           id: entry.id,
           dataCentre: entry.dataCentre,
           kind: entry.kind,
           slots: entry.slots,
-          layers: this.#pendingOrders.get(entry.id)?.layers ?? getHeldLayers(server),
-          hasOrderInProgress: this.#busyUntil.get(entry.id) !== undefined,
+          layers: this.#pendingOrders.get(getProcessKey(entry))?.layers ?? getHeldLayers(server),
+          hasOrderInProgress: this.#busyUntil.get(getProcessKey(entry)) !== undefined,
           isInUse: ownLoad.requests + peerLoad.requests > 0,
           peakRequests: this.#demand.peak(`${service}/${entry.dataCentre}`),
         };
@@ -259,23 +260,24 @@
   ): Promise<void> {
     const { protocol, lease, log, metrics } = this.#options;
     const { id, address, kind } = server.entry;
+    const processKey = getProcessKey(server.entry);
     if (layers.to - layers.from > maximumLayerCount(profile, kind)) return;
     const layerCount = layers.to - layers.from;
     const loadMilliseconds = (profile.loadMilliseconds * layerCount) / profile.layerCount;
     const expiresAt = performance.now() + 2 * loadMilliseconds + ORDER_MARGIN_MILLISECONDS;
-    this.#pendingOrders.set(id, { layers, expiresAt });
+    this.#pendingOrders.set(processKey, { layers, expiresAt });
     try {
       const report = await protocol.fetchEngineReport(address, REPORT_TIMEOUT_MILLISECONDS);
       storeLayerReport(server, report.layers);
       // If the store does not answer, the order sequence number that each engine checks keeps two
       // planners from overriding each other's orders.
       if (leaseState === 'held' && !lease.isValid) {
-        this.#pendingOrders.delete(id);
+        this.#pendingOrders.delete(processKey);
         return;
       }
       if (report.isBusy) {
-        this.#pendingOrders.delete(id);
-        this.#busyUntil.set(id, performance.now() + BUSY_PAUSE_MILLISECONDS);
+        this.#pendingOrders.delete(processKey);
+        this.#busyUntil.set(processKey, performance.now() + BUSY_PAUSE_MILLISECONDS);
         return;
       }
       const order = { ...layers, expectedSequence: report.orderSequence };
@@ -283,18 +285,18 @@
       log.info('Order sent to the engine.', { id, ...order, result, isBusy: report.isBusy });
       metrics.countEvent(`order_${result}`);
       if (result === 'conflict' || result === 'refused') {
-        this.#pendingOrders.delete(id);
-        this.#busyUntil.set(id, performance.now() + BUSY_PAUSE_MILLISECONDS);
+        this.#pendingOrders.delete(processKey);
+        this.#busyUntil.set(processKey, performance.now() + BUSY_PAUSE_MILLISECONDS);
       } else if (result === 'unknown') {
         // The engine may carry out the order seconds later; until then its current layers count.
-        this.#pendingOrders.delete(id);
-        this.#busyUntil.set(id, performance.now() + UNCONFIRMED_ORDER_MILLISECONDS);
+        this.#pendingOrders.delete(processKey);
+        this.#busyUntil.set(processKey, performance.now() + UNCONFIRMED_ORDER_MILLISECONDS);
         void this.#awaitOrderCompletion(server, layers, expiresAt);
       } else {
         void this.#awaitOrderCompletion(server, layers, expiresAt);
       }
     } catch (error) {
-      this.#pendingOrders.delete(id);
+      this.#pendingOrders.delete(processKey);
       this.#options.outlierEjection.eject(id, getErrorMessage(error));
     }
   }
