--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -236,7 +236,8 @@
         if (isRerouting) return;
         isRerouting = true;
         faultyEngineIds.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
-        this.#recordStall(faultyEngineIds);
+        const faultyEngine = this.#context.fleet.find(faultyEngineIds[0] ?? '');
+        if (faultyEngine) this.#recordStall(faultyEngine.entry);
         void rerouteStream(this.#context, this.#chainSelector, {
           requestId: metadata.requestId,
           chain: chosen,
@@ -287,13 +288,11 @@
   }
 
   /**
-   * Records at which engine the stream stalled, for the case that it has ended under the request. Of
-   * several engines of one chain it is one: a request ends engines one after the other.
+   * Records the engine at which the stream stalled or broke off, which may have ended under the request.
+   * Of several engines of one chain it is one: a request ends engines one after the other.
    */
-  #recordStall([engineId]: readonly string[]): void {
+  #recordStall(entry: ServerEntry): void {
     const { fleet, crashRecords } = this.#context;
-    const entry = engineId === undefined ? undefined : fleet.find(engineId)?.entry;
-    if (!entry) return;
     const processKey = getProcessKey(entry);
     crashRecords.recordStall(this.#request.contentHash, processKey);
     if (fleet.hasEnded(processKey)) crashRecords.recordEndedServer(processKey);
@@ -310,9 +309,12 @@
       outlierEjection.eject(firstEngine.id, message);
       return { kind: 'notRun', engineIdsToAvoid, message };
     }
-    if (isConnectionLost(error)) {
-      crashRecords.recordCrash(this.#request.contentHash, getProcessKey(firstEngine));
-    }
+    const { contentHash } = this.#request;
+    const processKey = getProcessKey(firstEngine);
+    if (error instanceof HttpRequestError && error.phase === 'sent')
+      crashRecords.recordCrash(contentHash, processKey);
+    // A live engine may break off an answer too; whether this one has ended is looked at next.
+    else if (isConnectionLost(error)) this.#recordStall(firstEngine);
     return { kind: 'broken', engineIdsToAvoid, message };
   }
 
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -62,6 +62,8 @@
 
   readonly #lastRequestedAt = new Map<string, number>();
 
+  readonly #runningReports = new Map<string, Promise<void>>();
+
   #lastCheckAt: number | undefined;
 
   constructor(options: StallDetectorOptions) {
@@ -100,7 +102,11 @@
       if (first && silenceMilliseconds >= SILENCE_THRESHOLD_MILLISECONDS)
         firstEngines.set(first.entry.id, first);
     });
-    await Promise.all([...firstEngines.values()].map((server) => this.#refreshStalls(server)));
+    await Promise.all(
+      [...firstEngines.values()]
+        .filter(({ entry }) => this.#tryStartReport(entry.id, STALL_REPORT_INTERVAL_MILLISECONDS))
+        .map((server) => this.#shareReport(server)),
+    );
   }
 
   /** Time in which this process was held up is no silence of the engines. */
@@ -122,7 +128,7 @@
    */
   async checkEngine(id: string): Promise<void> {
     const server = this.#options.fleet.find(id);
-    if (server) await this.#refreshStalls(server);
+    if (server) await this.#shareReport(server);
   }
 
   /** Reads the slowdown factor of engines that silent streams run over or that were slow before. */
@@ -149,9 +155,17 @@
     return true;
   }
 
+  /** Requests a report about stalls, unless one is under way, which is then waited for. */
+  async #shareReport(server: FleetServer): Promise<void> {
+    const { id } = server.entry;
+    const report = this.#runningReports.get(id) ?? this.#refreshStalls(server);
+    this.#runningReports.set(id, report);
+    await report;
+    this.#runningReports.delete(id);
+  }
+
   async #refreshStalls(server: FleetServer): Promise<void> {
     const { id, address } = server.entry;
-    if (!this.#tryStartReport(id, STALL_REPORT_INTERVAL_MILLISECONDS)) return;
     const { protocol, fleet, outlierEjection, log } = this.#options;
     const requestedAt = this.#now();
     try {
