Deny a route or key only on evidence younger than the bound of changes

What callers saw: 404 for a route 3.240 s after its version was acknowledged, where the settings say 3,000 ms (CONFIG). Cause: nothing read that setting. Evidence of 4.5 s was enough, and a peer's word, itself resting on up to 5 s, counted as new when it arrived. Class: ages of evidence that do not add up, and a bound of our own in place of the stated one. Ruled out: two versions in one request (mended before).

Now evidence is younger than config-ms less 500 ms for the way of the answer. Where it is older, one check settles it, shared by all requests that wait: instances that don't follow the store ask two peers, with their age and the time of the question added; followers ask the store with a watch that doesn't wait; each falls back to the other.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -5,6 +5,7 @@
 import { setMaxListeners } from 'node:events';
 import { sleep } from '../common/clock.js';
 import { ActiveConfiguration } from '../entry/active-configuration.js';
+import { ConfigurationCheck } from '../entry/configuration-check.js';
 import { CrashRecords } from '../entry/crash-records.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import { EntryMetrics } from '../entry/entry-metrics.js';
@@ -84,6 +85,8 @@
 
   readonly #configuration: ActiveConfiguration;
 
+  readonly #configurationCheck: ConfigurationCheck;
+
   readonly #fleet: BackendFleet;
 
   readonly #outlierEjection: OutlierEjection;
@@ -121,7 +124,10 @@
     const { settings, platform, logs } = options;
     // Every task adds an abort listener; without this, Node.js warns of a listener leak.
     setMaxListeners(0, this.#taskController.signal);
-    this.#configuration = new ActiveConfiguration({ log: logs('configuration') });
+    this.#configuration = new ActiveConfiguration({
+      log: logs('configuration'),
+      changeBoundMilliseconds: settings.changeBoundMilliseconds,
+    });
     this.#fleet = new BackendFleet({
       log: logs('backend'),
       onEnded: (processKey) => this.#context.crashRecords.recordEndedServer(processKey),
@@ -151,6 +157,8 @@
       configuration: this.#configuration,
       dataCentre: settings.dataCentre,
       fleet: this.#fleet,
+      changeBoundMilliseconds: settings.changeBoundMilliseconds,
+      listPeers: () => this.#peers.aliveRecords,
       fetch: (peer, path) => this.#gossip.fetchDocument(peer, path),
       isFollowedByPeers: () =>
         isFollowedByPeers(settings.instance, settings.dataCentre, this.#peers.aliveRecords),
@@ -160,6 +168,11 @@
       logs,
       signal: this.#taskController.signal,
     });
+    this.#configurationCheck = new ConfigurationCheck({
+      configuration: this.#configuration,
+      sources: () => this.#storeFollower.configurationSources,
+      log: logs('configuration'),
+    });
     this.#gossip = new Gossip({
       address: settings.listen.peers,
       dataCentre: settings.dataCentre,
@@ -226,6 +239,7 @@
         address: settings.listen.callers,
         context: this.#context,
         configuration: this.#configuration,
+        confirmConfiguration: () => this.#configurationCheck.confirm(),
         isStopping: () => this.#isStopping,
         mustFinishBy: () => this.#mustFinishBy,
       }),
--- a/src/daemon/own-record.test.ts
+++ b/src/daemon/own-record.test.ts
@@ -10,6 +10,7 @@
   seeds: [],
   listen: { callers: ADDRESS, readiness: ADDRESS, peers: ADDRESS, addresses: ADDRESS },
   storeAddress: ADDRESS,
+  changeBoundMilliseconds: 2000,
   stopTimeoutMilliseconds: 8000,
   maximumAddressLifetimeSeconds: 5,
   retryBudget: { ratio: 0.2, windowMilliseconds: 10_000, minimumRetries: 100 },
--- a/src/daemon/store-follower.test.ts
+++ b/src/daemon/store-follower.test.ts
@@ -61,9 +61,14 @@
   let news = 0;
   const follower = new StoreFollower({
     platform: platform as EntryPlatform,
-    configuration: new ActiveConfiguration({ log: createSilentLogger() }),
+    configuration: new ActiveConfiguration({
+      log: createSilentLogger(),
+      changeBoundMilliseconds: 2000,
+    }),
     dataCentre: 'z',
     fleet,
+    changeBoundMilliseconds: 2000,
+    listPeers: () => [],
     fetch: () => Promise.resolve(options.peerDocument),
     isFollowedByPeers: options.isFollowedByPeers,
     onNews: () => {
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -2,9 +2,11 @@
  * Keeps an instance's configuration and list of backend servers up to date: by watching the store,
  * and from peers while the store is unreachable.
  */
+import { z } from 'zod';
 import type { Address } from '../common/address.js';
 import { sleep } from '../common/clock.js';
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
+import type { ConfigurationSource } from '../entry/configuration-check.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
@@ -20,6 +22,10 @@
   /** Name of this instance's data centre. */
   readonly dataCentre: string;
   readonly fleet: BackendFleet;
+  /** The time after its acknowledgement at which a configuration must be in force everywhere. */
+  readonly changeBoundMilliseconds: number;
+  /** Records of the live peers. */
+  readonly listPeers: () => readonly PeerRecord[];
   /** Reads a document of a peer; resolves to undefined when the peer does not provide it. */
   readonly fetch: (peer: Address, path: string) => Promise<unknown>;
   /** Whether peers follow the store on behalf of this instance, so that it need not call it. */
@@ -34,6 +40,7 @@
 
 /** Paths under which peers read the stored configuration and the list of backend servers. */
 const CONFIGURATION_PATH = '/configuration';
+const CONFIGURATION_STATE_PATH = '/configuration-state';
 const FLEET_PATH = '/fleet';
 /** Pause between two watches of backend servers, so that changes arrive in batches. */
 const WATCH_PAUSE_MILLISECONDS = 200;
@@ -41,13 +48,19 @@
 const NEWS_DELAY_MILLISECONDS = 400;
 /** Longer while idle, so that servers that register in quick succession are applied together. */
 const IDLE_WATCH_PAUSE_MILLISECONDS = 500;
-/** How long one watch of the configuration waits for a change; its answer shows that there is none. */
-const CONFIGURATION_WATCH_MILLISECONDS = 3500;
+/**
+ * One watch of the configuration waits so much shorter than the bound of changes that a watch whose
+ * connection has gone silent is noticed within the bound.
+ */
+const WATCH_MARGIN_MILLISECONDS = 700;
+const MINIMUM_WATCH_MILLISECONDS = 500;
 /**
  * The store counts as reachable for this long after a response, unless a call fails. Longer than one
  * watch of the configuration.
  */
 const STORE_REACHABLE_MILLISECONDS = 5000;
+/** Peers that are asked at a time whether there is a newer configuration. */
+const ASKED_PEERS = 2;
 
 /** An instance's list of backend servers, as peers fetch it. */
 interface FleetDocument {
@@ -57,6 +70,13 @@
   readonly missingMilliseconds?: Readonly<Record<string, number>>;
 }
 
+/** What an instance knows of the newest configuration, as it tells peers that ask. */
+const ConfigurationState = z.object({
+  version: z.number(),
+  /** How long ago the store confirmed that there is no newer version. */
+  ageMilliseconds: z.number().min(0),
+});
+
 /** Applies changes in the store to the configuration and the fleet of one instance. */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions;
@@ -74,6 +94,12 @@
 
   #hasFleet = false;
 
+  /** A question to the store on behalf of peers, shared by all that ask meanwhile. */
+  #stateCheck: Promise<void> | undefined;
+
+  /** Revision from which the configuration is watched. */
+  #configurationRevision: number | undefined;
+
   constructor(options: StoreFollowerOptions) {
     this.#options = options;
   }
@@ -92,11 +118,12 @@
     return performance.now() - this.#lastContactAt < STORE_REACHABLE_MILLISECONDS;
   }
 
-  /** Documents, by path, that peers read while they cannot reach the store. */
+  /** Documents, by path, that peers read while they do not call the store. */
   get documents(): Readonly<Record<string, () => unknown>> {
     const { configuration, fleet } = this.#options;
     return {
       [CONFIGURATION_PATH]: () => configuration.storedValue,
+      [CONFIGURATION_STATE_PATH]: () => this.#describeConfigurationState(),
       [FLEET_PATH]: () => ({
         revision: fleet.revision,
         entries: fleet.servers.map(({ entry }) => entry),
@@ -117,23 +144,87 @@
    * otherwise if this instance is still behind a moment later: its own watch of the store, or a peer
    * that is nearer, usually brings the news first, but a watch may hang without an error.
    *
-   * A peer that reaches the store and has the same version confirms this instance's configuration.
-   *
    * @param record - The latest record of the peer.
    */
   catchUpWithPeer(record: PeerRecord): void {
     const { configuration, dataCentre, fleet } = this.#options;
     const version = configuration.current?.version ?? -1;
     if (record.configurationVersion > version) void this.#fetchConfiguration(record);
-    else if (record.isStoreReachable && record.configurationVersion === version) {
-      configuration.markUpToDate(record.instance);
-    }
     if (record.fleetRevision <= fleet.revision) return;
     const isExpected = record.dataCentre === dataCentre && !this.isStoreReachable;
     if (isExpected || !this.#hasFleet) void this.#fetchFleet(record);
     else void this.#fetchFleetIfStillBehind(record);
   }
 
+  /**
+   * Where to ask whether the configuration is the newest one: peers first while they follow the store
+   * for this instance, otherwise the store.
+   */
+  get configurationSources(): readonly ConfigurationSource[] {
+    const askStore = (): Promise<void> => this.#askStoreForConfiguration();
+    const askPeers = (): Promise<void> => this.#askPeersForConfiguration();
+    return this.#options.isFollowedByPeers() ? [askPeers, askStore] : [askStore, askPeers];
+  }
+
+  async #askStoreForConfiguration(): Promise<void> {
+    const { platform, configuration, signal } = this.#options;
+    const { store, configurationKind } = platform;
+    const since = this.#configurationRevision;
+    if (since !== undefined) {
+      const watched = await store.watch(configurationKind, { since, waitMilliseconds: 0, signal });
+      if (watched.kind === 'unavailable') return;
+      if (watched.kind === 'changed') {
+        watched.changes.forEach(({ object }) => this.#applyConfiguration(object));
+        configuration.markUpToDate('store answer');
+        return;
+      }
+    }
+    const listed = await store.list(configurationKind);
+    if (listed.kind !== 'listed') return;
+    listed.objects.forEach((object) => this.#applyConfiguration(object));
+    configuration.markUpToDate('store answer');
+  }
+
+  /** Asks peers that reach the store, those of this data centre first. */
+  async #askPeersForConfiguration(): Promise<void> {
+    const { dataCentre, listPeers } = this.#options;
+    const asked = listPeers()
+      .filter(({ isStoreReachable, isReady }) => isStoreReachable && isReady)
+      .sort(
+        (one, other) =>
+          Number(other.dataCentre === dataCentre) - Number(one.dataCentre === dataCentre),
+      )
+      .slice(0, ASKED_PEERS);
+    await Promise.all(asked.map((peer) => this.#askPeerForConfiguration(peer)));
+  }
+
+  async #askPeerForConfiguration(peer: PeerRecord): Promise<void> {
+    const { configuration, fetch } = this.#options;
+    const askedAt = performance.now();
+    const answer = ConfigurationState.safeParse(await fetch(peer.peers, CONFIGURATION_STATE_PATH));
+    if (!answer.success) return;
+    const { version, ageMilliseconds } = answer.data;
+    const isNewer = (): boolean => version > (configuration.current?.version ?? -1);
+    if (isNewer()) await this.#fetchConfiguration(peer);
+    if (version !== configuration.current?.version) return;
+    // The peer answered after it was asked, so its evidence is at most this old.
+    configuration.markUpToDate(peer.instance, ageMilliseconds + performance.now() - askedAt);
+  }
+
+  /** Answers a peer; asks the store first if this instance's own evidence is too old to be of use. */
+  async #describeConfigurationState(): Promise<unknown> {
+    const { configuration } = this.#options;
+    if (!configuration.isFresh()) {
+      this.#stateCheck ??= this.#askStoreForConfiguration().finally(() => {
+        this.#stateCheck = undefined;
+      });
+      await this.#stateCheck;
+    }
+    if (!configuration.current || !configuration.isFresh()) return undefined;
+    const ageMilliseconds = configuration.ageMilliseconds();
+    return { version: configuration.current.version, ageMilliseconds };
+  }
+
   async #fetchFleetIfStillBehind(record: PeerRecord): Promise<void> {
     const { fleet, signal } = this.#options;
     if (this.#isWaitingForNews) return;
@@ -159,14 +250,21 @@
   }
 
   #watchConfiguration(): Promise<void> {
-    const { platform, configuration, isFollowedByPeers, logs, signal } = this.#options;
+    const { platform, configuration, isFollowedByPeers, changeBoundMilliseconds, logs, signal } =
+      this.#options;
     return followObjects({
       store: platform.store,
       objectKind: platform.configurationKind,
-      waitMilliseconds: CONFIGURATION_WATCH_MILLISECONDS,
+      waitMilliseconds: Math.max(
+        MINIMUM_WATCH_MILLISECONDS,
+        changeBoundMilliseconds - WATCH_MARGIN_MILLISECONDS,
+      ),
       isPaused: () => isFollowedByPeers() && configuration.current !== undefined,
       onList: (objects) => objects.forEach((object) => this.#applyConfiguration(object)),
       onChanges: (changes) => changes.forEach(({ object }) => this.#applyConfiguration(object)),
+      onRevision: (revision) => {
+        this.#configurationRevision = revision;
+      },
       onStoreAnswer: () => {
         this.#recordContact();
         configuration.markUpToDate('store answer');
--- a/src/entry/active-configuration.ts
+++ b/src/entry/active-configuration.ts
@@ -5,15 +5,29 @@
 /** Options of {@link ActiveConfiguration}. */
 export interface ActiveConfigurationOptions {
   readonly log: Logger;
+  /** The time after its acknowledgement at which a configuration must be in force everywhere. */
+  readonly changeBoundMilliseconds: number;
   readonly now?: () => number;
 }
 
+/** For the way of the store's answer to this process, which is not part of the evidence's age. */
+const EVIDENCE_MARGIN_MILLISECONDS = 500;
+/** Where the bound is short, evidence may have this share of it. */
+const MINIMUM_EVIDENCE_SHARE = 0.5;
+
 /**
- * A route or API key that the configuration lacks is only reported as unknown while the
- * configuration was confirmed to be the newest within this time. A peer that confirms it may itself
- * have heard from the store 5 s ago; together that is below the 10 s in which a change is in force.
+ * Returns how old the evidence may be that the configuration is the newest one, for a request to be
+ * denied by it.
+ *
+ * @param changeBoundMilliseconds - The time in which a change must be in force.
+ * @returns Milliseconds, less than the bound.
  */
-const FRESHNESS_LIMIT_MILLISECONDS = 4500;
+export function getEvidenceLimit(changeBoundMilliseconds: number): number {
+  return Math.max(
+    MINIMUM_EVIDENCE_SHARE * changeBoundMilliseconds,
+    changeBoundMilliseconds - EVIDENCE_MARGIN_MILLISECONDS,
+  );
+}
 
 /** The configuration by which an instance serves requests. It is never replaced by an older one. */
 export class ActiveConfiguration {
@@ -27,6 +41,8 @@
 
   #routes = new RouteTable([]);
 
+  readonly #evidenceLimitMilliseconds: number;
+
   #upToDateAt = Number.NEGATIVE_INFINITY;
 
   #upToDateEvidence = 'none';
@@ -37,6 +53,7 @@
   constructor(options: ActiveConfigurationOptions) {
     this.#log = options.log;
     this.#now = options.now ?? (() => performance.now());
+    this.#evidenceLimitMilliseconds = getEvidenceLimit(options.changeBoundMilliseconds);
   }
 
   get current(): ServingConfiguration | undefined {
@@ -57,9 +74,12 @@
    * Records that the store, or a peer that can reach it, has no newer version.
    *
    * @param evidence - What shows it: `store answer` or the name of the peer.
+   * @param ageMilliseconds - How long ago the store said so at the latest.
    */
-  markUpToDate(evidence: string): void {
-    this.#upToDateAt = this.#now();
+  markUpToDate(evidence: string, ageMilliseconds = 0): void {
+    const confirmedAt = this.#now() - ageMilliseconds;
+    if (confirmedAt < this.#upToDateAt) return;
+    this.#upToDateAt = confirmedAt;
     this.#upToDateEvidence = evidence;
   }
 
@@ -75,9 +95,9 @@
     return this.#now() - this.#upToDateAt;
   }
 
-  /** Whether a route or API key that the configuration lacks can be reported as unknown. */
+  /** Whether a request for a route or API key that the configuration lacks may be denied. */
   isFresh(): boolean {
-    return this.ageMilliseconds() < FRESHNESS_LIMIT_MILLISECONDS;
+    return this.ageMilliseconds() < this.#evidenceLimitMilliseconds;
   }
 
   /**
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -12,13 +12,15 @@
 import { relayCall } from './relay-call.js';
 import { relayStream } from './relay-stream.js';
 import type { ActiveConfiguration } from './active-configuration.js';
-import { pickService, type Route, type ServingConfiguration } from './serving-configuration.js';
+import { pickService, type Route } from './serving-configuration.js';
 
 /** Options of {@link startEntryServer}. */
 export interface EntryServerOptions {
   readonly address: Address;
   readonly context: EntryContext;
   readonly configuration: ActiveConfiguration;
+  /** Confirms that the configuration is the newest one; false if that can't be shown now. */
+  readonly confirmConfiguration: () => Promise<boolean>;
   /**
    * Whether the instance is stopping, in which case connections are closed after their response.
    */
@@ -108,17 +110,16 @@
 
 /** Finds the route of a request, or the response to a request that must not be routed. */
 function findRouteOrRejection(
-  configuration: ServingConfiguration,
-  activeConfiguration: ActiveConfiguration,
+  { current, routes }: ActiveConfiguration,
   target: RequestTarget,
   metadata: RequestMetadata,
 ): Route | LocalResponse {
-  const route = activeConfiguration.routes.find(target.host, target.path);
-  const isFresh = activeConfiguration.isFresh();
-  if (!route) return isFresh ? NO_ROUTE : STALE_CONFIGURATION;
-  if (!configuration.hasAccounts || route.isPublic) return route;
-  if (metadata.apiKey !== undefined && configuration.accounts.has(metadata.apiKey)) return route;
-  return isFresh ? UNKNOWN_KEY : STALE_CONFIGURATION;
+  if (!current) return NO_CONFIGURATION;
+  const route = routes.find(target.host, target.path);
+  if (!route) return NO_ROUTE;
+  if (!current.hasAccounts || route.isPublic) return route;
+  if (metadata.apiKey !== undefined && current.accounts.has(metadata.apiKey)) return route;
+  return UNKNOWN_KEY;
 }
 
 function isLocalResponse(result: Route | LocalResponse): result is LocalResponse {
@@ -133,7 +134,8 @@
  * @throws Error when the address cannot be listened on.
  */
 export async function startEntryServer(options: EntryServerOptions): Promise<EntryServer> {
-  const { address, context, configuration, isStopping, mustFinishBy } = options;
+  const { address, context, configuration, confirmConfiguration, isStopping, mustFinishBy } =
+    options;
   const { protocol, metrics, logs } = context;
   const log = logs('caller');
   const connections = new CallerConnections({
@@ -181,9 +183,12 @@
     let timer: NodeJS.Timeout | undefined;
     try {
       const body = await readBody(incoming, bodyBytes);
-      // A newer version may have come while the body was read; one version decides on all of the rest.
+      const isDenied = isLocalResponse(findRouteOrRejection(configuration, target, metadata));
+      if (isDenied && !(await confirmConfiguration()))
+        return rejectRequest(incoming, response, STALE_CONFIGURATION);
+      // A newer version may have come by now; one version decides on all of the rest.
       const { current } = configuration;
-      const route = findRouteOrRejection(current, configuration, target, metadata);
+      const route = findRouteOrRejection(configuration, target, metadata);
       if (isLocalResponse(route)) return rejectRequest(incoming, response, route);
       const service = current.services.get(pickService(route, Math.random()));
       if (!service) return rejectRequest(incoming, response, STALE_CONFIGURATION);
--- a/src/entry/entry-settings.ts
+++ b/src/entry/entry-settings.ts
@@ -26,6 +26,8 @@
     readonly addresses: Address;
   };
   readonly storeAddress: Address;
+  /** The time after its acknowledgement at which a configuration must be in force everywhere. */
+  readonly changeBoundMilliseconds: number;
   /** The time from the stop signal until the platform kills the process. */
   readonly stopTimeoutMilliseconds: number;
   /** The longest time for which callers may keep the addresses that they are given. */
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -29,7 +29,10 @@
   readonly onRecord: (record: PeerRecord) => void;
   /** Called once after one or more newer records have been stored. */
   readonly onRecords: () => void;
-  /** JSON documents served to peers, by path. A document that is undefined is answered with 404. */
+  /**
+   * JSON documents served to peers, by path, or promises of them. A document that is undefined is
+   * answered with 404.
+   */
   readonly documents: Readonly<Record<string, () => unknown>>;
   readonly log: Logger;
   readonly signal: AbortSignal;
@@ -305,7 +308,7 @@
         this.#mergeRecords([exchange.own]);
         body = this.#findRecordsNewerThan(exchange);
       } else {
-        body = documents[request.url ?? '']?.();
+        body = await documents[request.url ?? '']?.();
       }
       response.statusCode = body === undefined ? 404 : 200;
       response.setHeader('Content-Type', 'application/json');
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -31,6 +31,8 @@
   readonly onChanges: (changes: readonly ObjectChange[], revision: number) => void;
   /** Called after each answer from the store. */
   readonly onStoreAnswer: () => void;
+  /** Called with the revision from which the next watch continues, after each answer to a list or watch. */
+  readonly onRevision?: (revision: number) => void;
   /** Called after each call that fails. */
   readonly onStoreUnavailable?: () => void;
   readonly log: Logger;
@@ -72,7 +74,7 @@
  */
 export async function followObjects(options: FollowObjectsOptions): Promise<void> {
   const { store, objectKind, onList, onChanges, onStoreAnswer, log, signal } = options;
-  const { onStoreUnavailable = () => undefined } = options;
+  const { onStoreUnavailable = () => undefined, onRevision = () => undefined } = options;
   const { isPaused = () => false, knownRevision = () => 0 } = options;
   const { waitMilliseconds = DEFAULT_WATCH_MILLISECONDS, batchPauseMilliseconds = () => 0 } =
     options;
@@ -98,6 +100,7 @@
       if (listed.kind === 'listed') {
         recordAnswer();
         revision = listed.revision;
+        onRevision(revision);
         onList(listed.objects, revision);
       } else {
         await recordFailure(listed.message);
@@ -107,6 +110,7 @@
       if (watched.kind === 'changed') {
         recordAnswer();
         revision = Math.max(revision, watched.revision);
+        onRevision(revision);
         if (watched.changes.length > 0) {
           onChanges(watched.changes, revision);
           const milliseconds = batchPauseMilliseconds();
