--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -11,6 +11,7 @@
 import { fetchResponse, getErrorMessage } from '../common/http-client.js';
 import type { Logger } from '../telemetry/log.js';
 import { PeerRecord, type ServerLoads } from './peer-record.js';
+import { COMPRESSED_ENCODING, decodeDocument, encodeDocument } from './document-encoding.js';
 import type { PeerTable } from './peer-table.js';
 import { getHeartbeatInterval, getRemoteRecordInterval } from './record-interval.js';
 
@@ -161,9 +162,12 @@
         agent: this.#agent,
         method: 'GET',
         path,
+        headers: { 'accept-encoding': COMPRESSED_ENCODING },
         timeoutMilliseconds: DOCUMENT_TIMEOUT_MILLISECONDS,
       });
-      return answer.status === 200 ? JSON.parse(answer.body.toString()) : undefined;
+      if (answer.status !== 200) return undefined;
+      const { body, headers } = answer;
+      return await decodeDocument({ body, encoding: headers['content-encoding'] });
     } catch (error) {
       this.#options.log.debug('Could not read a document from the peer.', {
         ...address,
@@ -312,7 +316,10 @@
       }
       response.statusCode = body === undefined ? 404 : 200;
       response.setHeader('Content-Type', 'application/json');
-      response.end(JSON.stringify(body ?? {}));
+      const { 'accept-encoding': accepted } = request.headers;
+      const encoded = await encodeDocument(body ?? {}, String(accepted));
+      if (encoded.encoding) response.setHeader('Content-Encoding', encoded.encoding);
+      response.end(encoded.body);
     } catch (error) {
       this.#options.log.warn('Could not answer a request from a peer; connection closed.', {
         message: getErrorMessage(error),
