--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -49,6 +49,8 @@
   eventsBeforeCrash: number;
   /** After a crash it starts again under its id this much later; undefined means never. */
   restartMilliseconds: number | undefined;
+  /** What it names as `Server-Limit` in all its answers to callers' requests. */
+  namedLimit: string | undefined;
   /** Withdraws its entry from the store when it has begun a stream, and goes on serving. */
   unregistersWhileRunning: boolean;
 }
@@ -79,12 +81,16 @@
     crashingBody: undefined,
     eventsBeforeCrash: 0,
     restartMilliseconds: undefined,
+    namedLimit: undefined,
     unregistersWhileRunning: false,
   };
 
   /** How often it crashed on a request. */
   crashCount = 0;
 
+  /** When callers' requests arrived, also rejected ones, on the monotonic clock. */
+  readonly arrivals: number[] = [];
+
   readonly runs: Run[] = [];
 
   readonly orders: { readonly from: number; readonly to: number }[] = [];
@@ -158,6 +164,11 @@
 
   async #handleRequest(request: StandInRequest): Promise<void> {
     const { path, response, headers } = request;
+    const { namedLimit } = this.faults;
+    if (headers['request-id'] !== undefined) {
+      this.arrivals.push(performance.now());
+      if (namedLimit !== undefined) response.setHeader('server-limit', namedLimit);
+    }
     if (this.faults.neverAnswers) {
       await new Promise<void>((resolve) => {
         response.on('close', resolve);
