Keep to the limit that a backend server names, all instances together

The limit is decoded in platform/ and taken from a server's own answers; records of peers pass it on with its age, also that it has ended. Each instance has a fixed part of the whole requests that the limit allows in 4 s (longer below one request in that time), by its place in an order that is the same everywhere and another one for each server. The parts add up to the limit, so nothing is asked before a request is sent, and a late word costs no more than one part. All that is sent counts from before the limit was known, when it is chosen: attempts, retries, resumed streams, also what is then rejected. A server without room is no candidate for a call or a first stage; what can't be placed is refused at once with the time at which there is room. A word that nobody confirms holds 8 s, then one instance at a time finds out; that covers a limit of 0. A restart under the same id starts anew; nonsense is logged and ignored.

Weighed: asking an owner for each request (exact, but a call between instances before each request and nothing when the owner is slow), and counts in records as the retry budget has (a second old, several times the limit goes through in a burst).

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -24,6 +24,7 @@
   sumDataCentreLoads,
 } from '../fleet/server-observations.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
+import { ServerLimits } from '../fleet/server-limits.js';
 import { Gossip } from '../gossip/gossip.js';
 import type { PeerRecord, ServerLoads } from '../gossip/peer-record.js';
 import { getHeartbeatInterval } from '../gossip/record-interval.js';
@@ -134,6 +135,7 @@
       onRestarted: (id) => {
         this.#outlierEjection.forget(id);
         this.#context.callTimes.forget(id);
+        this.#context.serverLimits.forget(id);
       },
     });
     this.#outlierEjection = new OutlierEjection({
@@ -205,6 +207,11 @@
       outlierEjection: this.#outlierEjection,
       callTimes: new CallTimes(),
       crashRecords: new CrashRecords({ log: logs('routing') }),
+      serverLimits: new ServerLimits({
+        instance: settings.instance,
+        listPeers: () => this.#peers.allRecords.map(({ instance }) => instance),
+        log: logs('backend'),
+      }),
       refusalPacing: new RefusalPacing(),
       retryBudget: new RetryBudget({
         settings: settings.retryBudget,
@@ -416,6 +423,7 @@
       fleetRevision: this.#fleet.revision,
       ...collectServerObservations(this.#fleet),
       retries: this.#context.retryBudget.counts,
+      limits: this.#context.serverLimits.reported,
     };
   }
 
@@ -433,6 +441,7 @@
   #acceptRecord(record: PeerRecord): void {
     this.#outlierEjection.replacePeerEjections(record.instance, record.suspects);
     this.#context.crashRecords.merge(record.crashes);
+    this.#context.serverLimits.merge(record.limits ?? {});
     this.#remoteLoads.accept(record);
     this.#storeFollower.catchUpWithPeer(record);
   }
@@ -454,7 +463,9 @@
   /** Checks the health of ejected servers, and readmits those that are healthy. */
   async #checkEjectedServers(): Promise<void> {
     const { fleet } = this.#context;
-    this.#outlierEjection.retain((id) => fleet.find(id) !== undefined);
+    const isRegistered = (id: string): boolean => fleet.find(id) !== undefined;
+    this.#outlierEjection.retain(isRegistered);
+    this.#context.serverLimits.retain(isRegistered);
     await Promise.all(
       this.#outlierEjection.dueForHealthCheck.map((id) => this.#checkServerHealth(id)),
     );
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -2,6 +2,7 @@
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { CallTimes } from '../fleet/call-times.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
+import type { ServerLimits } from '../fleet/server-limits.js';
 import type { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import type { LoggerFactory } from '../telemetry/log.js';
 import type { CrashRecords } from './crash-records.js';
@@ -19,6 +20,7 @@
   readonly outlierEjection: OutlierEjection;
   readonly callTimes: CallTimes;
   readonly crashRecords: CrashRecords;
+  readonly serverLimits: ServerLimits;
   readonly refusalPacing: RefusalPacing;
   readonly retryBudget: RetryBudget;
   readonly linkLoad: DataCentreLinkLoad;
--- a/src/entry/protocol-adapter.ts
+++ b/src/entry/protocol-adapter.ts
@@ -53,6 +53,10 @@
   /** `host:port` of the engine at fault, when the request ran over a chain. */
   readonly faultAddress: string | undefined;
   readonly load: { readonly running: number; readonly waiting: number } | undefined;
+  /** Requests per second that the server takes from all instances together; undefined if any number. */
+  readonly requestsPerSecond: number | undefined;
+  /** A limit that can't be read; it says nothing. */
+  readonly malformedLimit: string | undefined;
   /** Whether the body has a content encoding, so that it was altered on the way. */
   readonly isEncoded: boolean;
 }
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -72,9 +72,7 @@
       const server = this.#chooseServer();
       if (!server) {
         if (this.#lastFailure) return this.#sendBackendResponse(this.#lastFailure);
-        return this.#possibleRuns > 0
-          ? this.#sendUnknownOutcome()
-          : this.#sendRefusal('no_server', RETRY_AFTER_NO_SERVER_SECONDS);
+        return this.#possibleRuns > 0 ? this.#sendUnknownOutcome() : this.#refuseWithoutServer();
       }
       logs('routing').info('Backend server chosen.', {
         requestId: metadata.requestId,
@@ -123,10 +121,11 @@
 
   /** Chooses the backend server with the lowest expected time, weighted by load and data centre. */
   #chooseServer(): FleetServer | undefined {
-    const { fleet, outlierEjection, callTimes, dataCentre } = this.#context;
+    const { fleet, outlierEjection, callTimes, dataCentre, serverLimits } = this.#context;
     const servers = fleet
       .listForService(this.#request.service.name)
-      .filter(({ entry }) => !this.#triedServerIds.has(entry.id));
+      .filter(({ entry }) => !this.#triedServerIds.has(entry.id))
+      .filter(({ entry }) => serverLimits.hasRoom(entry.id));
     const notEjected = servers.filter(({ entry }) => !outlierEjection.isEjected(entry.id));
     // When all are ejected, a request that may be repeated is still tried on one of them.
     const eligible =
@@ -152,7 +151,7 @@
 
   /** Sends the call to a backend server and records what a failure says about that server. */
   async #attempt(server: FleetServer): Promise<AttemptResult> {
-    const { callTimes, outlierEjection, crashRecords } = this.#context;
+    const { callTimes, outlierEjection, crashRecords, serverLimits } = this.#context;
     const { signal, contentHash } = this.#request;
     const { id } = server.entry;
     const attempt = new AbortController();
@@ -161,6 +160,7 @@
     const cancelTimer = this.#startAttemptTimer(id, attempt);
     const startedAt = performance.now();
     const processKey = getProcessKey(server.entry);
+    serverLimits.recordSend(id);
     server.ownLoad.requests += 1;
     try {
       const result = await this.#sendToServer(server, attempt.signal);
@@ -266,6 +266,15 @@
     return this.#recordOutcome('refused');
   }
 
+  #refuseWithoutServer(): string {
+    const { fleet, serverLimits } = this.#context;
+    const ids = fleet.listForService(this.#request.service.name).map(({ entry }) => entry.id);
+    const roomInMilliseconds = serverLimits.firstRoomInMilliseconds(ids);
+    return roomInMilliseconds === undefined
+      ? this.#sendRefusal('no_server', RETRY_AFTER_NO_SERVER_SECONDS)
+      : this.#sendRefusal('servers_limited', roomInMilliseconds / 1000);
+  }
+
   #sendUnknownOutcome(): string {
     sendLocalResponse(this.#request.response, this.#request.metadata.requestId, {
       status: 502,
--- a/src/entry/relay-request.ts
+++ b/src/entry/relay-request.ts
@@ -27,6 +27,8 @@
 
 /** Statuses from here on are logged with what they say about the response's origin. */
 const FIRST_LOGGED_STATUS = 300;
+/** Another server answers at the address. */
+const MISDIRECTED = 421;
 /** The least urgent of the ten degrees that backend servers know. */
 const LEAST_URGENT = 9;
 
@@ -47,6 +49,25 @@
   });
 }
 
+/** Notes the limit that a server names, in an answer that is its own. */
+function recordLimit(
+  { serverLimits, logs }: EntryContext,
+  requestId: string,
+  { id }: ServerEntry,
+  { status, metadata }: RelayedResponse,
+): void {
+  const isOwn = metadata.requestId === requestId || metadata.isNotExecuted;
+  if (!isOwn || status === MISDIRECTED) return;
+  if (metadata.malformedLimit === undefined)
+    serverLimits.recordAnswer(id, metadata.requestsPerSecond);
+  else
+    logs('routing').warn('Backend server named a limit that is no number; ignored.', {
+      requestId,
+      server: id,
+      limit: metadata.malformedLimit,
+    });
+}
+
 /**
  * Sends a request to a backend server and waits for the head of the response.
  *
@@ -86,6 +107,7 @@
     status,
     metadata: protocol.parseResponseHeaders(message.headers, status),
   };
+  recordLimit(context, metadata.requestId, server, response);
   if (status >= FIRST_LOGGED_STATUS) logFailure(context, metadata.requestId, server, response);
   return response;
 }
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -10,7 +10,12 @@
   isConnectionLost,
   isConnectionRefused,
 } from '../common/http-client.js';
-import { recordRefusal, recordAcceptance, type FleetServer } from '../fleet/backend-fleet.js';
+import {
+  getHeldLayers,
+  recordRefusal,
+  recordAcceptance,
+  type FleetServer,
+} from '../fleet/backend-fleet.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { getEndToEndHeaders, appendHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
@@ -99,8 +104,11 @@
       maximumServers: request.route.maximumAttempts,
       hasEnded: (processKey) => context.fleet.hasEnded(processKey),
     });
-    this.#chainSelector = new ChainSelector(context, request, profile, (entry) =>
-      this.#runs.allows(getProcessKey(entry)),
+    this.#chainSelector = new ChainSelector(
+      context,
+      request,
+      profile,
+      (entry) => this.#runs.allows(getProcessKey(entry)) && context.serverLimits.hasRoom(entry.id),
     );
     this.#caller = new CallerStream(request);
     this.#ending = new StreamEnding({ context, request, caller: this.#caller, runs: this.#runs });
@@ -116,7 +124,7 @@
     for (;;) {
       const chain = await this.#findChain();
       if (signal.aborted) return this.#ending.sendTimeout();
-      if (!chain) return this.#ending.sendFailure('no_chain');
+      if (!chain) return this.#endWithoutChain();
       const firstEngine = chain.stages[0]?.engine.server.entry;
       const result = await this.#attempt(chain);
       if (signal.aborted) return this.#ending.sendTimeout();
@@ -194,13 +202,30 @@
     const until = performance.now() + MAXIMUM_CHAIN_WAIT_MILLISECONDS;
     for (;;) {
       const chain = this.#chainSelector.choose({ hasStarted: this.#caller.hasStarted });
-      if (chain) return chain;
+      if (chain) {
+        // Counted in the same step as it is chosen, so that no other request takes the same room.
+        const [first] = chain.stages;
+        if (first) this.#context.serverLimits.recordSend(first.engine.id);
+        return chain;
+      }
       if (!this.#caller.hasStarted || performance.now() > until) return undefined;
       if (this.#request.signal.aborted) return undefined;
       await sleep(CHAIN_POLL_INTERVAL_MILLISECONDS, this.#request.signal);
     }
   }
 
+  #endWithoutChain(): string {
+    const { fleet, serverLimits } = this.#context;
+    const firstEngineIds = fleet
+      .listForService(this.#request.service.name)
+      .filter((server) => getHeldLayers(server)?.from === 0)
+      .map(({ entry }) => entry.id);
+    const roomInMilliseconds = serverLimits.firstRoomInMilliseconds(firstEngineIds);
+    return roomInMilliseconds === undefined
+      ? this.#ending.sendFailure('no_chain')
+      : this.#ending.sendFailure('servers_limited', roomInMilliseconds / 1000);
+  }
+
   /** Sends the request over a chain, watching for stalls until the attempt ends. */
   async #attempt(chosen: EngineChain): Promise<AttemptResult> {
     const { stallDetector, logs } = this.#context;
--- a/src/entry/stream-ending.ts
+++ b/src/entry/stream-ending.ts
@@ -47,8 +47,13 @@
     });
   }
 
-  /** Ends the request with a refusal, or with a failure if it may have run. */
-  sendFailure(refusalCode: string): string {
+  /**
+   * Ends the request with a refusal, or with a failure if it may have run.
+   *
+   * @param refusalCode - Why it is refused, where it has not run.
+   * @param retryAfterSeconds - When there is room, where that is known.
+   */
+  sendFailure(refusalCode: string, retryAfterSeconds?: number): string {
     const { runs, context } = this.#options;
     if (runs.total > 0) {
       return this.#sendLocalResponse('broken', {
@@ -62,7 +67,7 @@
       status: 503,
       code: refusalCode,
       message: 'No chain of engines could run the request; it was not run.',
-      retryAfterSeconds: context.refusalPacing.chooseRetryAfterSeconds(),
+      retryAfterSeconds: retryAfterSeconds ?? context.refusalPacing.chooseRetryAfterSeconds(),
     });
   }
 
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -46,6 +46,11 @@
   plannerTerm: z.number(),
   /** By service: first attempts and retries within the window of the retry budget. */
   retries: z.record(z.string(), z.tuple([z.number(), z.number()])),
+  /**
+   * By backend server: the limit that it names, or null if it ceased to, and how many milliseconds
+   * before the record it last said so. Absent in records of older builds.
+   */
+  limits: z.record(z.string(), z.tuple([z.number().nullable(), z.number()])).optional(),
   /** By content key of a request: ids of the backend servers that crashed while running it. */
   crashes: z.record(z.string(), z.array(z.string())),
 });
