--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -262,7 +262,7 @@
       message: 'No server could run the request; it was not run.',
       retryAfterSeconds,
     });
-    return this.#recordOutcome('refused');
+    return this.#recordOutcome('refused', code);
   }
 
   #refuseWithoutServer(): string {
@@ -292,15 +292,18 @@
     return this.#recordOutcome(getAbortReason(this.#request.signal) ?? 'deadline');
   }
 
-  #recordOutcome(outcome: string): string {
+  /** @param code - Why the request was refused. */
+  #recordOutcome(outcome: string, code?: string): string {
     const { metrics, logs } = this.#context;
     const { account, route, metadata, receivedAt } = this.#request;
+    if (code !== undefined) metrics.countEvent(`refused_${code}`);
     const totalMilliseconds = performance.now() - receivedAt;
     const labels = { account: account?.name ?? '', kind: route.kind, outcome };
     metrics.recordRequest(labels, outcome === 'completed' ? totalMilliseconds / 1000 : undefined);
     logs('caller').info('Request finished.', {
       requestId: metadata.requestId,
       ...labels,
+      code,
       route: route.name,
       totalMilliseconds: Math.round(totalMilliseconds),
       runs: this.#possibleRuns,
--- a/src/entry/stream-ending.ts
+++ b/src/entry/stream-ending.ts
@@ -85,14 +85,16 @@
     const { response, metadata } = this.#options.request;
     // A stream that has started is destroyed without its last chunk, so it does not look complete.
     sendLocalResponse(response, metadata.requestId, localResponse);
-    return this.#recordOutcome(outcome);
+    return this.#recordOutcome(outcome, localResponse.code);
   }
 
-  #recordOutcome(outcome: string): string {
+  /** @param code - Why this instance ended the request itself. */
+  #recordOutcome(outcome: string, code?: string): string {
     const { context, request, caller, runs } = this.#options;
     const { account, route, metadata, receivedAt } = request;
     const { firstEventMilliseconds, longestPauseMilliseconds } = caller;
     const labels = { account: account?.name ?? '', kind: route.kind, outcome };
+    if (outcome === 'refused') context.metrics.countEvent(`refused_${code}`);
     context.metrics.recordRequest(
       labels,
       firstEventMilliseconds === undefined ? undefined : firstEventMilliseconds / 1000,
@@ -100,6 +102,7 @@
     context.logs('caller').info('Request finished.', {
       requestId: metadata.requestId,
       ...labels,
+      code,
       route: route.name,
       firstEventMilliseconds: roundMilliseconds(firstEventMilliseconds),
       totalMilliseconds: Math.round(performance.now() - receivedAt),
