--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -16,7 +16,6 @@
 import { StallDetector } from '../entry/stall-detector.js';
 import { BackendFleet } from '../fleet/backend-fleet.js';
 import { CallTimes } from '../fleet/call-times.js';
-import { checkHealth } from '../fleet/health-check.js';
 import {
   applyPeerObservations,
   collectServerObservations,
@@ -38,6 +37,7 @@
 import { listCallerAddresses } from './caller-addresses.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
 import { createPlaceholderRecord, OwnRecord, type RecordState } from './own-record.js';
+import { ServerHealth } from './server-health.js';
 import { isFollowedByPeers } from './store-follower-role.js';
 import { StoreFollower } from './store-follower.js';
 
@@ -100,6 +100,8 @@
 
   readonly #context: EntryContext;
 
+  readonly #serverHealth: ServerHealth;
+
   readonly #lease: PlannerLease;
 
   readonly #remoteLoads = new RemoteLoads();
@@ -231,6 +233,13 @@
       metrics: new EntryMetrics(),
       logs,
     };
+    this.#serverHealth = new ServerHealth({
+      fleet: this.#fleet,
+      outlierEjection: this.#outlierEjection,
+      serverLimits: this.#context.serverLimits,
+      callTimes: this.#context.callTimes,
+      configuration: this.#configuration,
+    });
     this.#ownRecord = new OwnRecord({
       settings,
       incarnation: this.#incarnation,
@@ -324,7 +333,7 @@
       this.#context.stallDetector.refreshSlowdownFactors(),
     );
     void this.#runPeriodically(HEALTH_CHECK_INTERVAL_MILLISECONDS, () =>
-      this.#checkEjectedServers(),
+      this.#serverHealth.checkEjectedServers(),
     );
     void runPlanner({
       fleet: this.#fleet,
@@ -460,30 +469,6 @@
     return { addresses, lifetimeSeconds };
   }
 
-  /** Checks the health of ejected servers, and readmits those that are healthy. */
-  async #checkEjectedServers(): Promise<void> {
-    const { fleet } = this.#context;
-    const isRegistered = (id: string): boolean => fleet.find(id) !== undefined;
-    this.#outlierEjection.retain(isRegistered);
-    this.#context.serverLimits.retain(isRegistered);
-    await Promise.all(
-      this.#outlierEjection.dueForHealthCheck.map((id) => this.#checkServerHealth(id)),
-    );
-  }
-
-  async #checkServerHealth(id: string): Promise<void> {
-    const server = this.#fleet.find(id);
-    if (!server) return;
-    const service = this.#configuration.current?.services.get(server.entry.service);
-    const path = service?.healthPath ?? '/health';
-    const { entry } = server;
-    const health = await checkHealth(entry.address, path);
-    if (health === 'refused') this.#fleet.recordEnd(entry, 'a health check was refused');
-    if (health !== 'healthy') return;
-    this.#fleet.recordLife(entry);
-    this.#outlierEjection.readmitIfHoldElapsed(id);
-  }
-
   #renderMetrics(): Promise<string> {
     const { metrics } = this.#context;
     metrics.setState('open_requests', this.#server?.openRequests() ?? 0);
--- /dev/null
+++ b/src/daemon/server-health.ts
@@ -0,0 +1,48 @@
+/** Readmits ejected servers that are healthy, and discards what is known of servers that are gone. */
+import type { ActiveConfiguration } from '../entry/active-configuration.js';
+import type { BackendFleet } from '../fleet/backend-fleet.js';
+import type { CallTimes } from '../fleet/call-times.js';
+import { checkHealth } from '../fleet/health-check.js';
+import type { OutlierEjection } from '../fleet/outlier-ejection.js';
+import type { ServerLimits } from '../fleet/server-limits.js';
+
+/** Options of {@link ServerHealth}. */
+export interface ServerHealthOptions {
+  readonly fleet: BackendFleet;
+  readonly outlierEjection: OutlierEjection;
+  readonly serverLimits: ServerLimits;
+  readonly callTimes: CallTimes;
+  readonly configuration: ActiveConfiguration;
+}
+
+const DEFAULT_HEALTH_PATH = '/health';
+
+export class ServerHealth {
+  readonly #options: ServerHealthOptions;
+
+  constructor(options: ServerHealthOptions) {
+    this.#options = options;
+  }
+
+  /** Checks the servers whose ejection may end; call it periodically. */
+  async checkEjectedServers(): Promise<void> {
+    const { fleet, outlierEjection, serverLimits, callTimes } = this.#options;
+    const isRegistered = (id: string): boolean => fleet.find(id) !== undefined;
+    outlierEjection.retain(isRegistered);
+    serverLimits.retain(isRegistered);
+    callTimes.retain(isRegistered);
+    await Promise.all(outlierEjection.dueForHealthCheck.map((id) => this.#checkServer(id)));
+  }
+
+  async #checkServer(id: string): Promise<void> {
+    const { fleet, outlierEjection, configuration } = this.#options;
+    const entry = fleet.find(id)?.entry;
+    if (!entry) return;
+    const path = configuration.current?.services.get(entry.service)?.healthPath;
+    const health = await checkHealth(entry.address, path ?? DEFAULT_HEALTH_PATH);
+    if (health === 'refused') fleet.recordEnd(entry, 'a health check was refused');
+    if (health !== 'healthy') return;
+    fleet.recordLife(entry);
+    outlierEjection.readmitIfHoldElapsed(id);
+  }
+}
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -2,59 +2,19 @@
  * Serves a streaming request over a chain of engines. When an attempt fails, the stream resumes
  * over another chain after the last event that the caller received.
  */
-import type { IncomingMessage } from 'node:http';
 import { sleep } from '../common/clock.js';
-import {
-  HttpRequestError,
-  getErrorMessage,
-  isConnectionLost,
-  isConnectionRefused,
-} from '../common/http-client.js';
-import {
-  getHeldLayers,
-  recordRefusal,
-  recordAcceptance,
-  type FleetServer,
-} from '../fleet/backend-fleet.js';
+import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
-import { getEndToEndHeaders, appendHeaders } from './entry-response.js';
+import { CallerStream } from './caller-stream.js';
+import { ChainSelector, type EngineChain } from './chain-selector.js';
 import type { EntryContext } from './entry-context.js';
 import { isIdempotent, type EntryRequest } from './entry-request.js';
-import { EventSplitter } from './event-splitter.js';
-import { isBodyDelimited, readAnswer, readChunks } from './backend-request.js';
 import type { EngineProfile } from './serving-configuration.js';
 import type { WatchedStream } from './stall-detector.js';
-import { CallerStream } from './caller-stream.js';
-import { rerouteStream } from './stream-reroute.js';
 import { StreamEnding } from './stream-ending.js';
+import { StreamExchange, type AttemptResult } from './stream-exchange.js';
+import { rerouteStream } from './stream-reroute.js';
 import { StreamRuns } from './stream-runs.js';
-import { sendRelayedRequest } from './relay-request.js';
-import { assertOwnResponse } from './response-origin.js';
-import { listStageAddresses, ChainSelector, type EngineChain } from './chain-selector.js';
-
-/** The result of one attempt. */
-type AttemptResult =
-  | { readonly kind: 'completed' }
-  /** The engine responded with an error status, which was relayed to the caller. */
-  | { readonly kind: 'answered'; readonly status: number }
-  /** An engine refused the request or the first one could not be connected to; it did not run. */
-  | {
-      readonly kind: 'notRun';
-      readonly engineIdsToAvoid: readonly string[];
-      readonly message: string;
-    }
-  /** The attempt was abandoned before its first event arrived; the request may have run. */
-  | {
-      readonly kind: 'late';
-      readonly engineIdsToAvoid: readonly string[];
-      readonly message: string;
-    }
-  /** The stream failed or stalled; the request may have run. */
-  | {
-      readonly kind: 'broken';
-      readonly engineIdsToAvoid: readonly string[];
-      readonly message: string;
-    };
 
 const MAXIMUM_CHAIN_WAIT_MILLISECONDS = 1700;
 const CHAIN_POLL_INTERVAL_MILLISECONDS = 60;
@@ -92,6 +52,8 @@
 
   readonly #ending: StreamEnding;
 
+  readonly #exchange: StreamExchange;
+
   #refusedAttempts = 0;
 
   /** Whether a retry of the budget has been taken for an attempt that is being abandoned. */
@@ -112,6 +74,7 @@
     );
     this.#caller = new CallerStream(request);
     this.#ending = new StreamEnding({ context, request, caller: this.#caller, runs: this.#runs });
+    this.#exchange = new StreamExchange({ context, request, caller: this.#caller });
   }
 
   async serve(): Promise<string> {
@@ -262,7 +225,7 @@
         isRerouting = true;
         faultyEngineIds.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
         const faultyEngine = this.#context.fleet.find(faultyEngineIds[0] ?? '');
-        if (faultyEngine) this.#recordStall(faultyEngine.entry);
+        if (faultyEngine) this.#exchange.recordStall(faultyEngine.entry);
         void rerouteStream(this.#context, this.#chainSelector, {
           requestId: metadata.requestId,
           chain: chosen,
@@ -287,7 +250,7 @@
     stallDetector.add(watched);
     const { entry } = firstEngine;
     try {
-      return await this.#relayEvents(chosen, firstEngine, watched, attempt.signal);
+      return await this.#exchange.relay(chosen, firstEngine, watched, attempt.signal);
     } catch (error) {
       if (engineIdsToAvoid && !watched.hasEvents) {
         return {
@@ -302,7 +265,7 @@
           engineIdsToAvoid,
           message: 'The stream stalled and could not be rerouted.',
         };
-      return this.#classifyError(entry, error);
+      return this.#exchange.classifyError(entry, error);
     } finally {
       isEnded = true;
       release();
@@ -311,122 +274,6 @@
       attempt.abort();
     }
   }
-
-  /**
-   * Records the engine at which the stream stalled or broke off, which may have ended under the request.
-   * Of several engines of one chain it is one: a request ends engines one after the other.
-   */
-  #recordStall(entry: ServerEntry): void {
-    const { fleet, crashRecords } = this.#context;
-    const processKey = getProcessKey(entry);
-    crashRecords.recordStall(this.#request.contentHash, processKey);
-    if (fleet.hasEnded(processKey)) crashRecords.recordEndedServer(processKey);
-  }
-
-  /** Finds out what a failed exchange with the first engine means for further attempts. */
-  #classifyError(firstEngine: ServerEntry, error: unknown): AttemptResult {
-    const { outlierEjection, crashRecords, fleet } = this.#context;
-    const engineIdsToAvoid = [firstEngine.id];
-    const message = getErrorMessage(error);
-    if (this.#request.signal.aborted) return { kind: 'broken', engineIdsToAvoid: [], message };
-    if (error instanceof HttpRequestError && error.phase === 'connecting') {
-      if (isConnectionRefused(error)) fleet.recordEnd(firstEngine, message);
-      outlierEjection.eject(firstEngine.id, message);
-      return { kind: 'notRun', engineIdsToAvoid, message };
-    }
-    const { contentHash } = this.#request;
-    const processKey = getProcessKey(firstEngine);
-    if (error instanceof HttpRequestError && error.phase === 'sent')
-      crashRecords.recordCrash(contentHash, processKey);
-    // A live engine may break off an answer too; whether this one has ended is looked at next.
-    else if (isConnectionLost(error)) this.#recordStall(firstEngine);
-    return { kind: 'broken', engineIdsToAvoid, message };
-  }
-
-  /**
-   * Sends the request to the chain's first engine and relays its events to the caller.
-   *
-   * @throws Error when the response fails, is incomplete or is not the engine's own.
-   */
-  async #relayEvents(
-    chain: EngineChain,
-    firstEngine: FleetServer,
-    watched: WatchedStream,
-    signal: AbortSignal,
-  ): Promise<AttemptResult> {
-    const { outlierEjection, fleet, crashRecords } = this.#context;
-    const { metadata, contentHash } = this.#request;
-    const {
-      message: engineResponse,
-      status,
-      metadata: responseMetadata,
-    } = await sendRelayedRequest(this.#context, this.#request, {
-      server: firstEngine.entry,
-      chain: listStageAddresses(chain),
-      lastEventId: this.#caller.lastEventId,
-      signal,
-    });
-    if (responseMetadata.isNotExecuted) {
-      const refusingServer =
-        responseMetadata.faultAddress === undefined
-          ? firstEngine
-          : fleet.findByAddress(responseMetadata.faultAddress);
-      const id = refusingServer?.entry.id ?? firstEngine.entry.id;
-      if (refusingServer && status === 503) recordRefusal(refusingServer, performance.now());
-      return {
-        kind: 'notRun',
-        engineIdsToAvoid: [id],
-        message: `The engine refused the request with status ${status}.`,
-      };
-    }
-    assertOwnResponse(metadata, responseMetadata);
-    if (status >= 300) return this.#relayFailure(engineResponse, status);
-    let isAccepted = false;
-    const splitter = new EventSplitter(this.#caller.lastEventId);
-    for await (const chunk of readChunks(engineResponse)) {
-      const events = splitter.push(chunk);
-      watched.lastProgressAt = performance.now();
-      if (events.bytes.length > 0) {
-        if (!isAccepted) watched.chain.forEach(recordAcceptance);
-        isAccepted = true;
-        watched.hasEvents = true;
-        this.#startResponse(engineResponse, status);
-        watched.isCallerBlocked = true;
-        await this.#caller.write(events.bytes, events.lastEventId);
-        watched.isCallerBlocked = false;
-        watched.lastProgressAt = performance.now();
-      }
-    }
-    if (!engineResponse.complete || !isBodyDelimited(engineResponse))
-      throw new HttpRequestError('answering', 'The event stream was cut off before its end.');
-    if (!splitter.isBetweenEvents) throw new Error('The event stream ended inside an event.');
-    this.#startResponse(engineResponse, status);
-    outlierEjection.recordSuccess(firstEngine.entry.id);
-    crashRecords.recordCompletion(contentHash);
-    return { kind: 'completed' };
-  }
-
-  /**
-   * Relays an engine's error response to the caller.
-   *
-   * @throws Error when the response is incomplete or events were already sent to the caller.
-   */
-  async #relayFailure(engineResponse: IncomingMessage, status: number): Promise<AttemptResult> {
-    const body = await readAnswer(engineResponse);
-    if (!engineResponse.complete || this.#caller.hasStarted)
-      throw new Error(`The engine failed with status ${status}.`);
-    const { response } = this.#request;
-    appendHeaders(response, getEndToEndHeaders(engineResponse));
-    response.statusCode = status;
-    response.end(body);
-    return { kind: 'answered', status };
-  }
-
-  #startResponse(engineResponse: IncomingMessage, status: number): void {
-    if (this.#caller.hasStarted) return;
-    this.#context.refusalPacing.recordAccepted();
-    this.#caller.start(getEndToEndHeaders(engineResponse), status);
-  }
 }
 
 /**
--- /dev/null
+++ b/src/entry/stream-exchange.ts
@@ -0,0 +1,179 @@
+/**
+ * One exchange with the first engine of a chain: relays the events of a stream to the caller, and tells
+ * what a failure means for further attempts.
+ */
+import type { IncomingMessage } from 'node:http';
+import {
+  HttpRequestError,
+  getErrorMessage,
+  isConnectionLost,
+  isConnectionRefused,
+} from '../common/http-client.js';
+import { recordAcceptance, recordRefusal, type FleetServer } from '../fleet/backend-fleet.js';
+import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
+import { isBodyDelimited, readAnswer, readChunks } from './backend-request.js';
+import type { CallerStream } from './caller-stream.js';
+import { listStageAddresses, type EngineChain } from './chain-selector.js';
+import type { EntryContext } from './entry-context.js';
+import type { EntryRequest } from './entry-request.js';
+import { appendHeaders, getEndToEndHeaders } from './entry-response.js';
+import { EventSplitter } from './event-splitter.js';
+import { sendRelayedRequest } from './relay-request.js';
+import { assertOwnResponse } from './response-origin.js';
+import type { WatchedStream } from './stall-detector.js';
+
+/** The result of one attempt. */
+export type AttemptResult =
+  | { readonly kind: 'completed' }
+  /** The engine responded with an error status, which was relayed to the caller. */
+  | { readonly kind: 'answered'; readonly status: number }
+  /** An engine refused the request or the first one could not be connected to; it did not run. */
+  | {
+      readonly kind: 'notRun';
+      readonly engineIdsToAvoid: readonly string[];
+      readonly message: string;
+    }
+  /** The attempt was abandoned before its first event arrived; the request may have run. */
+  | {
+      readonly kind: 'late';
+      readonly engineIdsToAvoid: readonly string[];
+      readonly message: string;
+    }
+  /** The stream failed or stalled; the request may have run. */
+  | {
+      readonly kind: 'broken';
+      readonly engineIdsToAvoid: readonly string[];
+      readonly message: string;
+    };
+
+/** Options of {@link StreamExchange}. */
+export interface StreamExchangeOptions {
+  readonly context: EntryContext;
+  readonly request: EntryRequest;
+  readonly caller: CallerStream;
+}
+
+export class StreamExchange {
+  readonly #options: StreamExchangeOptions;
+
+  constructor(options: StreamExchangeOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Records the engine at which the stream stalled or broke off, which may have ended under the request.
+   * Of several engines of one chain it is one: a request ends engines one after the other.
+   */
+  recordStall(entry: ServerEntry): void {
+    const { fleet, crashRecords } = this.#options.context;
+    const processKey = getProcessKey(entry);
+    crashRecords.recordStall(this.#options.request.contentHash, processKey);
+    if (fleet.hasEnded(processKey)) crashRecords.recordEndedServer(processKey);
+  }
+
+  /** Finds out what a failed exchange with the first engine means for further attempts. */
+  classifyError(firstEngine: ServerEntry, error: unknown): AttemptResult {
+    const { outlierEjection, crashRecords, fleet } = this.#options.context;
+    const engineIdsToAvoid = [firstEngine.id];
+    const message = getErrorMessage(error);
+    if (this.#options.request.signal.aborted)
+      return { kind: 'broken', engineIdsToAvoid: [], message };
+    if (error instanceof HttpRequestError && error.phase === 'connecting') {
+      if (isConnectionRefused(error)) fleet.recordEnd(firstEngine, message);
+      outlierEjection.eject(firstEngine.id, message);
+      return { kind: 'notRun', engineIdsToAvoid, message };
+    }
+    const { contentHash } = this.#options.request;
+    const processKey = getProcessKey(firstEngine);
+    if (error instanceof HttpRequestError && error.phase === 'sent')
+      crashRecords.recordCrash(contentHash, processKey);
+    // A live engine may break off an answer too; whether this one has ended is looked at next.
+    else if (isConnectionLost(error)) this.recordStall(firstEngine);
+    return { kind: 'broken', engineIdsToAvoid, message };
+  }
+
+  /**
+   * Sends the request to the chain's first engine and relays its events to the caller.
+   *
+   * @throws Error when the response fails, is incomplete or is not the engine's own.
+   */
+  async relay(
+    chain: EngineChain,
+    firstEngine: FleetServer,
+    watched: WatchedStream,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
+    const { outlierEjection, fleet, crashRecords } = this.#options.context;
+    const { metadata, contentHash } = this.#options.request;
+    const {
+      message: engineResponse,
+      status,
+      metadata: responseMetadata,
+    } = await sendRelayedRequest(this.#options.context, this.#options.request, {
+      server: firstEngine.entry,
+      chain: listStageAddresses(chain),
+      lastEventId: this.#options.caller.lastEventId,
+      signal,
+    });
+    if (responseMetadata.isNotExecuted) {
+      const refusingServer =
+        responseMetadata.faultAddress === undefined
+          ? firstEngine
+          : fleet.findByAddress(responseMetadata.faultAddress);
+      const id = refusingServer?.entry.id ?? firstEngine.entry.id;
+      if (refusingServer && status === 503) recordRefusal(refusingServer, performance.now());
+      return {
+        kind: 'notRun',
+        engineIdsToAvoid: [id],
+        message: `The engine refused the request with status ${status}.`,
+      };
+    }
+    assertOwnResponse(metadata, responseMetadata);
+    if (status >= 300) return this.#relayFailure(engineResponse, status);
+    let isAccepted = false;
+    const splitter = new EventSplitter(this.#options.caller.lastEventId);
+    for await (const chunk of readChunks(engineResponse)) {
+      const events = splitter.push(chunk);
+      watched.lastProgressAt = performance.now();
+      if (events.bytes.length > 0) {
+        if (!isAccepted) watched.chain.forEach(recordAcceptance);
+        isAccepted = true;
+        watched.hasEvents = true;
+        this.#startResponse(engineResponse, status);
+        watched.isCallerBlocked = true;
+        await this.#options.caller.write(events.bytes, events.lastEventId);
+        watched.isCallerBlocked = false;
+        watched.lastProgressAt = performance.now();
+      }
+    }
+    if (!engineResponse.complete || !isBodyDelimited(engineResponse))
+      throw new HttpRequestError('answering', 'The event stream was cut off before its end.');
+    if (!splitter.isBetweenEvents) throw new Error('The event stream ended inside an event.');
+    this.#startResponse(engineResponse, status);
+    outlierEjection.recordSuccess(firstEngine.entry.id);
+    crashRecords.recordCompletion(contentHash);
+    return { kind: 'completed' };
+  }
+
+  /**
+   * Relays an engine's error response to the caller.
+   *
+   * @throws Error when the response is incomplete or events were already sent to the caller.
+   */
+  async #relayFailure(engineResponse: IncomingMessage, status: number): Promise<AttemptResult> {
+    const body = await readAnswer(engineResponse);
+    if (!engineResponse.complete || this.#options.caller.hasStarted)
+      throw new Error(`The engine failed with status ${status}.`);
+    const { response } = this.#options.request;
+    appendHeaders(response, getEndToEndHeaders(engineResponse));
+    response.statusCode = status;
+    response.end(body);
+    return { kind: 'answered', status };
+  }
+
+  #startResponse(engineResponse: IncomingMessage, status: number): void {
+    if (this.#options.caller.hasStarted) return;
+    this.#options.context.refusalPacing.recordAccepted();
+    this.#options.caller.start(getEndToEndHeaders(engineResponse), status);
+  }
+}
