--- a/src/gossip/document-encoding.test.ts
+++ b/src/gossip/document-encoding.test.ts
@@ -7,10 +7,10 @@
   routes: Array.from({ length: 1650 }, (_, index) => ({
     name: `route-${index}`,
     host: 'site.example',
-    'path-prefix': `/${(index * 7919).toString(36)}/`,
+    prefix: `/${(index * 7919).toString(36)}/`,
     kind: 'streaming',
-    'timeout-ms': 20_000,
-    'max-attempts': 2,
+    timeout: 20_000,
+    attempts: 2,
   })),
 };
 
