--- a/src/entry/protocol-adapter.ts
+++ b/src/entry/protocol-adapter.ts
@@ -18,6 +18,11 @@
   readonly promptTokens: number | undefined;
   readonly maximumOutputTokens: number | undefined;
   readonly expectedOutputTokens: number | undefined;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order. Without the last part, which
+   * belongs to this request or its session.
+   */
+  readonly sharedPromptParts: readonly string[];
 }
 
 /** A stage of a chain: the engine's address and the layers that it runs. */
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -125,6 +125,7 @@
       engineIdsToAvoid: result.engineIdsToAvoid,
       first: firstEngine?.id,
       lastEventId: this.#caller.lastEventId,
+      sharedPromptParts: metadata.sharedPromptParts,
       attempts: this.#runs.total,
       runs: this.#runs.countedServers,
       endedServers: this.#runs.endedProcessKeys,
