--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -30,7 +30,7 @@
   refusesAll: boolean;
   /** Breaks each stream off in the middle of the event that follows this many complete events. */
   breaksStreamAfterEvents: number;
-  /** Runs each call, but closes the connection without a response. */
+  /** Runs each request, but closes the connection without a response. */
   closesWithoutAnswer: boolean;
   /** Puts the id of another request into each response. */
   sendsWrongRequestId: boolean;
@@ -45,16 +45,27 @@
   callMilliseconds: number;
   /** Crashes on each request whose body equals this text. */
   crashingBody: string | undefined;
+  /** Crashes each time it begins to write a stream whose prompt has this part, other than as the last. */
+  crashingPromptPart: string | undefined;
+  /** How long an engine reads a prompt before it begins to write. */
+  readingMilliseconds: number;
+  /** How its answers without a length and without chunks end; undefined means that they have either. */
+  unframedEnd: UnframedEnd | undefined;
   /** How many events of a stream it still sends before it crashes on such a request. */
   eventsBeforeCrash: number;
   /** After a crash it starts again under its id this much later; undefined means never. */
   restartMilliseconds: number | undefined;
   /** What it names as `Server-Limit` in all its answers to callers' requests. */
   namedLimit: string | undefined;
+  /** Ends in order, as a process that exits does, after this many events of a stream. */
+  closesBetweenEvents: number;
   /** Withdraws its entry from the store when it has begun a stream, and goes on serving. */
   unregistersWhileRunning: boolean;
 }
 
+/** How an answer that is delimited by its connection ends: whole, reset, or closed within an event. */
+export type UnframedEnd = 'whole' | 'reset' | 'withinEvent';
+
 /** One request that the server executed, with the headers that matter to tests. */
 export interface Run {
   readonly requestId: string;
@@ -62,6 +73,15 @@
   readonly apiKey: string | undefined;
   readonly lastEventId: number;
   readonly hops: string | undefined;
+  readonly promptPrefix: string | undefined;
+  /** On the monotonic clock. */
+  readonly arrivedAt: number;
+}
+
+interface StreamOptions {
+  readonly lastEventId: number;
+  readonly eventsBeforeCrash: number;
+  readonly promptPrefix: string | undefined;
 }
 
 const DEFAULT_EVENTS = 8;
@@ -79,14 +99,18 @@
     unsignedStatus: 0,
     callMilliseconds: 0,
     crashingBody: undefined,
+    crashingPromptPart: undefined,
+    readingMilliseconds: 0,
+    unframedEnd: undefined,
     eventsBeforeCrash: 0,
     restartMilliseconds: undefined,
     namedLimit: undefined,
+    closesBetweenEvents: Number.POSITIVE_INFINITY,
     unregistersWhileRunning: false,
   };
 
-  /** How often it crashed on a request. */
-  crashCount = 0;
+  /** When it crashed on a request, on the monotonic clock. */
+  readonly crashes: number[] = [];
 
   /** When callers' requests arrived, also rejected ones, on the monotonic clock. */
   readonly arrivals: number[] = [];
@@ -105,6 +129,8 @@
 
   #isClosed = false;
 
+  #mayRestart = true;
+
   /** Grows with each start under the same id. */
   #born = 1;
 
@@ -120,6 +146,11 @@
     return this.#options.kind;
   }
 
+  /** How often it crashed on a request. */
+  get crashCount(): number {
+    return this.crashes.length;
+  }
+
   get isClosed(): boolean {
     return this.#isClosed;
   }
@@ -157,6 +188,11 @@
    * Closes the server and its connections at once, as a crash would; its entry stays in the store.
    */
   async close(): Promise<void> {
+    this.#mayRestart = false;
+    await this.#endProcess();
+  }
+
+  async #endProcess(): Promise<void> {
     if (this.#isClosed) return;
     this.#isClosed = true;
     await this.#server?.close();
@@ -224,6 +260,8 @@
       apiKey: headers['api-key'] as string | undefined,
       lastEventId: Number(headers['last-event-id'] ?? 0),
       hops: headers['hop-count'] as string | undefined,
+      promptPrefix: headers['prompt-prefix'] as string | undefined,
+      arrivedAt: performance.now(),
     });
     const isCrashing = body !== '' && body === this.faults.crashingBody;
     if (isCrashing && this.faults.eventsBeforeCrash === 0) {
@@ -241,17 +279,20 @@
       await this.#sendStream(response, responseHeaders, {
         lastEventId: Number(headers['last-event-id'] ?? 0),
         eventsBeforeCrash: isCrashing ? this.faults.eventsBeforeCrash : Number.POSITIVE_INFINITY,
+        promptPrefix: headers['prompt-prefix'] as string | undefined,
       });
     }
   }
 
   async #crash(response: http.ServerResponse): Promise<void> {
     const { restartMilliseconds } = this.faults;
-    this.crashCount += 1;
+    if (this.#isClosed) return;
+    this.crashes.push(performance.now());
     response.socket?.resetAndDestroy();
-    await this.close();
+    await this.#endProcess();
     if (restartMilliseconds === undefined) return;
     await sleep(restartMilliseconds);
+    if (!this.#mayRestart) return;
     this.#isClosed = false;
     this.#born += 1;
     this.#orderSequence = 0;
@@ -259,6 +300,12 @@
     await this.start();
   }
 
+  /** Ends the process: nothing listens any more, and the answer ends with its connection. */
+  async #closeInOrder(response: http.ServerResponse): Promise<void> {
+    response.socket?.end();
+    await this.#endProcess();
+  }
+
   #sendResponse(
     response: http.ServerResponse,
     responseHeaders: Record<string, string>,
@@ -269,6 +316,13 @@
       return;
     }
     const body = `ran ${requestId}`;
+    if (this.faults.unframedEnd !== undefined) {
+      response.removeHeader('transfer-encoding');
+      response.writeHead(200, { ...responseHeaders, connection: 'close' });
+      response.write(body.slice(0, -1));
+      setImmediate(() => this.#endUnframed(response, body.slice(-1)));
+      return;
+    }
     response.writeHead(200, { ...responseHeaders, 'content-length': body.length });
     response.end(body);
     if (this.faults.sendsExtraResponse) {
@@ -279,22 +333,52 @@
     }
   }
 
+  /** Ends an answer that its connection delimits. */
+  #endUnframed(response: http.ServerResponse, rest: string): void {
+    if (this.faults.unframedEnd === 'reset') response.socket?.resetAndDestroy();
+    else response.end(this.faults.unframedEnd === 'withinEvent' ? '' : rest);
+  }
+
   async #sendStream(
     response: http.ServerResponse,
     responseHeaders: Record<string, string>,
-    { lastEventId, eventsBeforeCrash }: { lastEventId: number; eventsBeforeCrash: number },
+    { lastEventId, eventsBeforeCrash, promptPrefix = '' }: StreamOptions,
   ): Promise<void> {
     const { events = DEFAULT_EVENTS, pauseMilliseconds = DEFAULT_PAUSE_MILLISECONDS } =
       this.#options;
+    const { closesWithoutAnswer, crashingPromptPart, readingMilliseconds, unframedEnd } =
+      this.faults;
+    if (closesWithoutAnswer) {
+      response.socket?.destroy();
+      return;
+    }
+    if (unframedEnd !== undefined) response.removeHeader('transfer-encoding');
     response.writeHead(200, { ...responseHeaders, 'content-type': 'text/event-stream' });
+    response.flushHeaders();
+    await sleep(readingMilliseconds);
+    const sharedParts = promptPrefix.split(',').map((part) => part.replace(/:.*/, ''));
+    if (crashingPromptPart && sharedParts.slice(0, -1).includes(crashingPromptPart)) {
+      await this.#crash(response);
+      return;
+    }
     for (let id = lastEventId + 1; id <= events; id += 1) {
       if (response.destroyed) return;
+      if (id - lastEventId > this.faults.closesBetweenEvents) {
+        await this.#closeInOrder(response);
+        return;
+      }
       if (id - lastEventId > this.faults.breaksStreamAfterEvents) {
         response.write(`id: ${id}\nda`);
         await sleep(1);
         response.destroy();
         return;
       }
+      if (unframedEnd !== undefined && id === events) {
+        response.write(`id: ${id}\ndata: ${id}\n`);
+        await sleep(1);
+        this.#endUnframed(response, '\n');
+        return;
+      }
       response.write(`id: ${id}\ndata: ${id}\n\n`);
       await sleep(pauseMilliseconds);
       if (id - lastEventId >= eventsBeforeCrash) {
