Count an end under a request only once the server is shown to have ended

Callers got 503 crashes_servers for sound content after three live servers had lost an answer or broken a connection off before the head: a call counted as an end whatever its failure, and a stream whose connection broke in the phase 'sent' counted at once. Now a lost connection is a suspicion, and the server's host is asked: an engine for its report, as before, a plain server with a connection that carries no request. Only a refusal, or what the registry shows later, makes it an end. A suspicion is dropped after 6 s, so that a server that ends later for another reason doesn't count. Ruled out: a health check as the question, which waits for a slot; doing without a question, as plain servers are ejected only after two failures and the third end would be known too late.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -16,6 +16,7 @@
 import { StallDetector } from '../entry/stall-detector.js';
 import { BackendFleet } from '../fleet/backend-fleet.js';
 import { CallTimes } from '../fleet/call-times.js';
+import { EndCheck } from '../fleet/end-check.js';
 import {
   applyPeerObservations,
   collectServerObservations,
@@ -208,6 +209,7 @@
       fleet: this.#fleet,
       outlierEjection: this.#outlierEjection,
       callTimes: new CallTimes(),
+      endCheck: new EndCheck(this.#fleet),
       crashRecords: new CrashRecords({ log: logs('routing') }),
       serverLimits: new ServerLimits({
         instance: settings.instance,
--- a/src/entry/crash-records.ts
+++ b/src/entry/crash-records.ts
@@ -29,6 +29,8 @@
 const MAXIMUM_COMPLETED_CONTENTS = 2000;
 const MAXIMUM_STALLED_SERVERS = 100;
 const MAXIMUM_STALLED_CONTENTS = 500;
+/** An end that is shown later than this after a request failed there was not that request's. */
+const STALL_LIFETIME_MILLISECONDS = 6000;
 
 /** The ends of servers during which one content was running. */
 interface ContentCrashes {
@@ -49,8 +51,8 @@
   /** When content last completed, on the monotonic clock. */
   readonly #completedAt = new LruMap<string, number>(MAXIMUM_COMPLETED_CONTENTS);
 
-  /** Contents by the process of a server at which they stalled. */
-  readonly #stalledContents = new LruMap<string, Set<string>>(MAXIMUM_STALLED_SERVERS);
+  /** When contents stalled, by the process of a server at which they did. */
+  readonly #stalledContents = new LruMap<string, Map<string, number>>(MAXIMUM_STALLED_SERVERS);
 
   readonly #log: Logger;
 
@@ -87,15 +89,15 @@
   }
 
   /**
-   * Records that a request stalled at a server that may have ended under it. It counts as an end once
-   * {@link recordEndedServer} shows that.
+   * Records that a request stalled or broke off at a server that may have ended under it. It counts as an
+   * end once {@link recordEndedServer} shows that, within 6 s.
    *
    * @param contentHash - The hash of the request's content.
    * @param processKey - Identifies the server's process.
    */
   recordStall(contentHash: string, processKey: string): void {
-    const stalled = this.#stalledContents.get(processKey) ?? new Set<string>();
-    if (stalled.size < MAXIMUM_STALLED_CONTENTS) stalled.add(contentHash);
+    const stalled = this.#stalledContents.get(processKey) ?? new Map<string, number>();
+    if (stalled.size < MAXIMUM_STALLED_CONTENTS) stalled.set(contentHash, this.#now());
     this.#stalledContents.set(processKey, stalled);
   }
 
@@ -103,7 +105,10 @@
   recordEndedServer(processKey: string): void {
     const stalled = this.#stalledContents.get(processKey);
     this.#stalledContents.delete(processKey);
-    stalled?.forEach((contentHash) => this.recordCrash(contentHash, processKey));
+    const oldest = this.#now() - STALL_LIFETIME_MILLISECONDS;
+    stalled?.forEach((stalledAt, contentHash) => {
+      if (stalledAt >= oldest) this.recordCrash(contentHash, processKey);
+    });
   }
 
   /** Records that a request completed: its content does not crash the servers that run it. */
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -1,6 +1,7 @@
 /** Defines the context that an instance passes to whatever serves a request. */
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { CallTimes } from '../fleet/call-times.js';
+import type { EndCheck } from '../fleet/end-check.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { ServerLimits } from '../fleet/server-limits.js';
 import type { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
@@ -19,6 +20,7 @@
   readonly fleet: BackendFleet;
   readonly outlierEjection: OutlierEjection;
   readonly callTimes: CallTimes;
+  readonly endCheck: EndCheck;
   readonly crashRecords: CrashRecords;
   readonly serverLimits: ServerLimits;
   readonly refusalPacing: RefusalPacing;
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -2,12 +2,12 @@
  * Serves a call to a plain (non-streaming) service. A call that is not idempotent runs at most
  * once; an idempotent one may be retried on further backend servers.
  */
-import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
+import { HttpRequestError, getErrorMessage, isConnectionLost } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
-import { getProcessKey } from '../fleet/server-entry.js';
+import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { sendRelayedRequest } from './relay-request.js';
-import { assertOwnResponse, ForeignResponseError } from './response-origin.js';
+import { assertOwnResponse } from './response-origin.js';
 import { getEndToEndHeaders, sendLocalResponse, appendHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, isIdempotent, type EntryRequest } from './entry-request.js';
@@ -159,7 +159,6 @@
     signal.addEventListener('abort', abort, { once: true });
     const cancelTimer = this.#startAttemptTimer(id, attempt);
     const startedAt = performance.now();
-    const processKey = getProcessKey(server.entry);
     serverLimits.recordSend(id);
     server.ownLoad.requests += 1;
     try {
@@ -178,8 +177,7 @@
         return { kind: 'notRun', message };
       }
       outlierEjection.recordFailure(id, message);
-      const hasCrashed = !attempt.signal.aborted && !(error instanceof ForeignResponseError);
-      if (hasCrashed) crashRecords.recordCrash(contentHash, processKey);
+      if (!attempt.signal.aborted && isConnectionLost(error)) await this.#checkForEnd(server.entry);
       return { kind: 'unknown', message };
     } finally {
       server.ownLoad.requests -= 1;
@@ -189,6 +187,17 @@
     }
   }
 
+  /** Finds out whether a server that broke the connection has ended, before the call may be repeated. */
+  async #checkForEnd(entry: ServerEntry): Promise<void> {
+    const { crashRecords, endCheck, fleet } = this.#context;
+    const { contentHash, route } = this.#request;
+    const processKey = getProcessKey(entry);
+    crashRecords.recordStall(contentHash, processKey);
+    if (fleet.hasEnded(processKey)) crashRecords.recordEndedServer(processKey);
+    const check = endCheck.check(entry);
+    if (isIdempotent(route)) await check;
+  }
+
   /**
    * Aborts an attempt that takes far longer than expected, if the call may be retried elsewhere.
    */
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -73,7 +73,7 @@
 
   /** Finds out what a failed exchange with the first engine means for further attempts. */
   classifyError(firstEngine: ServerEntry, error: unknown): AttemptResult {
-    const { outlierEjection, crashRecords, fleet } = this.#options.context;
+    const { outlierEjection, fleet } = this.#options.context;
     const engineIdsToAvoid = [firstEngine.id];
     const message = getErrorMessage(error);
     if (this.#options.request.signal.aborted)
@@ -83,12 +83,8 @@
       outlierEjection.eject(firstEngine.id, message);
       return { kind: 'notRun', engineIdsToAvoid, message };
     }
-    const { contentHash } = this.#options.request;
-    const processKey = getProcessKey(firstEngine);
-    if (error instanceof HttpRequestError && error.phase === 'sent')
-      crashRecords.recordCrash(contentHash, processKey);
     // A live engine may break off an answer too; whether this one has ended is looked at next.
-    else if (isConnectionLost(error)) this.recordStall(firstEngine);
+    if (isConnectionLost(error)) this.recordStall(firstEngine);
     return { kind: 'broken', engineIdsToAvoid, message };
   }
 
