Block the part of a prompt under which engines end

Earlier shapes of the decision failed it and were dropped: counting processes instead of moments (a failure of all engines blocked the part that all requests share), an owner by hash for trials (rare sound requests stayed blocked for a minute, as they hardly ever met their owner), turns of 1.5 s (the same in a large fleet), trials with any request (they showed nothing where two parts come together). Ruled out: blocking by share of requests with the part (a part that half of the traffic has is at most ends), and by one end (each end has innocent parts beside the cause).

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -6,7 +6,9 @@
 import { sleep } from '../common/clock.js';
 import { ActiveConfiguration } from '../entry/active-configuration.js';
 import { ConfigurationCheck } from '../entry/configuration-check.js';
+import { CrashBlame } from '../entry/crash-blame.js';
 import { CrashRecords } from '../entry/crash-records.js';
+import { PromptPartRecords } from '../entry/prompt-part-records.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import { EntryMetrics } from '../entry/entry-metrics.js';
 import { startEntryServer, type EntryServer } from '../entry/entry-server.js';
@@ -134,7 +136,7 @@
     });
     this.#fleet = new BackendFleet({
       log: logs('backend'),
-      onEnded: (processKey) => this.#context.crashRecords.recordEndedServer(processKey),
+      onEnded: (processKey) => this.#context.crashBlame.recordEndedServer(processKey),
       onRestarted: (id) => {
         this.#outlierEjection.forget(id);
         this.#context.callTimes.forget(id);
@@ -210,7 +212,7 @@
       outlierEjection: this.#outlierEjection,
       callTimes: new CallTimes(),
       endCheck: new EndCheck(this.#fleet),
-      crashRecords: new CrashRecords({ log: logs('routing') }),
+      crashBlame: this.#createCrashBlame(),
       serverLimits: new ServerLimits({
         instance: settings.instance,
         listPeers: () => this.#peers.allRecords.map(({ instance }) => instance),
@@ -249,6 +251,20 @@
     });
   }
 
+  #createCrashBlame(): CrashBlame {
+    const { logs } = this.#options;
+    const promptParts = new PromptPartRecords({
+      countInstances: () => this.#peers.aliveCount + 1,
+      onNews: () => this.#gossipImmediately(),
+      log: logs('routing'),
+    });
+    const contents = new CrashRecords({
+      isExplained: (processKey) => promptParts.explains(processKey),
+      log: logs('routing'),
+    });
+    return new CrashBlame({ contents, promptParts });
+  }
+
   async start(): Promise<void> {
     const { settings, platform, logs } = this.#options;
     this.#startTasks();
@@ -429,7 +445,8 @@
         isStoreReachable: this.#storeFollower.isStoreReachable,
         suspects: this.#outlierEjection.ownEjections,
         plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
-        crashes: this.#context.crashRecords.serversByContent,
+        crashes: this.#context.crashBlame.contents.serversByContent,
+        promptParts: this.#context.crashBlame.promptParts.reported,
       },
       fleetRevision: this.#fleet.revision,
       ...collectServerObservations(this.#fleet),
@@ -451,7 +468,9 @@
 
   #acceptRecord(record: PeerRecord): void {
     this.#outlierEjection.replacePeerEjections(record.instance, record.suspects);
-    this.#context.crashRecords.merge(record.crashes);
+    this.#context.crashBlame.contents.merge(record.crashes);
+    if (record.promptParts && record.clock !== undefined)
+      this.#context.crashBlame.promptParts.merge(record.promptParts, record.clock);
     this.#context.serverLimits.merge(record.limits ?? {});
     this.#remoteLoads.accept(record);
     this.#storeFollower.catchUpWithPeer(record);
--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -14,6 +14,7 @@
   | 'suspects'
   | 'plannerTerm'
   | 'crashes'
+  | 'promptParts'
 >;
 
 /** What an instance tells its peers about its state. */
@@ -66,6 +67,7 @@
       dataCentre: settings.dataCentre,
       incarnation,
       counter: this.#counter,
+      clock: Math.round(performance.now()),
       changeCounter: this.#changeCounter,
       callers: settings.listen.callers,
       peers: settings.listen.peers,
--- a/src/entry/crash-records.ts
+++ b/src/entry/crash-records.ts
@@ -10,6 +10,8 @@
 
 /** Options of {@link CrashRecords}. */
 export interface CrashRecordsOptions {
+  /** Whether something else is known to have ended a process, so that no content is to blame. */
+  readonly isExplained?: (processKey: string) => boolean;
   readonly log: Logger;
   readonly now?: () => number;
 }
@@ -27,10 +29,6 @@
 /** Bounds the size of the records that peers exchange. */
 const MAXIMUM_REPORTED_CONTENTS = 200;
 const MAXIMUM_COMPLETED_CONTENTS = 2000;
-const MAXIMUM_STALLED_SERVERS = 100;
-const MAXIMUM_STALLED_CONTENTS = 500;
-/** An end that is shown later than this after a request failed there was not that request's. */
-const STALL_LIFETIME_MILLISECONDS = 6000;
 
 /** The ends of servers during which one content was running. */
 interface ContentCrashes {
@@ -51,14 +49,14 @@
   /** When content last completed, on the monotonic clock. */
   readonly #completedAt = new LruMap<string, number>(MAXIMUM_COMPLETED_CONTENTS);
 
-  /** When contents stalled, by the process of a server at which they did. */
-  readonly #stalledContents = new LruMap<string, Map<string, number>>(MAXIMUM_STALLED_SERVERS);
+  readonly #isExplained: (processKey: string) => boolean;
 
   readonly #log: Logger;
 
   readonly #now: () => number;
 
   constructor(options: CrashRecordsOptions) {
+    this.#isExplained = options.isExplained ?? (() => false);
     this.#log = options.log;
     this.#now = options.now ?? (() => performance.now());
   }
@@ -88,29 +86,6 @@
     this.#trim();
   }
 
-  /**
-   * Records that a request stalled or broke off at a server that may have ended under it. It counts as an
-   * end once {@link recordEndedServer} shows that, within 6 s.
-   *
-   * @param contentHash - The hash of the request's content.
-   * @param processKey - Identifies the server's process.
-   */
-  recordStall(contentHash: string, processKey: string): void {
-    const stalled = this.#stalledContents.get(processKey) ?? new Map<string, number>();
-    if (stalled.size < MAXIMUM_STALLED_CONTENTS) stalled.set(contentHash, this.#now());
-    this.#stalledContents.set(processKey, stalled);
-  }
-
-  /** Records that a server has ended under all requests that were stalled at it. */
-  recordEndedServer(processKey: string): void {
-    const stalled = this.#stalledContents.get(processKey);
-    this.#stalledContents.delete(processKey);
-    const oldest = this.#now() - STALL_LIFETIME_MILLISECONDS;
-    stalled?.forEach((stalledAt, contentHash) => {
-      if (stalledAt >= oldest) this.recordCrash(contentHash, processKey);
-    });
-  }
-
   /** Records that a request completed: its content does not crash the servers that run it. */
   recordCompletion(contentHash: string): void {
     this.#completedAt.set(contentHash, this.#now());
@@ -120,11 +95,10 @@
   /** Whether requests with this content are no longer run, as too many servers crashed under it. */
   isBlocked(contentHash: string): boolean {
     const crashes = this.#crashesByContent.get(contentHash);
-    return (
-      crashes !== undefined &&
-      this.#isCurrent(crashes) &&
-      crashes.processKeys.size >= CRASHES_TO_BLOCK
-    );
+    if (!crashes || crashes.processKeys.size < CRASHES_TO_BLOCK) return false;
+    if (!this.#isCurrent(crashes)) return false;
+    const unexplained = [...crashes.processKeys].filter((key) => !this.#isExplained(key));
+    return unexplained.length >= CRASHES_TO_BLOCK;
   }
 
   /** The records that peers should know, the most dangerous ones where there are too many. */
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -6,7 +6,7 @@
 import type { ServerLimits } from '../fleet/server-limits.js';
 import type { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import type { LoggerFactory } from '../telemetry/log.js';
-import type { CrashRecords } from './crash-records.js';
+import type { CrashBlame } from './crash-blame.js';
 import type { ProtocolAdapter } from './protocol-adapter.js';
 import type { EntryMetrics } from './entry-metrics.js';
 import type { RefusalPacing } from './refusal-pacing.js';
@@ -21,7 +21,7 @@
   readonly outlierEjection: OutlierEjection;
   readonly callTimes: CallTimes;
   readonly endCheck: EndCheck;
-  readonly crashRecords: CrashRecords;
+  readonly crashBlame: CrashBlame;
   readonly serverLimits: ServerLimits;
   readonly refusalPacing: RefusalPacing;
   readonly retryBudget: RetryBudget;
--- a/src/entry/entry-request.ts
+++ b/src/entry/entry-request.ts
@@ -1,5 +1,6 @@
 /** A caller's request, as it is handed to a relay once its route and service are known. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { RequestContent } from './blocked-parts.js';
 import type { RequestMetadata } from './protocol-adapter.js';
 import type { ClientAccount, Route, Service } from './serving-configuration.js';
 
@@ -21,8 +22,7 @@
   readonly deadline: number;
   /** Aborts with an {@link AbortReason} when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
-  /** A hash over account, path and body, the same on all instances. */
-  readonly contentHash: string;
+  readonly content: RequestContent;
 }
 
 /** Why a request's signal was aborted. */
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -213,7 +213,10 @@
         receivedAt,
         deadline,
         signal: abortController.signal,
-        contentHash: hashContent(target.path, account?.name ?? '', body),
+        content: {
+          hash: hashContent(target.path, account?.name ?? '', body),
+          sharedParts: metadata.sharedPromptParts,
+        },
       };
       if (isStopping()) response.setHeader('Connection', 'close');
       if (service.engine) await relayStream(context, request, service.engine);
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -63,9 +63,9 @@
   }
 
   async serve(): Promise<string> {
-    const { crashRecords, retryBudget, logs } = this.#context;
-    const { contentHash, service, signal, metadata, route } = this.#request;
-    if (crashRecords.isBlocked(contentHash))
+    const { crashBlame, retryBudget, logs } = this.#context;
+    const { content, service, signal, metadata, route } = this.#request;
+    if (crashBlame.admit(content) === 'refuse')
       return this.#sendRefusal('crashes_servers', RETRY_AFTER_BLOCKED_SECONDS);
     retryBudget.recordFirstAttempt(service.name);
     for (;;) {
@@ -93,7 +93,7 @@
       else this.#possibleRuns += 1;
       this.#triedServerIds.add(server.entry.id);
       const canRepeat = isIdempotent(route) || this.#possibleRuns === 0;
-      const isContentAllowed = !crashRecords.isBlocked(contentHash);
+      const isContentAllowed = !crashBlame.isBlocked(content);
       const isWithinLimits =
         this.#possibleRuns < Math.max(1, route.maximumAttempts) &&
         this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
@@ -151,8 +151,8 @@
 
   /** Sends the call to a backend server and records what a failure says about that server. */
   async #attempt(server: FleetServer): Promise<AttemptResult> {
-    const { callTimes, outlierEjection, crashRecords, serverLimits } = this.#context;
-    const { signal, contentHash } = this.#request;
+    const { callTimes, outlierEjection, crashBlame, serverLimits } = this.#context;
+    const { signal, content } = this.#request;
     const { id } = server.entry;
     const attempt = new AbortController();
     const abort = (): void => attempt.abort();
@@ -163,7 +163,7 @@
     server.ownLoad.requests += 1;
     try {
       const result = await this.#sendToServer(server, attempt.signal);
-      if (result.kind === 'answered') crashRecords.recordCompletion(contentHash);
+      if (result.kind === 'answered') crashBlame.recordCompletion(content);
       if (result.kind === 'answered' && result.response.status < 500)
         outlierEjection.recordSuccess(id);
       return result;
@@ -189,11 +189,11 @@
 
   /** Finds out whether a server that broke the connection has ended, before the call may be repeated. */
   async #checkForEnd(entry: ServerEntry): Promise<void> {
-    const { crashRecords, endCheck, fleet } = this.#context;
-    const { contentHash, route } = this.#request;
+    const { crashBlame, endCheck, fleet } = this.#context;
+    const { content, route } = this.#request;
     const processKey = getProcessKey(entry);
-    crashRecords.recordStall(contentHash, processKey);
-    if (fleet.hasEnded(processKey)) crashRecords.recordEndedServer(processKey);
+    crashBlame.recordFailure({ content, wasWritten: false }, processKey);
+    if (fleet.hasEnded(processKey)) crashBlame.recordEndedServer(processKey);
     const check = endCheck.check(entry);
     if (isIdempotent(route)) await check;
   }
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -56,6 +56,9 @@
 
   #refusedAttempts = 0;
 
+  /** Whether the request is blocked, and runs to find out whether it should be. */
+  #isTrial = false;
+
   /** Whether a retry of the budget has been taken for an attempt that is being abandoned. */
   #hasReservedRetry = false;
 
@@ -78,16 +81,17 @@
   }
 
   async serve(): Promise<string> {
-    const { crashRecords, retryBudget } = this.#context;
-    const { contentHash, service, signal } = this.#request;
-    if (crashRecords.isBlocked(contentHash)) {
-      return this.#ending.refuseBlocked();
-    }
+    const { crashBlame, retryBudget } = this.#context;
+    const { content, service, signal } = this.#request;
+    const admission = crashBlame.admit(content);
+    if (admission === 'refuse') return this.#ending.refuseBlocked();
     retryBudget.recordFirstAttempt(service.name);
     for (;;) {
       const chain = await this.#findChain();
       if (signal.aborted) return this.#ending.sendTimeout();
       if (!chain) return this.#endWithoutChain();
+      if (admission === 'try' && !this.#isTrial) crashBlame.startTrial(content);
+      this.#isTrial = admission === 'try';
       const firstEngine = chain.stages[0]?.engine.server.entry;
       const result = await this.#attempt(chain);
       if (signal.aborted) return this.#ending.sendTimeout();
@@ -105,8 +109,8 @@
     result: Extract<AttemptResult, { kind: 'notRun' | 'late' | 'broken' }>,
     firstEngine: ServerEntry | undefined,
   ): Promise<string | undefined> {
-    const { crashRecords, logs, metrics } = this.#context;
-    const { contentHash, route, metadata } = this.#request;
+    const { crashBlame, logs, metrics } = this.#context;
+    const { content, route, metadata } = this.#request;
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
     if (result.kind === 'notRun') this.#refusedAttempts += 1;
     else if (firstEngine) this.#runs.record(getProcessKey(firstEngine), result.kind === 'broken');
@@ -114,7 +118,8 @@
     if (result.kind === 'broken' && firstEngine)
       await this.#context.stallDetector.checkEngine(firstEngine.id);
     const canRepeat = isIdempotent(route) || this.#runs.total === 0;
-    const isContentAllowed = !crashRecords.isBlocked(contentHash);
+    const isContentAllowed =
+      !crashBlame.isBlocked(content) || (this.#isTrial && this.#runs.total === 0);
     const isWithinLimits =
       this.#runs.total < MAXIMUM_ATTEMPTS && this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
     const isRetried = canRepeat && isContentAllowed && isWithinLimits && this.#tryAcquireRetry();
@@ -141,9 +146,9 @@
    * needs is secured first, since a late answer is better than none.
    */
   #canRetryElsewhere(chosen: EngineChain): boolean {
-    const { crashRecords, retryBudget } = this.#context;
-    const { contentHash, route, service } = this.#request;
-    if (!isIdempotent(route) || crashRecords.isBlocked(contentHash)) return false;
+    const { crashBlame, retryBudget } = this.#context;
+    const { content, route, service } = this.#request;
+    if (!isIdempotent(route) || crashBlame.isBlocked(content)) return false;
     if (this.#runs.total + 1 >= MAXIMUM_ATTEMPTS) return false;
     const firstEngine = chosen.stages[0]?.engine.server.entry;
     const engineIds = chosen.stages.map(({ engine }) => engine.id);
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -53,9 +53,17 @@
   readonly caller: CallerStream;
 }
 
+/**
+ * An engine that goes on for this long after the first event of a stream isn't ended by beginning it.
+ */
+const WRITTEN_AFTER_MILLISECONDS = 300;
+
 export class StreamExchange {
   readonly #options: StreamExchangeOptions;
 
+  /** Whether some engine has been writing the answer for a while, in this exchange or an earlier one. */
+  #wasWritten = false;
+
   constructor(options: StreamExchangeOptions) {
     this.#options = options;
   }
@@ -65,10 +73,11 @@
    * Of several engines of one chain it is one: a request ends engines one after the other.
    */
   recordStall(entry: ServerEntry): void {
-    const { fleet, crashRecords } = this.#options.context;
+    const { fleet, crashBlame } = this.#options.context;
     const processKey = getProcessKey(entry);
-    crashRecords.recordStall(this.#options.request.contentHash, processKey);
-    if (fleet.hasEnded(processKey)) crashRecords.recordEndedServer(processKey);
+    const { content } = this.#options.request;
+    crashBlame.recordFailure({ content, wasWritten: this.#wasWritten }, processKey);
+    if (fleet.hasEnded(processKey)) crashBlame.recordEndedServer(processKey);
   }
 
   /** Finds out what a failed exchange with the first engine means for further attempts. */
@@ -99,8 +108,8 @@
     watched: WatchedStream,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { outlierEjection, fleet, crashRecords } = this.#options.context;
-    const { metadata, contentHash } = this.#options.request;
+    const { outlierEjection, fleet, crashBlame } = this.#options.context;
+    const { metadata, content } = this.#options.request;
     const {
       message: engineResponse,
       status,
@@ -126,14 +135,15 @@
     }
     assertOwnResponse(metadata, responseMetadata);
     if (status >= 300) return this.#relayFailure(engineResponse, status);
-    let isAccepted = false;
+    let beganAt: number | undefined;
     const splitter = new EventSplitter(this.#options.caller.lastEventId);
     for await (const chunk of readChunks(engineResponse)) {
       const events = splitter.push(chunk);
       watched.lastProgressAt = performance.now();
       if (events.bytes.length > 0) {
-        if (!isAccepted) watched.chain.forEach(recordAcceptance);
-        isAccepted = true;
+        if (beganAt === undefined) watched.chain.forEach(recordAcceptance);
+        beganAt ??= performance.now();
+        if (performance.now() - beganAt >= WRITTEN_AFTER_MILLISECONDS) this.#recordWritten(beganAt);
         watched.hasEvents = true;
         this.#startResponse(engineResponse, status);
         watched.isCallerBlocked = true;
@@ -147,10 +157,17 @@
     if (!splitter.isBetweenEvents) throw new Error('The event stream ended inside an event.');
     this.#startResponse(engineResponse, status);
     outlierEjection.recordSuccess(firstEngine.entry.id);
-    crashRecords.recordCompletion(contentHash);
+    if (beganAt !== undefined) this.#recordWritten(beganAt);
+    crashBlame.recordCompletion(content);
     return { kind: 'completed' };
   }
 
+  #recordWritten(beganAt: number): void {
+    if (this.#wasWritten) return;
+    this.#wasWritten = true;
+    this.#options.context.crashBlame.recordWritten(this.#options.request.content, beganAt);
+  }
+
   /**
    * Relays an engine's error response to the caller.
    *
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -53,5 +53,19 @@
   limits: z.record(z.string(), z.tuple([z.number().nullable(), z.number()])).optional(),
   /** By content key of a request: ids of the backend servers that crashed while running it. */
   crashes: z.record(z.string(), z.array(z.string())),
+  /**
+   * By process of an engine that ended: when, and for each request that it had just begun the content key
+   * and the shared parts of the prompt. By part: when an engine wrote on it, and when a request with it was
+   * last tried, if it is blocked. Times are on the clock of `clock`. Absent in records of older builds.
+   */
+  promptParts: z
+    .object({
+      ends: z.record(z.string(), z.tuple([z.number(), z.array(z.array(z.string()))])),
+      written: z.record(z.string(), z.number()),
+      tried: z.record(z.string(), z.number()),
+    })
+    .optional(),
+  /** The instance's monotonic clock when it made the record, in milliseconds. Absent in older builds. */
+  clock: z.number().optional(),
 });
 export type PeerRecord = z.infer<typeof PeerRecord>;
