Ask an engine anew whether it has ended when a stream breaks off

Cause: a broken stream shared the report that was under way for its engine, which may have been sent while the engine still ran; its end was known only after the next attempt was sent. Also, whoever waited for a report removed whatever report was then under way; a report now removes only itself. Other reports (silence, slowdown) are shared as before.

--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -23,7 +23,7 @@
 
 /** Creates a detector for engines a, b and c, which send the given reports. */
 function createDetector(
-  reports: Readonly<Record<string, EngineReport | 'silent' | 'unconnected' | 'refused'>>,
+  reports: Record<string, EngineReport | 'silent' | 'unconnected' | 'refused'>,
 ) {
   const clock = { now: 1000 };
   const fleet = new BackendFleet({ log: createSilentLogger(), now: () => clock.now });
@@ -183,3 +183,16 @@
   }
   assert.ok(retriedRequestIds.length > 0);
 });
+
+// The answer of a report that was under way said nothing of the end; the request was sent to a fourth engine.
+test('crash request: an engine that ends while a report is under way is asked again', async () => {
+  const reports: Parameters<typeof createDetector>[0] = { a: REPORT_WITHOUT_STALLS };
+  const { clock, detector, fleet, askedEngineIds, addStream } = createDetector(reports);
+  addStream('one', 'a');
+  clock.now += 300;
+  const underWay = detector.checkStreams();
+  reports.a = 'refused';
+  await Promise.all([underWay, detector.checkEngine('a'), detector.checkEngine('a')]);
+  assert.deepEqual(askedEngineIds, ['a', 'a']);
+  assert.ok(fleet.hasEnded('a'));
+});
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -5,6 +5,7 @@
  */
 import { getErrorMessage, isConnectionRefused } from '../common/http-client.js';
 import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
+import { getProcessKey } from '../fleet/server-entry.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
 import type { ProtocolAdapter } from './protocol-adapter.js';
@@ -121,14 +122,17 @@
   }
 
   /**
-   * Asks an engine for a report. Ejects it when it does not respond, and reroutes the streams that
-   * it reports as stalled.
+   * Asks an engine for a report, not sent before now. Ejects it when it does not respond, and reroutes the
+   * streams that it reports as stalled.
    *
    * @param id - The engine's id; an unregistered engine is ignored.
    */
   async checkEngine(id: string): Promise<void> {
     const server = this.#options.fleet.find(id);
-    if (server) await this.#shareReport(server);
+    if (!server) return;
+    // A report that is under way may have been sent while the engine still ran.
+    await this.#runningReports.get(id);
+    if (!this.#options.fleet.hasEnded(getProcessKey(server.entry))) await this.#shareReport(server);
   }
 
   /** Reads the slowdown factor of engines that silent streams run over or that were slow before. */
@@ -156,12 +160,13 @@
   }
 
   /** Requests a report about stalls, unless one is under way, which is then waited for. */
-  async #shareReport(server: FleetServer): Promise<void> {
+  #shareReport(server: FleetServer): Promise<void> {
     const { id } = server.entry;
-    const report = this.#runningReports.get(id) ?? this.#refreshStalls(server);
+    const running = this.#runningReports.get(id);
+    if (running) return running;
+    const report = this.#refreshStalls(server).finally(() => this.#runningReports.delete(id));
     this.#runningReports.set(id, report);
-    await report;
-    this.#runningReports.delete(id);
+    return report;
   }
 
   async #refreshStalls(server: FleetServer): Promise<void> {
