Ask again whether a server has ended when it closes the connection that asks

Now the connection is held for 50 ms, and closed ones are tried once more; a refused connection of a call is recorded as one of a stream is; a report that is cut off leads to the same question.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -205,13 +205,14 @@
       log: logs('peer'),
       signal: this.#taskController.signal,
     });
+    const endCheck = new EndCheck(this.#fleet);
     this.#context = {
       dataCentre: settings.dataCentre,
       protocol: platform.protocol,
       fleet: this.#fleet,
       outlierEjection: this.#outlierEjection,
       callTimes: new CallTimes(),
-      endCheck: new EndCheck(this.#fleet),
+      endCheck,
       crashBlame: this.#createCrashBlame(),
       serverLimits: new ServerLimits({
         instance: settings.instance,
@@ -231,6 +232,7 @@
         protocol: platform.protocol,
         fleet: this.#fleet,
         outlierEjection: this.#outlierEjection,
+        endCheck,
         log: logs('routing'),
         checkIntervalMilliseconds: STALL_CHECK_INTERVAL_MILLISECONDS,
       }),
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -2,7 +2,12 @@
  * Serves a call to a plain (non-streaming) service. A call that is not idempotent runs at most
  * once; an idempotent one may be retried on further backend servers.
  */
-import { HttpRequestError, getErrorMessage, isConnectionLost } from '../common/http-client.js';
+import {
+  HttpRequestError,
+  getErrorMessage,
+  isConnectionLost,
+  isConnectionRefused,
+} from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
@@ -151,7 +156,7 @@
 
   /** Sends the call to a backend server and records what a failure says about that server. */
   async #attempt(server: FleetServer): Promise<AttemptResult> {
-    const { callTimes, outlierEjection, crashBlame, serverLimits } = this.#context;
+    const { callTimes, outlierEjection, crashBlame, serverLimits, fleet } = this.#context;
     const { signal, content } = this.#request;
     const { id } = server.entry;
     const attempt = new AbortController();
@@ -172,6 +177,7 @@
       if (signal.aborted) return { kind: 'unknown', message };
       callTimes.record(id, performance.now() - startedAt, undefined);
       if (error instanceof HttpRequestError && error.phase === 'connecting') {
+        if (isConnectionRefused(error)) fleet.recordEnd(server.entry, message);
         if (attempt.signal.aborted) outlierEjection.recordFailure(id, message);
         else outlierEjection.eject(id, message);
         return { kind: 'notRun', message };
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { HttpRequestError } from '../common/http-client.js';
 import { BackendFleet, type FleetServer } from '../fleet/backend-fleet.js';
+import { EndCheck } from '../fleet/end-check.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import type { ProtocolAdapter, EngineReport } from './protocol-adapter.js';
@@ -56,6 +57,7 @@
     protocol,
     fleet,
     outlierEjection,
+    endCheck: new EndCheck(fleet),
     log: createSilentLogger(),
     checkIntervalMilliseconds: CHECK_INTERVAL_MILLISECONDS,
     now: () => clock.now,
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -3,8 +3,9 @@
  * engines themselves give such a stream up. The first engine of a chain reports which engine a
  * request is waiting for.
  */
-import { getErrorMessage, isConnectionRefused } from '../common/http-client.js';
+import { getErrorMessage, isConnectionLost, isConnectionRefused } from '../common/http-client.js';
 import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
+import type { EndCheck } from '../fleet/end-check.js';
 import { getProcessKey } from '../fleet/server-entry.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
@@ -33,6 +34,7 @@
   readonly protocol: ProtocolAdapter;
   readonly fleet: BackendFleet;
   readonly outlierEjection: OutlierEjection;
+  readonly endCheck: EndCheck;
   readonly log: Logger;
   /** The time between two calls of {@link StallDetector.checkStreams}. */
   readonly checkIntervalMilliseconds: number;
@@ -187,6 +189,8 @@
       });
     } catch (error) {
       this.#ejectUnresponsive(server, requestedAt, error);
+      // An engine that is ending may accept the connection just before it closes all of them.
+      if (isConnectionLost(error)) await this.#options.endCheck.check(server.entry);
     }
   }
 
--- a/src/fleet/end-check.ts
+++ b/src/fleet/end-check.ts
@@ -10,19 +10,32 @@
 import { getProcessKey, type ServerEntry } from './server-entry.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
+/** A process that is ending may accept a connection just before it closes all of them. */
+const HOLD_MILLISECONDS = 50;
+const MAXIMUM_CONNECTIONS = 2;
 
-/** Whether the host at an address refuses a connection; false also if it doesn't answer in time. */
-function isRefused({ host, port }: Address): Promise<boolean> {
+/** What becomes of a new connection; `unknown` if the host doesn't answer in time. */
+type ConnectionResult = 'held' | 'closed' | 'refused' | 'unknown';
+
+/** Connects, and closes the connection after holding it for a moment. */
+function tryConnection({ host, port }: Address): Promise<ConnectionResult> {
   return new Promise((resolve) => {
     const socket = net.connect({ host, port });
-    const finish = (result: boolean): void => {
+    const finish = (result: ConnectionResult): void => {
       cancelTimer();
       socket.destroy();
       resolve(result);
     };
-    const cancelTimer = startPatientTimer(CONNECT_TIMEOUT_MILLISECONDS, () => finish(false));
-    socket.once('connect', () => finish(false));
-    socket.on('error', ({ code }: NodeJS.ErrnoException) => finish(code === 'ECONNREFUSED'));
+    let cancelTimer = startPatientTimer(CONNECT_TIMEOUT_MILLISECONDS, () => finish('unknown'));
+    socket.once('connect', () => {
+      cancelTimer();
+      cancelTimer = startPatientTimer(HOLD_MILLISECONDS, () => finish('held'));
+    });
+    socket.on('end', () => finish('closed'));
+    socket.on('error', ({ code }: NodeJS.ErrnoException) =>
+      finish(code === 'ECONNREFUSED' ? 'refused' : 'closed'),
+    );
+    socket.resume();
   });
 }
 
@@ -50,7 +63,11 @@
   }
 
   async #connect(entry: ServerEntry): Promise<void> {
-    if (await isRefused(entry.address))
-      this.#fleet.recordEnd(entry, 'a connection was refused right after one had broken off');
+    for (let connection = 1; connection <= MAXIMUM_CONNECTIONS; connection += 1) {
+      const result = await tryConnection(entry.address);
+      if (result === 'refused')
+        this.#fleet.recordEnd(entry, 'a connection was refused right after one had broken off');
+      if (result !== 'closed') return;
+    }
   }
 }
