Send a request on no more after two engines ended as they began it

In the record a second engine ended 0.3 s after the first under the same request. Streams that some engine had been writing are not affected: what ends under them isn't their doing. A sound request that meets two ends as it begins gets 502, which its caller may send again. Ruled out: no retry at all after the first end. Most ends have another cause, and the one retry saves the request.

--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -22,6 +22,8 @@
 const MAXIMUM_REFUSED_ATTEMPTS = 4;
 /** Limit on attempts that may have run, whatever the route allows. */
 const MAXIMUM_ATTEMPTS = 4;
+/** A request under which so many engines ended as they began it is not sent to another one. */
+const MAXIMUM_ENDS_AT_BEGIN = 2;
 /**
  * Share of the route's target time after which a first event is late and another chain is tried.
  */
@@ -56,6 +58,9 @@
 
   #refusedAttempts = 0;
 
+  /** Engines that ended as they began the request. */
+  #endsAtBegin = 0;
+
   /** Whether the request is blocked, and runs to find out whether it should be. */
   #isTrial = false;
 
@@ -115,14 +120,14 @@
     if (result.kind === 'notRun') this.#refusedAttempts += 1;
     else if (firstEngine) this.#runs.record(getProcessKey(firstEngine), result.kind === 'broken');
     // Whether the first engine still lives decides how many further engines may run the request.
-    if (result.kind === 'broken' && firstEngine)
-      await this.#context.stallDetector.checkEngine(firstEngine.id);
+    if (result.kind === 'broken' && firstEngine) await this.#checkForEnd(firstEngine);
     const canRepeat = isIdempotent(route) || this.#runs.total === 0;
     const isContentAllowed =
       !crashBlame.isBlocked(content) || (this.#isTrial && this.#runs.total === 0);
     const isWithinLimits =
       this.#runs.total < MAXIMUM_ATTEMPTS && this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
-    const isRetried = canRepeat && isContentAllowed && isWithinLimits && this.#tryAcquireRetry();
+    const isHarmless = isContentAllowed && this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN;
+    const isRetried = canRepeat && isHarmless && isWithinLimits && this.#tryAcquireRetry();
     logs('routing').info(isRetried ? 'Retrying request.' : 'Request failed; not retrying.', {
       requestId: metadata.requestId,
       after: result.kind,
@@ -134,6 +139,7 @@
       attempts: this.#runs.total,
       runs: this.#runs.countedServers,
       endedServers: this.#runs.endedProcessKeys,
+      endsAtBegin: this.#endsAtBegin,
       refusedTries: this.#refusedAttempts,
     });
     metrics.countEvent(isRetried ? 'retry' : 'given_up');
@@ -141,6 +147,13 @@
     return this.#ending.sendFailure('servers_refused');
   }
 
+  async #checkForEnd(firstEngine: ServerEntry): Promise<void> {
+    const { stallDetector, fleet } = this.#context;
+    await stallDetector.checkEngine(firstEngine.id);
+    const hasEnded = fleet.hasEnded(getProcessKey(firstEngine));
+    if (hasEnded && !this.#exchange.wasWritten) this.#endsAtBegin += 1;
+  }
+
   /**
    * Whether an attempt without an event may be abandoned for another chain. Everything that a retry
    * needs is secured first, since a late answer is better than none.
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -61,13 +61,17 @@
 export class StreamExchange {
   readonly #options: StreamExchangeOptions;
 
-  /** Whether some engine has been writing the answer for a while, in this exchange or an earlier one. */
   #wasWritten = false;
 
   constructor(options: StreamExchangeOptions) {
     this.#options = options;
   }
 
+  /** Whether some engine has been writing the answer for a while, in the last attempt or an earlier one. */
+  get wasWritten(): boolean {
+    return this.#wasWritten;
+  }
+
   /**
    * Records the engine at which the stream stalled or broke off, which may have ended under the request.
    * Of several engines of one chain it is one: a request ends engines one after the other.
