Take an answer without length and chunks for whole when its connection is closed in order

A stream that ends inside an event is broken off. One that ends between events may be an engine's end: the engine is asked, and if it has ended, the stream resumes elsewhere. Found on the way: Node.js reports a reset that arrives together with the last bytes as an orderly end, so that a half answer looked whole.

--- a/src/entry/backend-request.ts
+++ b/src/entry/backend-request.ts
@@ -1,5 +1,6 @@
 /** Sends a request to a backend server over a new connection. */
 import http from 'node:http';
+import type { Socket } from 'node:net';
 import type { Address } from '../common/address.js';
 import { HttpRequestError, type RequestPhase } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
@@ -18,6 +19,18 @@
 
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
 
+/**
+ * Whether a connection whose end was reported has been reset. Node.js reports a reset that arrives together
+ * with the last bytes as an orderly end; only a connection that was closed in order still has a peer.
+ */
+function wasReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
+function createResetError(): NodeJS.ErrnoException {
+  return Object.assign(new Error('The connection was reset.'), { code: 'ECONNRESET' });
+}
+
 /**
  * Sends a request and waits for the head of the response.
  *
@@ -44,14 +57,19 @@
     const cancelTimer = startPatientTimer(CONNECT_TIMEOUT_MILLISECONDS, () => {
       request.destroy(new Error('Connecting to the backend server timed out.'));
     });
+    let backendResponse: http.IncomingMessage | undefined;
     request.on('socket', (socket) => {
       socket.setNoDelay(true);
       socket.once('connect', () => {
         phase = 'sent';
         cancelTimer();
       });
+      // Before the listener that ends the body of a response without a length.
+      socket.prependListener('end', () => {
+        if (!backendResponse || isBodyDelimited(backendResponse) || !wasReset(socket)) return;
+        backendResponse.destroy(createResetError());
+      });
     });
-    let backendResponse: http.IncomingMessage | undefined;
     request.on('error', (error: NodeJS.ErrnoException) => {
       cancelTimer();
       // Without this, a response that has no length would end here as if it were complete.
@@ -113,11 +131,10 @@
 }
 
 /**
- * Tells whether a response states where its body ends. A body that ends with the connection looks
- * the same when the backend server crashed while sending it.
+ * Tells whether a response states where its body ends. Otherwise its connection does: it is whole if the
+ * connection was closed in order, and not if it was reset.
  *
  * @param response - The response.
- * @returns Whether a complete body can be told from one that was cut off.
  */
 export function isBodyDelimited(response: http.IncomingMessage): boolean {
   const { 'content-length': length, 'transfer-encoding': encoding = '' } = response.headers;
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -16,7 +16,7 @@
 import { getEndToEndHeaders, sendLocalResponse, appendHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, isIdempotent, type EntryRequest } from './entry-request.js';
-import { isBodyDelimited, readAnswer } from './backend-request.js';
+import { readAnswer } from './backend-request.js';
 
 /** A backend server's response, read completely. */
 interface BufferedResponse {
@@ -246,7 +246,7 @@
       };
     }
     const body = await readAnswer(backendResponse);
-    if (!backendResponse.complete || !isBodyDelimited(backendResponse))
+    if (!backendResponse.complete)
       throw new HttpRequestError('answering', 'The response was cut off before its end.');
     assertOwnResponse(metadata, responseMetadata);
     const load =
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -156,9 +156,7 @@
         watched.lastProgressAt = performance.now();
       }
     }
-    if (!engineResponse.complete || !isBodyDelimited(engineResponse))
-      throw new HttpRequestError('answering', 'The event stream was cut off before its end.');
-    if (!splitter.isBetweenEvents) throw new Error('The event stream ended inside an event.');
+    await this.#assertWhole(engineResponse, splitter, firstEngine.entry);
     this.#startResponse(engineResponse, status);
     outlierEjection.recordSuccess(firstEngine.entry.id);
     if (beganAt !== undefined) this.#recordWritten(beganAt);
@@ -166,6 +164,31 @@
     return { kind: 'completed' };
   }
 
+  /**
+   * Checks that a stream has ended and was not cut off. A stream that its connection delimits looks the same
+   * when its engine ends between two events, so that the engine is asked then.
+   *
+   * @throws Error when the stream was cut off.
+   */
+  async #assertWhole(
+    engineResponse: IncomingMessage,
+    splitter: EventSplitter,
+    engine: ServerEntry,
+  ): Promise<void> {
+    if (!engineResponse.complete)
+      throw new HttpRequestError('answering', 'The event stream was cut off before its end.');
+    const isDelimited = isBodyDelimited(engineResponse);
+    if (isDelimited && splitter.isBetweenEvents) return;
+    const { stallDetector, fleet } = this.#options.context;
+    const processKey = getProcessKey(engine);
+    if (!isDelimited && !fleet.hasEnded(processKey)) await stallDetector.checkEngine(engine.id);
+    const hasEnded = fleet.hasEnded(processKey);
+    if (hasEnded) this.recordStall(engine);
+    if (hasEnded) throw new Error('The event stream ended with its engine.');
+    if (!splitter.isBetweenEvents) throw new Error('The event stream ended inside an event.');
+    if (!this.#options.caller.hasStarted) throw new Error('The event stream has no event.');
+  }
+
   #recordWritten(beganAt: number): void {
     if (this.#wasWritten) return;
     this.#wasWritten = true;
