Keep what blocks requests in the store, so that it outlasts all instances

After all instances were killed at the same moment, the part that ends engines was unknown again, and 6 to 8 further engines ended (three runs of 'it is still known after all instances were killed', which now sends to all instances at once after the restart; the first form of the test, one request at a time, passed since retries stop after two ends). The planner writes the ends behind each blocked part or content into its own object under 'instances', which all instances list when they start: no further call at a start, one write when the set of blocks changes, at most one a second. Ages go by wall clock, which may be off by seconds; blocks older than their retention are not taken over. The registration is a module of its own now (out of entry-daemon). Ruled out: a kind of its own (one more list call at each start of each instance), writing by every instance.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -39,7 +39,8 @@
 import type { CallerAddresses, EntryPlatform } from './entry-platform.js';
 import { listCallerAddresses } from './caller-addresses.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
-import { createPlaceholderRecord, OwnRecord, type RecordState } from './own-record.js';
+import { InstanceRegistration } from './instance-registration.js';
+import { OwnRecord, type RecordState } from './own-record.js';
 import { ServerHealth } from './server-health.js';
 import { isFollowedByPeers } from './store-follower-role.js';
 import { StoreFollower } from './store-follower.js';
@@ -60,9 +61,6 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Kind of the store objects under which instances register. */
-const INSTANCE_KIND = 'instances';
-
 /** The shortest time between two updates of the servers from the peers' records. */
 const OBSERVATION_INTERVAL_MILLISECONDS = 100;
 const STALL_CHECK_INTERVAL_MILLISECONDS = 70;
@@ -77,7 +75,6 @@
  * least this many address lifetimes.
  */
 const CACHED_ADDRESS_LIFETIMES = 3;
-const REGISTRATION_RETRY_MILLISECONDS = 500;
 
 /** The components of one entry instance and its lifecycle. */
 class EntryInstance {
@@ -107,6 +104,8 @@
 
   readonly #lease: PlannerLease;
 
+  readonly #registration: InstanceRegistration;
+
   readonly #remoteLoads = new RemoteLoads();
 
   /** Loads by all instances of this data centre, summed at each heartbeat. */
@@ -239,6 +238,15 @@
       metrics: new EntryMetrics(),
       logs,
     };
+    this.#registration = new InstanceRegistration({
+      settings,
+      store: platform.store,
+      crashBlame: this.#context.crashBlame,
+      onPeer: (record) => this.#peers.accept(record),
+      isKeeper: () => isPlanner(this.#ownRecord.current, this.#peers.aliveRecords),
+      log: logs('peer'),
+      signal: this.#taskController.signal,
+    });
     this.#serverHealth = new ServerHealth({
       fleet: this.#fleet,
       outlierEjection: this.#outlierEjection,
@@ -297,7 +305,7 @@
   }
 
   async stop(): Promise<void> {
-    const { settings, platform, logs } = this.#options;
+    const { settings, logs } = this.#options;
     const log = logs('daemon');
     if (this.#isStopping) return;
     this.#isStopping = true;
@@ -307,7 +315,7 @@
       open: this.#server?.openRequests(),
     });
     this.#gossipImmediately();
-    void platform.store.remove(INSTANCE_KIND, settings.instance);
+    this.#registration.withdraw();
     const cachedUntil = startedAt + CACHED_ADDRESS_LIFETIMES * ADDRESS_LIFETIME_SECONDS * 1000;
     while (performance.now() < deadline) {
       const isAddressCached = performance.now() < cachedUntil;
@@ -335,7 +343,8 @@
     const { platform, settings, logs } = this.#options;
     const { signal } = this.#taskController;
     this.#storeFollower.start();
-    void this.#register();
+    void this.#registration.register().then(() => this.#gossip.runRound());
+    void this.#registration.keepBlocks();
     void this.#runPeriodically(
       () => getHeartbeatInterval(this.#peers.aliveCount),
       async () => {
@@ -410,34 +419,6 @@
     return own + others === 0;
   }
 
-  /**
-   * Registers this instance in the store and learns the peers registered there, retrying until the
-   * store responds.
-   */
-  async #register(): Promise<void> {
-    const { settings, platform, logs } = this.#options;
-    const { signal } = this.#taskController;
-    const value = {
-      dataCentre: settings.dataCentre,
-      callers: settings.listen.callers,
-      peers: settings.listen.peers,
-    };
-    while (!signal.aborted && !this.#isStopping) {
-      const created = await platform.store.create(INSTANCE_KIND, settings.instance, value);
-      const listed = await platform.store.list(INSTANCE_KIND);
-      if (listed.kind === 'listed' && created.kind !== 'unavailable') {
-        listed.objects.forEach((object) => {
-          const record = createPlaceholderRecord(object);
-          if (record) this.#peers.accept(record);
-        });
-        logs('peer').info('Registered in the store.', { known: listed.objects.length });
-        void this.#gossip.runRound();
-        return;
-      }
-      await sleep(REGISTRATION_RETRY_MILLISECONDS, signal);
-    }
-  }
-
   #describeState(): RecordState {
     return {
       urgent: {
--- /dev/null
+++ b/src/daemon/instance-registration.ts
@@ -0,0 +1,147 @@
+/**
+ * Registers this instance in the store and learns from there which peers exist, and which requests are no
+ * longer run because servers end under them. All instances may be lost at the same moment, and servers
+ * would end again before the next ones have found out; so the planner keeps what blocks requests in its
+ * own object.
+ */
+import { z } from 'zod';
+import { sleep } from '../common/clock.js';
+import type { Blocks, CrashBlame } from '../entry/crash-blame.js';
+import { CRASH_RETENTION_MILLISECONDS } from '../entry/crash-records.js';
+import type { EntrySettings } from '../entry/entry-settings.js';
+import { PeerRecord } from '../gossip/peer-record.js';
+import type { ObjectStore, StoredObject } from '../store/object-store.js';
+import type { Logger } from '../telemetry/log.js';
+import { createPlaceholderRecord } from './own-record.js';
+
+/** Options of {@link InstanceRegistration}. */
+export interface InstanceRegistrationOptions {
+  readonly settings: EntrySettings;
+  readonly store: ObjectStore;
+  readonly crashBlame: CrashBlame;
+  /** Called for each instance that is registered. */
+  readonly onPeer: (record: PeerRecord) => void;
+  /** Whether this instance keeps for all what blocks requests. */
+  readonly isKeeper: () => boolean;
+  readonly log: Logger;
+  readonly signal: AbortSignal;
+  readonly wallClock?: () => number;
+}
+
+/** What blocks requests, as it lies in the store. */
+const KeptBlocks = z.object({
+  /** When it was written, in wall-clock milliseconds; clocks may differ by seconds. */
+  writtenAt: z.number(),
+  crashes: PeerRecord.shape.crashes,
+  promptParts: PeerRecord.shape.promptParts.unwrap(),
+  clock: z.number(),
+});
+const RegisteredBlocks = z.object({ blocks: KeptBlocks });
+
+const INSTANCE_KIND = 'instances';
+const RETRY_MILLISECONDS = 500;
+/** What blocks requests may change several times while servers end in quick succession. */
+const KEEP_INTERVAL_MILLISECONDS = 1000;
+
+const NO_BLOCKS: Blocks = { crashes: {}, promptParts: { ends: {}, written: {}, tried: {} } };
+
+/** Names what is blocked, without times. */
+function describeKeys({ crashes, promptParts }: Blocks): string {
+  return JSON.stringify([Object.keys(crashes).sort(), Object.keys(promptParts.ends).sort()]);
+}
+
+/** The object of this instance in the store. */
+export class InstanceRegistration {
+  readonly #options: InstanceRegistrationOptions;
+
+  readonly #wallClock: () => number;
+
+  #revision: number | undefined;
+
+  #isWithdrawn = false;
+
+  /** What this instance's object blocks. */
+  #keptKeys = describeKeys(NO_BLOCKS);
+
+  constructor(options: InstanceRegistrationOptions) {
+    this.#options = options;
+    this.#wallClock = options.wallClock ?? (() => Date.now());
+  }
+
+  /** Registers, retrying until the store responds. */
+  async register(): Promise<void> {
+    const { settings, store, log, signal, onPeer } = this.#options;
+    while (!signal.aborted && !this.#isWithdrawn) {
+      const created = await store.create(INSTANCE_KIND, settings.instance, this.#ownValue);
+      const listed = await store.list(INSTANCE_KIND);
+      if (listed.kind === 'listed' && created.kind !== 'unavailable') {
+        listed.objects.forEach((object) => {
+          const record = createPlaceholderRecord(object);
+          if (record) onPeer(record);
+          this.#restoreBlocks(object);
+        });
+        this.#revision = listed.objects.find(({ name }) => name === settings.instance)?.revision;
+        log.info('Registered in the store.', { known: listed.objects.length });
+        return;
+      }
+      await sleep(RETRY_MILLISECONDS, signal);
+    }
+  }
+
+  /** Keeps what blocks requests in the store, until the signal aborts. */
+  async keepBlocks(): Promise<void> {
+    const { signal } = this.#options;
+    while (!signal.aborted) {
+      await sleep(KEEP_INTERVAL_MILLISECONDS, signal);
+      const isKeeper = this.#options.isKeeper() || this.#keptKeys !== describeKeys(NO_BLOCKS);
+      if (isKeeper && !this.#isWithdrawn) await this.writeBlocks();
+    }
+  }
+
+  /** Writes what blocks requests, unless it is what the object holds. */
+  async writeBlocks(): Promise<void> {
+    const { settings, store, crashBlame, log } = this.#options;
+    const blocks = crashBlame.describeBlocks();
+    const keys = JSON.stringify([
+      Object.keys(blocks.crashes),
+      Object.keys(blocks.promptParts.ends),
+    ]);
+    if (this.#revision === undefined || keys === this.#keptKeys) return;
+    const kept = { ...blocks, writtenAt: this.#wallClock(), clock: Math.round(performance.now()) };
+    const result = await store.replace(INSTANCE_KIND, settings.instance, {
+      value: { ...this.#ownValue, blocks: kept },
+      revision: this.#revision,
+    });
+    if (result.kind === 'written') {
+      this.#keptKeys = keys;
+      this.#revision = result.object.revision;
+      log.info('Blocked requests kept in the store.', { blocks });
+      return;
+    }
+    if (result.kind === 'conflict') this.#revision = result.current?.revision;
+    log.warn('Could not keep blocked requests in the store; retrying.', { result: result.kind });
+  }
+
+  /** Withdraws the registration, as the instance stops; peers still have what it kept. */
+  withdraw(): void {
+    this.#isWithdrawn = true;
+    void this.#options.store.remove(INSTANCE_KIND, this.#options.settings.instance);
+  }
+
+  get #ownValue(): Record<string, unknown> {
+    const { dataCentre, listen } = this.#options.settings;
+    return { dataCentre, callers: listen.callers, peers: listen.peers };
+  }
+
+  #restoreBlocks({ name, value }: StoredObject): void {
+    const { crashBlame, log, settings } = this.#options;
+    const found = RegisteredBlocks.safeParse(value);
+    if (!found.success) return;
+    const { writtenAt, clock, crashes, promptParts } = found.data.blocks;
+    const ageMilliseconds = Math.max(0, this.#wallClock() - writtenAt);
+    if (name === settings.instance) this.#keptKeys = describeKeys({ crashes, promptParts });
+    if (ageMilliseconds < CRASH_RETENTION_MILLISECONDS) crashBlame.contents.merge(crashes);
+    crashBlame.promptParts.merge(promptParts, clock + ageMilliseconds);
+    log.info('Blocked requests read from the store.', { keeper: name, ageMilliseconds });
+  }
+}
--- a/src/entry/crash-blame.ts
+++ b/src/entry/crash-blame.ts
@@ -5,8 +5,8 @@
  */
 import { LruMap } from '../common/lru-map.js';
 import type { RequestContent } from './blocked-parts.js';
-import type { CrashRecords } from './crash-records.js';
-import type { PromptPartRecords } from './prompt-part-records.js';
+import type { CrashedServers, CrashRecords } from './crash-records.js';
+import type { PromptPartRecords, ReportedPartRecords } from './prompt-part-records.js';
 
 /** Options of {@link CrashBlame}. */
 export interface CrashBlameOptions {
@@ -22,6 +22,12 @@
   readonly wasWritten: boolean;
 }
 
+/** What blocks requests. */
+export interface Blocks {
+  readonly crashes: CrashedServers;
+  readonly promptParts: ReportedPartRecords;
+}
+
 /** What becomes of a new request. */
 export type Admission = 'run' | 'try' | 'refuse';
 
@@ -110,6 +116,11 @@
     return 'refuse';
   }
 
+  /** The records that make another instance block the same requests. */
+  describeBlocks(): Blocks {
+    return { crashes: this.contents.blocking, promptParts: this.promptParts.blocking };
+  }
+
   /** Records that a request that was admitted as a trial is sent. */
   startTrial(content: RequestContent): void {
     this.promptParts.startTrial(content);
--- a/src/entry/crash-records.ts
+++ b/src/entry/crash-records.ts
@@ -22,9 +22,9 @@
 /** Content is blocked once this many processes of servers ended under it. */
 export const CRASHES_TO_BLOCK = 3;
 /** How long content stays blocked and is reported to peers. */
-const RETENTION_MILLISECONDS = 120_000;
+export const CRASH_RETENTION_MILLISECONDS = 120_000;
 /** Kept for longer than reported, so that a peer's report doesn't make expired content new again. */
-const FORGET_AFTER_MILLISECONDS = 2 * RETENTION_MILLISECONDS;
+const FORGET_AFTER_MILLISECONDS = 2 * CRASH_RETENTION_MILLISECONDS;
 const MAXIMUM_CONTENTS = 2000;
 /** Bounds the size of the records that peers exchange. */
 const MAXIMUM_REPORTED_CONTENTS = 200;
@@ -103,13 +103,12 @@
 
   /** The records that peers should know, the most dangerous ones where there are too many. */
   get serversByContent(): CrashedServers {
-    const reported = [...this.#crashesByContent.values()]
-      .filter((crashes) => this.#isCurrent(crashes))
-      .sort(compareByRisk)
-      .slice(0, MAXIMUM_REPORTED_CONTENTS);
-    return Object.fromEntries(
-      reported.map(({ contentHash, processKeys }) => [contentHash, [...processKeys]]),
-    );
+    return this.#describe(() => true);
+  }
+
+  /** The records that make other instances block the same contents. */
+  get blocking(): CrashedServers {
+    return this.#describe(({ contentHash }) => this.isBlocked(contentHash));
   }
 
   /** Adds the crashes that a peer has recorded. */
@@ -119,13 +118,23 @@
     });
   }
 
+  #describe(isWanted: (crashes: ContentCrashes) => boolean): CrashedServers {
+    const described = [...this.#crashesByContent.values()]
+      .filter((crashes) => this.#isCurrent(crashes) && isWanted(crashes))
+      .sort(compareByRisk)
+      .slice(0, MAXIMUM_REPORTED_CONTENTS);
+    return Object.fromEntries(
+      described.map(({ contentHash, processKeys }) => [contentHash, [...processKeys]]),
+    );
+  }
+
   #isCurrent({ lastCrashAt }: ContentCrashes): boolean {
-    return this.#now() - lastCrashAt <= RETENTION_MILLISECONDS;
+    return this.#now() - lastCrashAt <= CRASH_RETENTION_MILLISECONDS;
   }
 
   #isInnocent(contentHash: string): boolean {
     const completedAt = this.#completedAt.get(contentHash);
-    return completedAt !== undefined && this.#now() - completedAt <= RETENTION_MILLISECONDS;
+    return completedAt !== undefined && this.#now() - completedAt <= CRASH_RETENTION_MILLISECONDS;
   }
 
   /** Drops expired content, and the least dangerous one while there is too much. */
--- a/src/entry/prompt-part-records.ts
+++ b/src/entry/prompt-part-records.ts
@@ -226,32 +226,16 @@
 
   /** The records that peers should know. */
   get reported(): ReportedPartRecords {
-    const ends: ReportedPartRecords['ends'] = {};
-    this.#listReportedEnds().forEach(({ processKey, endedAt, beginning }) => {
-      const requests = beginning.slice(0, MAXIMUM_REPORTED_REQUESTS_PER_END);
-      ends[processKey] = [
-        Math.round(endedAt),
-        requests.map(({ hash, sharedParts }) => [
-          hash,
-          ...sharedParts.slice(0, MAXIMUM_REPORTED_PARTS_PER_REQUEST),
-        ]),
-      ];
-    });
-    const written: ReportedPartRecords['written'] = {};
-    Object.values(ends).forEach(([, requests]) => {
-      requests.forEach(([, ...parts]) => {
-        parts.forEach((part) => {
-          const writtenAt = this.#partsAtEnds.get(part)?.writtenAt ?? this.#writtenAt.get(part);
-          if (writtenAt !== undefined) written[part] = Math.round(writtenAt);
-        });
-      });
-    });
-    const tried: ReportedPartRecords['tried'] = {};
-    this.#blocked.forEach(({ part }) => {
-      const { triedAt } = this.#getBlockState(part);
-      if (Number.isFinite(triedAt)) tried[part] = Math.round(triedAt);
-    });
-    return { ends, written, tried };
+    const oldest = this.#now() - UNEXPLAINED_RETENTION_MILLISECONDS;
+    const unexplained = this.#newestEnds.filter(
+      ({ processKey, endedAt }) => endedAt >= oldest && !this.explains(processKey),
+    );
+    return this.#describe([...this.#listEndsOfBlocked(), ...unexplained]);
+  }
+
+  /** The records that make other instances block the same parts. */
+  get blocking(): ReportedPartRecords {
+    return this.#describe(this.#listEndsOfBlocked());
   }
 
   /**
@@ -405,18 +389,43 @@
     return state;
   }
 
-  #listReportedEnds(): End[] {
-    const newestFirst = [...this.#ends.values()].sort((one, two) => two.endedAt - one.endedAt);
-    const ofBlocked = this.#currentlyBlocked.flatMap(({ processKeys }) =>
-      newestFirst
+  get #newestEnds(): End[] {
+    return [...this.#ends.values()].sort((one, two) => two.endedAt - one.endedAt);
+  }
+
+  #listEndsOfBlocked(): End[] {
+    return this.#currentlyBlocked.flatMap(({ processKeys }) =>
+      this.#newestEnds
         .filter(({ processKey }) => processKeys.includes(processKey))
         .slice(0, MAXIMUM_REPORTED_ENDS_PER_BLOCKED_PART),
     );
-    const oldest = this.#now() - UNEXPLAINED_RETENTION_MILLISECONDS;
-    const others = newestFirst.filter(
-      ({ processKey, endedAt }) => endedAt >= oldest && !this.explains(processKey),
-    );
-    return [...ofBlocked, ...others].slice(0, MAXIMUM_REPORTED_ENDS);
+  }
+
+  #describe(describedEnds: readonly End[]): ReportedPartRecords {
+    const ends: ReportedPartRecords['ends'] = {};
+    const written: ReportedPartRecords['written'] = {};
+    const tried: ReportedPartRecords['tried'] = {};
+    describedEnds.slice(0, MAXIMUM_REPORTED_ENDS).forEach(({ processKey, endedAt, beginning }) => {
+      const requests = beginning.slice(0, MAXIMUM_REPORTED_REQUESTS_PER_END);
+      ends[processKey] = [
+        Math.round(endedAt),
+        requests.map(({ hash, sharedParts }) => [
+          hash,
+          ...sharedParts.slice(0, MAXIMUM_REPORTED_PARTS_PER_REQUEST),
+        ]),
+      ];
+      requests.forEach(({ sharedParts }) => {
+        sharedParts.forEach((part) => {
+          const writtenAt = this.#partsAtEnds.get(part)?.writtenAt ?? this.#writtenAt.get(part);
+          if (writtenAt !== undefined) written[part] = Math.round(writtenAt);
+        });
+      });
+    });
+    this.#blocked.forEach(({ part }) => {
+      const { triedAt } = this.#getBlockState(part);
+      if (Number.isFinite(triedAt)) tried[part] = Math.round(triedAt);
+    });
+    return { ends, written, tried };
   }
 
   #forgetOldEnds(): void {
--- a/tests/prompt-part-crashes.test.ts
+++ b/tests/prompt-part-crashes.test.ts
@@ -112,8 +112,9 @@
     ),
   );
   await sleep(CONTACT_MILLISECONDS);
-  for (let turn = 0; turn < 9; turn += 1) {
-    await sendStream(group, turn, GUILTY_PART);
+  for (let round = 0; round < 5; round += 1) {
+    const turns = [0, 1, 2].map((turn) => 3 * round + turn);
+    await Promise.all(turns.map((turn) => sendStream(group, turn, GUILTY_PART)));
     await sleep(300);
   }
   const endsAfter = group.servers.reduce((sum, { crashCount }) => sum + crashCount, 0);
