--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -163,6 +163,7 @@
         requestId: this.#request.metadata.requestId,
         missingLayer: chain.missingLayer,
         engines: candidates.length,
+        ejections: outlierEjection.counts,
         fleetRevision: fleet.revision,
       });
       return undefined;
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -281,8 +281,14 @@
   }
 
   #refuseWithoutServer(): string {
-    const { fleet, serverLimits } = this.#context;
+    const { fleet, serverLimits, outlierEjection, logs } = this.#context;
     const ids = fleet.listForService(this.#request.service.name).map(({ entry }) => entry.id);
+    logs('routing').info('No backend server can be used.', {
+      requestId: this.#request.metadata.requestId,
+      servers: ids.length,
+      ejections: outlierEjection.counts,
+      fleetRevision: fleet.revision,
+    });
     const roomInMilliseconds = serverLimits.firstRoomInMilliseconds(ids);
     return roomInMilliseconds === undefined
       ? this.#sendRefusal('no_server', RETRY_AFTER_NO_SERVER_SECONDS)
--- a/src/fleet/outlier-ejection.ts
+++ b/src/fleet/outlier-ejection.ts
@@ -132,6 +132,12 @@
     return [...this.#ownEjections].filter(([, { isActive }]) => isActive).map(([id]) => id);
   }
 
+  /** How many servers this instance has ejected, and each peer, for the log. */
+  get counts(): { readonly own: number; readonly peers: Readonly<Record<string, number>> } {
+    const peers = [...this.#peerEjections].map(([peer, ids]) => [peer, ids.size] as const);
+    return { own: this.ownEjections.length, peers: Object.fromEntries(peers) };
+  }
+
   /**
    * Ids of ejected servers whose hold time has elapsed, so that a health check may readmit them.
    */
