--- a/tools/platform-group.ts
+++ b/tools/platform-group.ts
@@ -10,10 +10,12 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { sleep } from '../src/common/clock.js';
+import type { CutMode } from './link-faults.js';
 import { findFreePorts } from './ports.js';
 import { PlatformServer, type PlatformServerOptions } from './stand-ins/platform-server.js';
 import { PlatformStore } from './stand-ins/platform-store.js';
 
+const LINK_FAULTS = new URL('./link-faults.js', import.meta.url).href;
 export const PLATFORM_PROGRAM = fileURLToPath(new URL('../platform/main.js', import.meta.url));
 const MAXIMUM_CHECKS = 400;
 const CHECK_INTERVAL_MILLISECONDS = 50;
@@ -149,14 +151,17 @@
   ],
 };
 
-function formatSettings(
-  name: string,
-  ports: PlatformInstance['ports'],
-  storePort: number,
-  seedPort: number,
-): string {
+interface SettingsValues {
+  readonly name: string;
+  readonly zone: string;
+  readonly ports: PlatformInstance['ports'];
+  readonly storePort: number;
+  readonly seedPort: number;
+}
+
+function formatSettings({ name, zone, ports, storePort, seedPort }: SettingsValues): string {
   return `node = "${name}"
-zone = "zone-a"
+zone = "${zone}"
 region = "region"
 unknown-field = "ignored"
 seeds = ["127.0.0.1:${seedPort}"]
@@ -180,12 +185,12 @@
 }
 
 function launch(program: string, settingsFile: string, log: string[]): ChildProcess {
-  const child = spawn(process.execPath, [program], {
+  const child = spawn(process.execPath, ['--import', LINK_FAULTS, program], {
     env: { ...process.env, SESAMEDYKE_NODE_FILE: settingsFile },
-    stdio: ['ignore', 'pipe', 'pipe'],
+    stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
   });
-  child.stdout.on('data', (part: Buffer) => log.push(part.toString()));
-  child.stderr.on('data', (part: Buffer) => log.push(part.toString()));
+  child.stdout?.on('data', (part: Buffer) => log.push(part.toString()));
+  child.stderr?.on('data', (part: Buffer) => log.push(part.toString()));
   return child;
 }
 
@@ -194,6 +199,22 @@
   instance.process = launch(program, instance.settingsFile, instance.log);
 }
 
+/**
+ * Cuts an instance off from all servers of its group, or ends that.
+ *
+ * @param group - The group.
+ * @param instance - The instance; a later process of it isn't cut.
+ * @param mode - How the cut shows; undefined ends it.
+ */
+export function cutFromServers(
+  group: PlatformGroup,
+  instance: PlatformInstance,
+  mode: CutMode | undefined,
+): void {
+  const ports = group.servers.map(({ port }) => port);
+  instance.process.send(mode === undefined ? { ports } : { ports, mode });
+}
+
 /** A store, backend servers and instances under the control of a test. */
 export class PlatformGroup {
   readonly store = new PlatformStore();
@@ -218,22 +239,28 @@
 
   /** Starts a backend server, which registers itself in the store. */
   async addServer(
-    options: Omit<PlatformServerOptions, 'port' | 'store' | 'zone'>,
+    options: Omit<PlatformServerOptions, 'port' | 'store' | 'zone'> & { readonly zone?: string },
   ): Promise<PlatformServer> {
     const [port = 0] = await findFreePorts(1);
-    const server = new PlatformServer({ ...options, port, zone: 'zone-a', store: this.store });
+    const server = new PlatformServer({ zone: 'zone-a', ...options, port, store: this.store });
     await server.start();
     this.servers.push(server);
     return server;
   }
 
   /** Starts an instance without waiting until it is ready. */
-  async addInstance(name: string, program = PLATFORM_PROGRAM): Promise<PlatformInstance> {
+  async addInstance(
+    name: string,
+    program = PLATFORM_PROGRAM,
+    zone = 'zone-a',
+  ): Promise<PlatformInstance> {
     const [front = 0, ready = 0, control = 0, directory = 0] = await findFreePorts(4);
     const ports = { front, ready, control, directory };
     this.#seedPort ||= control;
     const file = path.join(this.#directory, `${name}.toml`);
-    await writeFile(file, formatSettings(name, ports, this.#storePort, this.#seedPort));
+    const storePort = this.#storePort;
+    const seedPort = this.#seedPort;
+    await writeFile(file, formatSettings({ name, zone, ports, storePort, seedPort }));
     const log: string[] = [];
     const instance = { name, process: launch(program, file, log), ports, settingsFile: file, log };
     this.instances.push(instance);
@@ -241,8 +268,12 @@
   }
 
   /** Starts an instance and waits until it is ready. */
-  async addReadyInstance(name: string, program = PLATFORM_PROGRAM): Promise<PlatformInstance> {
-    const instance = await this.addInstance(name, program);
+  async addReadyInstance(
+    name: string,
+    program = PLATFORM_PROGRAM,
+    zone = 'zone-a',
+  ): Promise<PlatformInstance> {
+    const instance = await this.addInstance(name, program, zone);
     await waitUntil(async () => {
       const answer = await sendRequest({ port: instance.ports.ready, path: '/ready' });
       return answer.status === 200;
--- a/tools/serving-group.ts
+++ b/tools/serving-group.ts
@@ -35,19 +35,24 @@
     readonly engines?: number;
     readonly plainServers?: number;
     readonly pauseMilliseconds?: number;
+    /** How many zones instances and servers are spread over. */
+    readonly zones?: number;
   } = {},
 ): Promise<PlatformGroup> {
   const { instances = 1, engines = 4, plainServers = 2, pauseMilliseconds = 20 } = options;
+  const getZone = (index: number): string => `zone-${'abc'.charAt(index % (options.zones ?? 1))}`;
   const group = new PlatformGroup();
   context.after(() => group.stop());
   await group.start();
   for (let index = 0; index < engines; index += 1) {
     const id = `engine-${index}`;
-    await group.addServer({ id, service: 'drafter', kind: 'card', pauseMilliseconds });
+    const zone = getZone(index);
+    await group.addServer({ id, service: 'drafter', kind: 'card', pauseMilliseconds, zone });
   }
   for (let index = 0; index < plainServers; index += 1)
-    await group.addServer({ id: `case-${index}`, service: 'casebook' });
-  for (let index = 0; index < instances; index += 1) await group.addReadyInstance(`entry-${index}`);
+    await group.addServer({ id: `case-${index}`, service: 'casebook', zone: getZone(index) });
+  for (let index = 0; index < instances; index += 1)
+    await group.addReadyInstance(`entry-${index}`, undefined, getZone(index));
   await waitUntil(() => {
     const held = group.servers.flatMap(({ layers }) => layers ?? []);
     return held.length === engines && findUncoveredRanges(held, LAYER_COUNT).length === 0;
--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -155,6 +155,10 @@
     return this.#isClosed;
   }
 
+  get port(): number {
+    return this.#options.port;
+  }
+
   get address(): string {
     return `127.0.0.1:${this.#options.port}`;
   }
