Disregard a peer that can't reach a server where the server itself is heard from

Cause: a server counted as ejected as soon as any peer said so, and a cut instance says so of all servers. An ejection now has a cause and a time. 'unreachable' is seen from one place: a peer's word of that kind holds only while this instance has heard nothing of the server since. 'faulty' (a call that failed after the server was reached, a stream that another engine reports as stalled there) holds for all, as before; so does the word of an older build. A unit test of either cause is new with it. Ruled out: a quorum of peers (a single instance that meets a dead server first would no longer warn the others), doing without peers' words (each instance would learn of each dead server by its own failures).

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -39,6 +39,7 @@
 import type { CallerAddresses, EntryPlatform } from './entry-platform.js';
 import { listCallerAddresses } from './caller-addresses.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
+import { listPeerEjections } from '../gossip/peer-ejections.js';
 import { InstanceRegistration } from './instance-registration.js';
 import { OwnRecord, type RecordState } from './own-record.js';
 import { ServerHealth } from './server-health.js';
@@ -427,6 +428,7 @@
         configurationVersion: this.#configuration.current?.version ?? -1,
         isStoreReachable: this.#storeFollower.isStoreReachable,
         suspects: this.#outlierEjection.ownEjections,
+        ejections: this.#outlierEjection.ownEjectionCauses,
         plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
         crashes: this.#context.crashBlame.contents.serversByContent,
         promptParts: this.#context.crashBlame.promptParts.reported,
@@ -450,7 +452,7 @@
   }
 
   #acceptRecord(record: PeerRecord): void {
-    this.#outlierEjection.replacePeerEjections(record.instance, record.suspects);
+    this.#outlierEjection.replacePeerEjections(record.instance, listPeerEjections(record));
     this.#context.crashBlame.contents.merge(record.crashes);
     if (record.promptParts && record.clock !== undefined)
       this.#context.crashBlame.promptParts.merge(record.promptParts, record.clock);
--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -12,6 +12,7 @@
   | 'configurationVersion'
   | 'isStoreReachable'
   | 'suspects'
+  | 'ejections'
   | 'plannerTerm'
   | 'crashes'
   | 'promptParts'
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -168,6 +168,7 @@
     server.ownLoad.requests += 1;
     try {
       const result = await this.#sendToServer(server, attempt.signal);
+      outlierEjection.recordLife(id);
       if (result.kind === 'answered') crashBlame.recordCompletion(content);
       if (result.kind === 'answered' && result.response.status < 500)
         outlierEjection.recordSuccess(id);
@@ -182,7 +183,8 @@
         else outlierEjection.eject(id, message);
         return { kind: 'notRun', message };
       }
-      outlierEjection.recordFailure(id, message);
+      // The server was reached, whatever then became of the call.
+      outlierEjection.recordFailure(id, message, 'faulty');
       if (!attempt.signal.aborted && isConnectionLost(error)) await this.#checkForEnd(server.entry);
       return { kind: 'unknown', message };
     } finally {
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -178,10 +178,15 @@
     try {
       const report = await protocol.fetchEngineReport(address, REPORT_TIMEOUT_MILLISECONDS);
       server.ownSlowdownFactor = report.slowdownFactor;
+      outlierEjection.recordLife(id);
       report.stalledRequests.forEach(({ requestId, faultAddress }) => {
         const faultyServer = fleet.findByAddress(faultAddress);
         if (faultyServer)
-          outlierEjection.eject(faultyServer.entry.id, 'A stream is stalled at this engine.');
+          outlierEjection.eject(
+            faultyServer.entry.id,
+            'A stream is stalled at this engine.',
+            'faulty',
+          );
         const stream = this.#findStream(requestId, server, faultyServer);
         if (!stream) return;
         log.info('Stream is stalled at an engine.', { requestId, faultAddress, first: id });
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -144,6 +144,8 @@
     for await (const chunk of readChunks(engineResponse)) {
       const events = splitter.push(chunk);
       watched.lastProgressAt = performance.now();
+      // A piece of the stream has passed all its engines.
+      watched.chain.forEach(({ entry }) => outlierEjection.recordLife(entry.id));
       if (events.bytes.length > 0) {
         if (beganAt === undefined) watched.chain.forEach(recordAcceptance);
         beganAt ??= performance.now();
--- a/src/fleet/outlier-ejection.test.ts
+++ b/src/fleet/outlier-ejection.test.ts
@@ -50,8 +50,30 @@
 
 test('ejection: an ejection by a peer counts until the peer withdraws it', () => {
   const { ejection } = createEjection();
-  ejection.replacePeerEjections('peer', ['a']);
+  ejection.replacePeerEjections('peer', [{ id: 'a', cause: 'unreachable', at: 0 }]);
   assert.ok(ejection.isEjected('a'));
   ejection.replacePeerEjections('peer', []);
   assert.ok(!ejection.isEjected('a'));
 });
+
+// Instances that were cut from all servers ejected them for all others.
+test('ejection: a peer that cannot reach a server is not believed where the server was heard from since', () => {
+  const { clock, ejection } = createEjection();
+  const unreachable = [{ id: 'a', cause: 'unreachable', at: 100 }] as const;
+  ejection.recordLife('a');
+  ejection.replacePeerEjections('peer', unreachable);
+  assert.ok(ejection.isEjected('a'));
+  clock.now = 200;
+  ejection.recordLife('a');
+  assert.ok(!ejection.isEjected('a'));
+  ejection.replacePeerEjections('peer', [{ id: 'a', cause: 'unreachable', at: 300 }]);
+  assert.ok(ejection.isEjected('a'));
+});
+
+test('ejection: a peer is believed that a server is at fault, also where it was heard from since', () => {
+  const { clock, ejection } = createEjection();
+  ejection.replacePeerEjections('peer', [{ id: 'a', cause: 'faulty', at: 0 }]);
+  clock.now = 200;
+  ejection.recordLife('a');
+  assert.ok(ejection.isEjected('a'));
+});
--- a/src/fleet/outlier-ejection.ts
+++ b/src/fleet/outlier-ejection.ts
@@ -3,6 +3,10 @@
  * often. An ejection ends when its hold time has elapsed and the server passes a health check;
  * repeated ejections hold longer. Handles servers that stop answering while still registered, that
  * fail some requests but pass health checks, and that alternate between failing and recovering.
+ *
+ * That a server can't be reached is seen from one place: an instance that lost its own links says so of
+ * all servers. A peer's word of that kind is believed only as long as this instance hasn't heard from the
+ * server itself since.
  */
 import type { Logger } from '../telemetry/log.js';
 
@@ -14,7 +18,23 @@
   readonly now?: () => number;
 }
 
+/**
+ * Why a server is ejected: it could not be reached by this instance, or it is at fault, as its answers or
+ * another server show.
+ */
+export type EjectionCause = 'unreachable' | 'faulty';
+
+/** A server that a peer has ejected. */
+export interface PeerEjection {
+  readonly id: string;
+  readonly cause: EjectionCause;
+  /** When, in milliseconds on this instance's monotonic clock. */
+  readonly at: number;
+}
+
 interface Ejection {
+  readonly cause: EjectionCause;
+  readonly ejectedAt: number;
   /** Monotonic clock; the server cannot be readmitted earlier. */
   heldUntil: number;
   holdMilliseconds: number;
@@ -41,7 +61,10 @@
 
   readonly #ownEjections = new Map<string, Ejection>();
 
-  readonly #peerEjections = new Map<string, ReadonlySet<string>>();
+  readonly #peerEjections = new Map<string, ReadonlyMap<string, PeerEjection>>();
+
+  /** When this instance last heard from a server. */
+  readonly #heardAt = new Map<string, number>();
 
   readonly #failureCounts = new Map<string, number>();
 
@@ -56,8 +79,9 @@
    *
    * @param id - Id of the server.
    * @param reason - Why, for the log.
+   * @param cause - What kind of reason that is.
    */
-  eject(id: string, reason: string): void {
+  eject(id: string, reason: string, cause: EjectionCause = 'unreachable'): void {
     const now = this.#now();
     const previous = this.#ownEjections.get(id);
     if (previous?.isActive) return;
@@ -66,22 +90,29 @@
       ? Math.min(MAXIMUM_HOLD_MILLISECONDS, 2 * previous.holdMilliseconds)
       : INITIAL_HOLD_MILLISECONDS;
     this.#ownEjections.set(id, {
+      cause,
+      ejectedAt: now,
       holdMilliseconds,
       heldUntil: now + holdMilliseconds,
       isActive: true,
       endedAt: now,
     });
-    this.#log.warn('Backend server ejected.', { id, reason, holdMilliseconds });
+    this.#log.warn('Backend server ejected.', { id, reason, cause, holdMilliseconds });
     this.#onEjected();
   }
 
   /** Counts a failed request, and ejects the server when the failures reach the threshold. */
-  recordFailure(id: string, reason: string): void {
+  recordFailure(id: string, reason: string, cause: EjectionCause = 'unreachable'): void {
     const failures = (this.#failureCounts.get(id) ?? 0) + 1;
     this.#failureCounts.set(id, failures);
     if (failures < FAILURE_THRESHOLD) return;
     this.#failureCounts.set(id, FAILURE_THRESHOLD - 1);
-    this.eject(id, reason);
+    this.eject(id, reason, cause);
+  }
+
+  /** Notes that this instance hears from a server, so that it can be reached from here. */
+  recordLife(id: string): void {
+    this.#heardAt.set(id, this.#now());
   }
 
   /** Counts a successful request, which offsets a fifth of an earlier failure. */
@@ -109,6 +140,7 @@
   forget(id: string): void {
     this.#ownEjections.delete(id);
     this.#failureCounts.delete(id);
+    this.#heardAt.delete(id);
   }
 
   /** Discards the state of servers that are no longer registered. */
@@ -119,12 +151,15 @@
     [...this.#failureCounts.keys()]
       .filter((id) => !isRegistered(id))
       .forEach((id) => this.#failureCounts.delete(id));
+    [...this.#heardAt.keys()]
+      .filter((id) => !isRegistered(id))
+      .forEach((id) => this.#heardAt.delete(id));
   }
 
-  /** Replaces the set of servers that a peer has ejected; an empty list removes the peer. */
-  replacePeerEjections(peer: string, ids: readonly string[]): void {
-    if (ids.length === 0) this.#peerEjections.delete(peer);
-    else this.#peerEjections.set(peer, new Set(ids));
+  /** Replaces the servers that a peer has ejected; an empty list removes the peer. */
+  replacePeerEjections(peer: string, ejections: readonly PeerEjection[]): void {
+    if (ejections.length === 0) this.#peerEjections.delete(peer);
+    else this.#peerEjections.set(peer, new Map(ejections.map((one) => [one.id, one])));
   }
 
   /** Ids of the servers that this instance has ejected. */
@@ -132,6 +167,14 @@
     return [...this.#ownEjections].filter(([, { isActive }]) => isActive).map(([id]) => id);
   }
 
+  /** By ejected server: when this instance ejected it, on its monotonic clock, and why. */
+  get ownEjectionCauses(): Record<string, [ejectedAt: number, cause: EjectionCause]> {
+    const active = [...this.#ownEjections].filter(([, { isActive }]) => isActive);
+    return Object.fromEntries(
+      active.map(([id, { ejectedAt, cause }]) => [id, [Math.round(ejectedAt), cause]]),
+    );
+  }
+
   /** How many servers this instance has ejected, and each peer, for the log. */
   get counts(): { readonly own: number; readonly peers: Readonly<Record<string, number>> } {
     const peers = [...this.#peerEjections].map(([peer, ids]) => [peer, ids.size] as const);
@@ -148,9 +191,13 @@
       .map(([id]) => id);
   }
 
-  /** Whether this instance or any peer has ejected the server. */
+  /** Whether this instance has ejected the server, or a peer whose word holds here. */
   isEjected(id: string): boolean {
     if (this.#ownEjections.get(id)?.isActive) return true;
-    return [...this.#peerEjections.values()].some((ids) => ids.has(id));
+    const heardAt = this.#heardAt.get(id) ?? Number.NEGATIVE_INFINITY;
+    return [...this.#peerEjections.values()].some((ejections) => {
+      const ejection = ejections.get(id);
+      return ejection !== undefined && (ejection.cause === 'faulty' || ejection.at >= heardAt);
+    });
   }
 }
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -31,6 +31,10 @@
   isStoreReachable: z.boolean(),
   /** Ids of the backend servers that it has ejected. */
   suspects: z.array(z.string()),
+  /** For each of them when, on the clock of `clock`, and why. Absent in records of older builds. */
+  ejections: z
+    .record(z.string(), z.tuple([z.number(), z.enum(['unreachable', 'faulty'])]))
+    .optional(),
   /** Loads of the requests that this instance runs. Left out towards other data centres. */
   loads: ServerLoads,
   /**
