Know when this instance is cut from all servers, and conclude nothing of them then

Ruled out: counting ejections (holds and peers' words make them late), waiting for own traffic to fail at several servers (a quiet instance would take seconds), silence of connections that live (a cut may leave them alone).

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -4,6 +4,7 @@
  */
 import { setMaxListeners } from 'node:events';
 import { sleep } from '../common/clock.js';
+import { probeConnection } from '../common/connection-probe.js';
 import { ActiveConfiguration } from '../entry/active-configuration.js';
 import { ConfigurationCheck } from '../entry/configuration-check.js';
 import { CrashBlame } from '../entry/crash-blame.js';
@@ -26,6 +27,7 @@
   sumDataCentreLoads,
 } from '../fleet/server-observations.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
+import { ServerReach } from '../fleet/server-reach.js';
 import { ServerLimits } from '../fleet/server-limits.js';
 import { Gossip } from '../gossip/gossip.js';
 import type { PeerRecord, ServerLoads } from '../gossip/peer-record.js';
@@ -68,6 +70,8 @@
 const PACE_CHECK_INTERVAL_MILLISECONDS = 500;
 const HEALTH_CHECK_INTERVAL_MILLISECONDS = 200;
 const ADDRESS_LIFETIME_SECONDS = 1;
+/** A cut may reset connections this long before one can't be made. */
+const CUT_NOTICE_MILLISECONDS = 500;
 /** Stopping ends this long before the platform kills the process, so that it exits in order. */
 const STOP_MARGIN_MILLISECONDS = 600;
 const STOP_POLL_INTERVAL_MILLISECONDS = 50;
@@ -93,6 +97,8 @@
 
   readonly #outlierEjection: OutlierEjection;
 
+  readonly #serverReach: ServerReach;
+
   readonly #peers: PeerTable;
 
   readonly #storeFollower: StoreFollower;
@@ -146,6 +152,14 @@
     this.#outlierEjection = new OutlierEjection({
       log: logs('backend'),
       onEjected: () => this.#gossipImmediately(),
+      isCut: () => this.#serverReach.isCut,
+    });
+    this.#serverReach = new ServerReach({
+      listServers: () => this.#fleet.servers.map(({ entry }) => entry),
+      probe: ({ address }) => probeConnection(address),
+      onChange: (isCut) => this.#applyReach(isCut),
+      log: logs('backend'),
+      signal: this.#taskController.signal,
     });
     this.#peers = new PeerTable({
       instance: settings.instance,
@@ -219,6 +233,7 @@
         listPeers: () => this.#peers.allRecords.map(({ instance }) => instance),
         log: logs('backend'),
       }),
+      serverReach: this.#serverReach,
       refusalPacing: new RefusalPacing(),
       retryBudget: new RetryBudget({
         settings: settings.retryBudget,
@@ -233,6 +248,7 @@
         fleet: this.#fleet,
         outlierEjection: this.#outlierEjection,
         endCheck,
+        serverReach: this.#serverReach,
         log: logs('routing'),
         checkIntervalMilliseconds: STALL_CHECK_INTERVAL_MILLISECONDS,
       }),
@@ -380,6 +396,13 @@
     });
   }
 
+  /** Acts on the loss of the links to all servers, and on their return. */
+  #applyReach(isCut: boolean): void {
+    const { failingSince } = this.#serverReach;
+    if (isCut) this.#outlierEjection.withdrawSince(failingSince - CUT_NOTICE_MILLISECONDS);
+    this.#gossipImmediately();
+  }
+
   /** Rebuilds the record and sends it to peers without waiting for the next heartbeat. */
   #gossipImmediately(): void {
     this.#ownRecord.refresh();
@@ -427,6 +450,7 @@
         isStopping: this.#isStopping,
         configurationVersion: this.#configuration.current?.version ?? -1,
         isStoreReachable: this.#storeFollower.isStoreReachable,
+        isCutFromServers: this.#serverReach.isCut,
         suspects: this.#outlierEjection.ownEjections,
         ejections: this.#outlierEjection.ownEjectionCauses,
         plannerTerm: this.#lease.isHolder ? this.#lease.term : 0,
--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -11,6 +11,7 @@
   | 'isStopping'
   | 'configurationVersion'
   | 'isStoreReachable'
+  | 'isCutFromServers'
   | 'suspects'
   | 'ejections'
   | 'plannerTerm'
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -3,6 +3,7 @@
 import type { CallTimes } from '../fleet/call-times.js';
 import type { EndCheck } from '../fleet/end-check.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
+import type { ServerReach } from '../fleet/server-reach.js';
 import type { ServerLimits } from '../fleet/server-limits.js';
 import type { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import type { LoggerFactory } from '../telemetry/log.js';
@@ -23,6 +24,7 @@
   readonly endCheck: EndCheck;
   readonly crashBlame: CrashBlame;
   readonly serverLimits: ServerLimits;
+  readonly serverReach: ServerReach;
   readonly refusalPacing: RefusalPacing;
   readonly retryBudget: RetryBudget;
   readonly linkLoad: DataCentreLinkLoad;
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -41,6 +41,8 @@
 const RETRY_AFTER_FULL_SECONDS = 0.3;
 const RETRY_AFTER_NO_SERVER_SECONDS = 0.6;
 const RETRY_AFTER_BLOCKED_SECONDS = 30;
+/** Callers come back to any instance, and others may reach the servers. */
+const RETRY_AFTER_CUT_SECONDS = 0.2;
 /** An attempt moves to another backend server after this many times the expected response time. */
 const ATTEMPT_TIMEOUT_FACTOR = 3;
 const MINIMUM_ATTEMPT_TIMEOUT_MILLISECONDS = 100;
@@ -68,12 +70,13 @@
   }
 
   async serve(): Promise<string> {
-    const { crashBlame, retryBudget, logs } = this.#context;
+    const { crashBlame, retryBudget, serverReach, logs } = this.#context;
     const { content, service, signal, metadata, route } = this.#request;
     if (crashBlame.admit(content) === 'refuse')
       return this.#sendRefusal('crashes_servers', RETRY_AFTER_BLOCKED_SECONDS);
     retryBudget.recordFirstAttempt(service.name);
     for (;;) {
+      if (serverReach.isCut) return this.#endWhileCut();
       const server = this.#chooseServer();
       if (!server) {
         if (this.#lastFailure) return this.#sendBackendResponse(this.#lastFailure);
@@ -282,6 +285,13 @@
     return this.#recordOutcome('refused', code);
   }
 
+  #endWhileCut(): string {
+    if (this.#lastFailure) return this.#sendBackendResponse(this.#lastFailure);
+    return this.#possibleRuns > 0
+      ? this.#sendUnknownOutcome()
+      : this.#sendRefusal('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
+  }
+
   #refuseWithoutServer(): string {
     const { fleet, serverLimits, outlierEjection, logs } = this.#context;
     const ids = fleet.listForService(this.#request.service.name).map(({ entry }) => entry.id);
--- a/src/entry/relay-request.ts
+++ b/src/entry/relay-request.ts
@@ -1,8 +1,9 @@
 /** Sends a caller's request to a backend server and reads the head of the response. */
 import type { IncomingMessage } from 'node:http';
 import { formatAddress } from '../common/address.js';
+import { HttpRequestError } from '../common/http-client.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
-import { sendBackendRequest } from './backend-request.js';
+import { sendBackendRequest, type BackendRequest } from './backend-request.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
 import type { ResponseMetadata, StageAddress } from './protocol-adapter.js';
@@ -68,6 +69,24 @@
     });
 }
 
+/** Sends a request, and notes whether the server could be reached. */
+async function sendObserved(
+  { serverReach }: EntryContext,
+  server: ServerEntry,
+  request: BackendRequest,
+): Promise<IncomingMessage> {
+  try {
+    const message = await sendBackendRequest(request);
+    serverReach.recordConnected(server);
+    return message;
+  } catch (error) {
+    const isUnconnected = error instanceof HttpRequestError && error.phase === 'connecting';
+    if (!isUnconnected) serverReach.recordConnected(server);
+    else if (!request.signal.aborted) serverReach.recordUnreachable(server);
+    throw error;
+  }
+}
+
 /**
  * Sends a request to a backend server and waits for the head of the response.
  *
@@ -85,7 +104,7 @@
   const { protocol } = context;
   const { incoming, path, account, body, deadline, metadata, route } = request;
   const { server, chain, lastEventId, signal } = options;
-  const message = await sendBackendRequest({
+  const message = await sendObserved(context, server, {
     address: server.address,
     method: incoming.method ?? 'GET',
     target: path,
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -22,6 +22,8 @@
 const MAXIMUM_REFUSED_ATTEMPTS = 4;
 /** Limit on attempts that may have run, whatever the route allows. */
 const MAXIMUM_ATTEMPTS = 4;
+/** Callers come back to any instance, and others may reach the servers. */
+const RETRY_AFTER_CUT_SECONDS = 0.2;
 /** A request under which so many engines ended as they began it is not sent to another one. */
 const MAXIMUM_ENDS_AT_BEGIN = 2;
 /**
@@ -86,12 +88,14 @@
   }
 
   async serve(): Promise<string> {
-    const { crashBlame, retryBudget } = this.#context;
+    const { crashBlame, retryBudget, serverReach } = this.#context;
     const { content, service, signal } = this.#request;
     const admission = crashBlame.admit(content);
     if (admission === 'refuse') return this.#ending.refuseBlocked();
     retryBudget.recordFirstAttempt(service.name);
     for (;;) {
+      if (serverReach.isCut)
+        return this.#ending.sendFailure('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
       const chain = await this.#findChain();
       if (signal.aborted) return this.#ending.sendTimeout();
       if (!chain) return this.#endWithoutChain();
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -3,6 +3,7 @@
 import { HttpRequestError } from '../common/http-client.js';
 import { BackendFleet, type FleetServer } from '../fleet/backend-fleet.js';
 import { EndCheck } from '../fleet/end-check.js';
+import { ServerReach } from '../fleet/server-reach.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import type { ProtocolAdapter, EngineReport } from './protocol-adapter.js';
@@ -34,6 +35,14 @@
     fleet.put({ ...entry, isLeaving: false, kind: undefined, layers: undefined }, index + 1);
   });
   const outlierEjection = new OutlierEjection({ log: createSilentLogger(), now: () => clock.now });
+  const serverReach = new ServerReach({
+    listServers: () => [],
+    probe: () => Promise.resolve('held'),
+    onChange: () => undefined,
+    log: createSilentLogger(),
+    signal: new AbortController().signal,
+    now: () => clock.now,
+  });
   const askedEngineIds: string[] = [];
   const protocol: ProtocolAdapter = {
     parseRequestHeaders: failOnCall,
@@ -58,6 +67,7 @@
     fleet,
     outlierEjection,
     endCheck: new EndCheck(fleet),
+    serverReach,
     log: createSilentLogger(),
     checkIntervalMilliseconds: CHECK_INTERVAL_MILLISECONDS,
     now: () => clock.now,
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -3,10 +3,16 @@
  * engines themselves give such a stream up. The first engine of a chain reports which engine a
  * request is waiting for.
  */
-import { getErrorMessage, isConnectionLost, isConnectionRefused } from '../common/http-client.js';
+import {
+  getErrorMessage,
+  HttpRequestError,
+  isConnectionLost,
+  isConnectionRefused,
+} from '../common/http-client.js';
 import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
 import type { EndCheck } from '../fleet/end-check.js';
 import { getProcessKey } from '../fleet/server-entry.js';
+import type { ServerReach } from '../fleet/server-reach.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
 import type { ProtocolAdapter } from './protocol-adapter.js';
@@ -35,6 +41,7 @@
   readonly fleet: BackendFleet;
   readonly outlierEjection: OutlierEjection;
   readonly endCheck: EndCheck;
+  readonly serverReach: ServerReach;
   readonly log: Logger;
   /** The time between two calls of {@link StallDetector.checkStreams}. */
   readonly checkIntervalMilliseconds: number;
@@ -45,6 +52,8 @@
 const SILENCE_THRESHOLD_MILLISECONDS = 200;
 /** A stream over an ejected engine is rerouted sooner, without asking for a report. */
 const EJECTED_SILENCE_THRESHOLD_MILLISECONDS = 140;
+/** While no engine can be asked, a stream is given up after this long. */
+const CUT_SILENCE_THRESHOLD_MILLISECONDS = 300;
 const REPORT_TIMEOUT_MILLISECONDS = 250;
 /** The shortest time between two requests to one engine for a report about stalls. */
 const STALL_REPORT_INTERVAL_MILLISECONDS = 150;
@@ -86,7 +95,7 @@
   async checkStreams(): Promise<void> {
     const now = this.#now();
     this.#discountOwnDelay(now);
-    const { outlierEjection } = this.#options;
+    const { outlierEjection, serverReach } = this.#options;
     const firstEngines = new Map<string, FleetServer>();
     [...this.#streams].forEach((stream) => {
       if (stream.isCallerBlocked) return;
@@ -99,6 +108,12 @@
         stream.routeAround(ejectedEngineIds);
         return;
       }
+      if (serverReach.isCut) {
+        const [first] = stream.chain;
+        const isLost = silenceMilliseconds >= CUT_SILENCE_THRESHOLD_MILLISECONDS;
+        if (isLost && first) stream.routeAround([first.entry.id]);
+        return;
+      }
       if (!stream.hasEvents && silenceMilliseconds >= stream.firstEventTimeoutMilliseconds)
         stream.retryElsewhere();
       const [first] = stream.chain;
@@ -177,6 +192,7 @@
     const requestedAt = this.#now();
     try {
       const report = await protocol.fetchEngineReport(address, REPORT_TIMEOUT_MILLISECONDS);
+      this.#options.serverReach.recordConnected(server.entry);
       server.ownSlowdownFactor = report.slowdownFactor;
       outlierEjection.recordLife(id);
       report.stalledRequests.forEach(({ requestId, faultAddress }) => {
@@ -218,6 +234,8 @@
 
   /** Ejects an engine that sent no report, unless this process was too busy to receive one. */
   #ejectUnresponsive(server: FleetServer, requestedAt: number, error: unknown): void {
+    const isUnconnected = error instanceof HttpRequestError && error.phase === 'connecting';
+    if (isUnconnected) this.#options.serverReach.recordUnreachable(server.entry);
     if (isConnectionRefused(error))
       this.#options.fleet.recordEnd(server.entry, getErrorMessage(error));
     const elapsedMilliseconds = this.#now() - requestedAt;
--- a/src/fleet/end-check.ts
+++ b/src/fleet/end-check.ts
@@ -3,42 +3,14 @@
  * one answer, and a reset on the way looks the same, so the server's host is asked with a new connection
  * that carries no request.
  */
-import net from 'node:net';
-import type { Address } from '../common/address.js';
-import { startPatientTimer } from '../common/patient-timer.js';
+import { probeConnection } from '../common/connection-probe.js';
 import type { BackendFleet } from './backend-fleet.js';
 import { getProcessKey, type ServerEntry } from './server-entry.js';
 
-const CONNECT_TIMEOUT_MILLISECONDS = 300;
 /** A process that is ending may accept a connection just before it closes all of them. */
 const HOLD_MILLISECONDS = 50;
 const MAXIMUM_CONNECTIONS = 2;
 
-/** What becomes of a new connection; `unknown` if the host doesn't answer in time. */
-type ConnectionResult = 'held' | 'closed' | 'refused' | 'unknown';
-
-/** Connects, and closes the connection after holding it for a moment. */
-function tryConnection({ host, port }: Address): Promise<ConnectionResult> {
-  return new Promise((resolve) => {
-    const socket = net.connect({ host, port });
-    const finish = (result: ConnectionResult): void => {
-      cancelTimer();
-      socket.destroy();
-      resolve(result);
-    };
-    let cancelTimer = startPatientTimer(CONNECT_TIMEOUT_MILLISECONDS, () => finish('unknown'));
-    socket.once('connect', () => {
-      cancelTimer();
-      cancelTimer = startPatientTimer(HOLD_MILLISECONDS, () => finish('held'));
-    });
-    socket.on('end', () => finish('closed'));
-    socket.on('error', ({ code }: NodeJS.ErrnoException) =>
-      finish(code === 'ECONNREFUSED' ? 'refused' : 'closed'),
-    );
-    socket.resume();
-  });
-}
-
 export class EndCheck {
   readonly #fleet: BackendFleet;
 
@@ -64,7 +36,9 @@
 
   async #connect(entry: ServerEntry): Promise<void> {
     for (let connection = 1; connection <= MAXIMUM_CONNECTIONS; connection += 1) {
-      const result = await tryConnection(entry.address);
+      const result = await probeConnection(entry.address, {
+        holdMilliseconds: HOLD_MILLISECONDS,
+      });
       if (result === 'refused')
         this.#fleet.recordEnd(entry, 'a connection was refused right after one had broken off');
       if (result !== 'closed') return;
--- a/src/fleet/outlier-ejection.ts
+++ b/src/fleet/outlier-ejection.ts
@@ -15,6 +15,8 @@
   readonly log: Logger;
   /** Called when this instance ejects a server. */
   readonly onEjected?: () => void;
+  /** Whether this instance is cut from all servers, so that it sees nothing of them. */
+  readonly isCut?: () => boolean;
   readonly now?: () => number;
 }
 
@@ -57,6 +59,8 @@
 
   readonly #onEjected: () => void;
 
+  readonly #isCut: () => boolean;
+
   readonly #now: () => number;
 
   readonly #ownEjections = new Map<string, Ejection>();
@@ -71,6 +75,7 @@
   constructor(options: OutlierEjectionOptions) {
     this.#log = options.log;
     this.#onEjected = options.onEjected ?? (() => undefined);
+    this.#isCut = options.isCut ?? (() => false);
     this.#now = options.now ?? (() => performance.now());
   }
 
@@ -84,7 +89,7 @@
   eject(id: string, reason: string, cause: EjectionCause = 'unreachable'): void {
     const now = this.#now();
     const previous = this.#ownEjections.get(id);
-    if (previous?.isActive) return;
+    if (previous?.isActive || this.#isCut()) return;
     const isRepeated = previous && now - previous.endedAt < HOLD_RESET_MILLISECONDS;
     const holdMilliseconds = isRepeated
       ? Math.min(MAXIMUM_HOLD_MILLISECONDS, 2 * previous.holdMilliseconds)
@@ -110,6 +115,20 @@
     this.eject(id, reason, cause);
   }
 
+  /**
+   * Withdraws what this instance has concluded of servers since it lost its links to them.
+   *
+   * @param since - When it did, on the monotonic clock, in milliseconds.
+   */
+  withdrawSince(since: number): void {
+    const withdrawn = [...this.#ownEjections].filter(([, { ejectedAt }]) => ejectedAt >= since);
+    withdrawn.forEach(([id]) => this.#ownEjections.delete(id));
+    this.#failureCounts.clear();
+    this.#log.info('Ejections withdrawn: the instance was cut from the servers.', {
+      ids: withdrawn.map(([id]) => id),
+    });
+  }
+
   /** Notes that this instance hears from a server, so that it can be reached from here. */
   recordLife(id: string): void {
     this.#heardAt.set(id, this.#now());
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -29,6 +29,8 @@
   fleetRevision: z.number(),
   /** Whether the store answered this instance recently. */
   isStoreReachable: z.boolean(),
+  /** Whether it has lost its links to all backend servers. Absent in records of older builds. */
+  isCutFromServers: z.boolean().optional(),
   /** Ids of the backend servers that it has ejected. */
   suspects: z.array(z.string()),
   /** For each of them when, on the clock of `clock`, and why. Absent in records of older builds. */
--- a/tests/cut-from-servers.test.ts
+++ b/tests/cut-from-servers.test.ts
@@ -20,6 +20,7 @@
 const CUT_MODES = ['silent', 'reset', 'refused'] as const;
 /** From the stated target: first tries served at cut instances, as a share of those at the others. */
 const MINIMUM_SHARE_OF_OTHERS = 2 / 3;
+const RESTARTS_ON_CRASH = { crashingBody: 'crash', restartMilliseconds: 300 };
 const EXPECTED_EVENTS = [1, 2, 3, 4, 5, 6, 7, 8];
 
 /** A request that was sent to an instance, and what came of it. */
@@ -120,8 +121,11 @@
   cutFromServers(group, planner, 'silent');
   await sendForAWhile(group, CONTACT_MILLISECONDS);
   group.instances.forEach(({ log }) => log.splice(0));
-  const [engine] = group.servers.filter(({ layers }) => layers?.from === 0);
-  await engine?.close();
+  // The engine that runs this request ends and starts again, without layers.
+  group.servers.forEach(({ faults }) => Object.assign(faults, RESTARTS_ON_CRASH));
+  const uncut = group.instances.find((instance) => instance !== planner);
+  assert.ok(uncut);
+  await sendCallerRequest(uncut, '/drafts/1', { body: RESTARTS_ON_CRASH.crashingBody });
   await sendForAWhile(group, CONTACT_MILLISECONDS);
   const successor = findPlanner();
   assert.ok(successor && successor !== planner);
