Let an instance plan only while it reaches the servers

An instance that is cut is no candidate while another reaches servers, and its lease may be taken over, as with one that doesn't reach the store.

--- a/src/daemon/planner-role.test.ts
+++ b/src/daemon/planner-role.test.ts
@@ -39,6 +39,16 @@
   ]);
 });
 
+// It ordered engines that it couldn't reach, and held the lease.
+test('planner: an instance that is cut from the servers hands over, unless all are', () => {
+  const cut = createPeerRecord('a', { plannerTerm: 3, isCutFromServers: true });
+  const others = [createPeerRecord('b'), createPeerRecord('c', { isCutFromServers: true })];
+  assert.deepEqual(findPlanners([cut, ...others]), ['b']);
+  assert.ok(isHolderGone(`a/${cut.incarnation}`, 'b', cut));
+  const allCut = [cut, createPeerRecord('b', { isCutFromServers: true })];
+  assert.deepEqual(findPlanners(allCut), ['a']);
+});
+
 test('planner: while no instance reaches the store, the last lease holder goes on planning', () => {
   const storeOutage = { isStoreReachable: false };
   const holder = createPeerRecord('b', { ...storeOutage, plannerTerm: 3 });
--- a/src/daemon/planner-role.ts
+++ b/src/daemon/planner-role.ts
@@ -6,6 +6,8 @@
   readonly instance: string;
   readonly isReady: boolean;
   readonly isStoreReachable: boolean;
+  /** Whether it has lost its links to all backend servers. */
+  readonly isCutFromServers?: boolean | undefined;
   /** Term of the planner lease while this instance holds it, otherwise 0. */
   readonly plannerTerm: number;
 }
@@ -16,7 +18,7 @@
  * The planner is the ready instance whose lease has the highest term; without any lease, the one
  * whose name sorts first. Only instances that reach the store are considered, so that a planner cut
  * off from the store hands over. When none reaches it, all are considered, so that planning goes on
- * during a store outage.
+ * during a store outage. Likewise an instance that is cut from the servers is considered only when all are.
  *
  * @param self - The instance that asks.
  * @param peers - Records of its live peers.
@@ -24,7 +26,11 @@
  */
 export function isPlanner(self: PlannerCandidate, peers: readonly PeerRecord[]): boolean {
   if (!self.isReady) return false;
-  const eligible = peers.filter(({ isReady, isStopping }) => isReady && !isStopping);
+  const ready = peers.filter(({ isReady, isStopping }) => isReady && !isStopping);
+  const isUncut = (candidate: PlannerCandidate): boolean => candidate.isCutFromServers !== true;
+  const areServersReachedByAny = isUncut(self) || ready.some(isUncut);
+  if (areServersReachedByAny && !isUncut(self)) return false;
+  const eligible = ready.filter((peer) => isUncut(peer) || !areServersReachedByAny);
   const isStoreReachedByAny =
     self.isStoreReachable || eligible.some((peer) => peer.isStoreReachable);
   if (isStoreReachedByAny && !self.isStoreReachable) return false;
@@ -42,12 +48,12 @@
  * @param holder - The lease holder, as `instance/incarnation`.
  * @param self - Name of the instance that asks.
  * @param peer - The holder's record, or undefined when the holder is not alive.
- * @returns Whether the holder is dead, restarted, stopping or unable to reach the store and renew
- *   the lease; also true for a lease of an earlier incarnation of `self`.
+ * @returns Whether the holder is dead, restarted, stopping or unable to reach the servers, or the store to
+ *   renew the lease; also true for a lease of an earlier incarnation of `self`.
  */
 export function isHolderGone(holder: string, self: string, peer: PeerRecord | undefined): boolean {
   const [instance = '', incarnation] = holder.split('/');
   if (instance === self) return true;
-  if (!peer || peer.isStopping || !peer.isStoreReachable) return true;
+  if (!peer || peer.isStopping || !peer.isStoreReachable || peer.isCutFromServers) return true;
   return String(peer.incarnation) !== incarnation;
 }
