Confirm a refused connection before it counts as the end of a server

A refused connection counted as the word of the server's own host. A refusal now shows an end only if this instance still reaches another server, and one peer that isn't cut is refused as well or doesn't answer. Ruled out: waiting for the store to drop the entry (three heartbeats late), believing a peer's word alone (it may be cut too).

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -42,6 +42,7 @@
 import { listCallerAddresses } from './caller-addresses.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
 import { listPeerEjections } from '../gossip/peer-ejections.js';
+import { CONNECTION_PATH, createPeerInquiry, describeConnection } from './peer-inquiry.js';
 import { InstanceRegistration } from './instance-registration.js';
 import { OwnRecord, type RecordState } from './own-record.js';
 import { ServerHealth } from './server-health.js';
@@ -205,6 +206,7 @@
       onRecords: () => this.#applyPeerObservations(),
       documents: {
         ...this.#storeFollower.documents,
+        [CONNECTION_PATH]: (query) => describeConnection(this.#fleet, query),
         ...createStatusDocuments({
           settings,
           configuration: this.#configuration,
@@ -219,7 +221,15 @@
       log: logs('peer'),
       signal: this.#taskController.signal,
     });
-    const endCheck = new EndCheck(this.#fleet);
+    const endCheck = new EndCheck({
+      fleet: this.#fleet,
+      serverReach: this.#serverReach,
+      askPeer: createPeerInquiry({
+        listPeers: () => this.#peers.aliveRecords,
+        fetch: (peer, path, timeout) => this.#gossip.fetchDocument(peer, path, timeout),
+      }),
+      log: logs('backend'),
+    });
     this.#context = {
       dataCentre: settings.dataCentre,
       protocol: platform.protocol,
@@ -267,6 +277,7 @@
     this.#serverHealth = new ServerHealth({
       fleet: this.#fleet,
       outlierEjection: this.#outlierEjection,
+      endCheck,
       serverLimits: this.#context.serverLimits,
       callTimes: this.#context.callTimes,
       configuration: this.#configuration,
--- a/src/daemon/server-health.ts
+++ b/src/daemon/server-health.ts
@@ -2,6 +2,7 @@
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { CallTimes } from '../fleet/call-times.js';
+import type { EndCheck } from '../fleet/end-check.js';
 import { checkHealth } from '../fleet/health-check.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { ServerLimits } from '../fleet/server-limits.js';
@@ -10,6 +11,7 @@
 export interface ServerHealthOptions {
   readonly fleet: BackendFleet;
   readonly outlierEjection: OutlierEjection;
+  readonly endCheck: EndCheck;
   readonly serverLimits: ServerLimits;
   readonly callTimes: CallTimes;
   readonly configuration: ActiveConfiguration;
@@ -35,12 +37,12 @@
   }
 
   async #checkServer(id: string): Promise<void> {
-    const { fleet, outlierEjection, configuration } = this.#options;
+    const { fleet, outlierEjection, endCheck, configuration } = this.#options;
     const entry = fleet.find(id)?.entry;
     if (!entry) return;
     const path = configuration.current?.services.get(entry.service)?.healthPath;
     const health = await checkHealth(entry.address, path ?? DEFAULT_HEALTH_PATH);
-    if (health === 'refused') fleet.recordEnd(entry, 'a health check was refused');
+    if (health === 'refused') await endCheck.recordRefusal(entry, 'a health check was refused');
     if (health !== 'healthy') return;
     fleet.recordLife(entry);
     outlierEjection.readmitIfHoldElapsed(id);
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -159,7 +159,7 @@
 
   /** Sends the call to a backend server and records what a failure says about that server. */
   async #attempt(server: FleetServer): Promise<AttemptResult> {
-    const { callTimes, outlierEjection, crashBlame, serverLimits, fleet } = this.#context;
+    const { callTimes, outlierEjection, crashBlame, serverLimits, endCheck } = this.#context;
     const { signal, content } = this.#request;
     const { id } = server.entry;
     const attempt = new AbortController();
@@ -181,7 +181,7 @@
       if (signal.aborted) return { kind: 'unknown', message };
       callTimes.record(id, performance.now() - startedAt, undefined);
       if (error instanceof HttpRequestError && error.phase === 'connecting') {
-        if (isConnectionRefused(error)) fleet.recordEnd(server.entry, message);
+        if (isConnectionRefused(error)) void endCheck.recordRefusal(server.entry, message);
         if (attempt.signal.aborted) outlierEjection.recordFailure(id, message);
         else outlierEjection.eject(id, message);
         return { kind: 'notRun', message };
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -66,7 +66,12 @@
     protocol,
     fleet,
     outlierEjection,
-    endCheck: new EndCheck(fleet),
+    endCheck: new EndCheck({
+      fleet,
+      serverReach,
+      askPeer: () => Promise.resolve(undefined),
+      log: createSilentLogger(),
+    }),
     serverReach,
     log: createSilentLogger(),
     checkIntervalMilliseconds: CHECK_INTERVAL_MILLISECONDS,
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -11,7 +11,7 @@
 } from '../common/http-client.js';
 import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
 import type { EndCheck } from '../fleet/end-check.js';
-import { getProcessKey } from '../fleet/server-entry.js';
+import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import type { ServerReach } from '../fleet/server-reach.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
@@ -210,8 +210,7 @@
       });
     } catch (error) {
       this.#ejectUnresponsive(server, requestedAt, error);
-      // An engine that is ending may accept the connection just before it closes all of them.
-      if (isConnectionLost(error)) await this.#options.endCheck.check(server.entry);
+      await this.#checkForEnd(server.entry, error);
     }
   }
 
@@ -236,14 +235,19 @@
   #ejectUnresponsive(server: FleetServer, requestedAt: number, error: unknown): void {
     const isUnconnected = error instanceof HttpRequestError && error.phase === 'connecting';
     if (isUnconnected) this.#options.serverReach.recordUnreachable(server.entry);
-    if (isConnectionRefused(error))
-      this.#options.fleet.recordEnd(server.entry, getErrorMessage(error));
     const elapsedMilliseconds = this.#now() - requestedAt;
     if (elapsedMilliseconds > REPORT_TIMEOUT_MILLISECONDS + LOCAL_DELAY_TOLERANCE_MILLISECONDS)
       return;
     this.#options.outlierEjection.eject(server.entry.id, 'No report within the report timeout.');
   }
 
+  async #checkForEnd(entry: ServerEntry, error: unknown): Promise<void> {
+    const { endCheck } = this.#options;
+    if (isConnectionRefused(error)) await endCheck.recordRefusal(entry, getErrorMessage(error));
+    // An engine that is ending may accept the connection just before it closes all of them.
+    if (isConnectionLost(error)) await endCheck.check(entry);
+  }
+
   async #refreshSlowdownFactor(server: FleetServer): Promise<void> {
     const { id, address } = server.entry;
     if (!this.#tryStartReport(`slowdown ${id}`, SLOWDOWN_REPORT_INTERVAL_MILLISECONDS)) return;
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -86,13 +86,13 @@
 
   /** Finds out what a failed exchange with the first engine means for further attempts. */
   classifyError(firstEngine: ServerEntry, error: unknown): AttemptResult {
-    const { outlierEjection, fleet } = this.#options.context;
+    const { outlierEjection, endCheck } = this.#options.context;
     const engineIdsToAvoid = [firstEngine.id];
     const message = getErrorMessage(error);
     if (this.#options.request.signal.aborted)
       return { kind: 'broken', engineIdsToAvoid: [], message };
     if (error instanceof HttpRequestError && error.phase === 'connecting') {
-      if (isConnectionRefused(error)) fleet.recordEnd(firstEngine, message);
+      if (isConnectionRefused(error)) void endCheck.recordRefusal(firstEngine, message);
       outlierEjection.eject(firstEngine.id, message);
       return { kind: 'notRun', engineIdsToAvoid, message };
     }
--- a/src/fleet/end-check.test.ts
+++ b/src/fleet/end-check.test.ts
@@ -3,8 +3,20 @@
 import { test, type TestContext } from 'node:test';
 import { createSilentLogger } from '../telemetry/log.js';
 import { BackendFleet } from './backend-fleet.js';
-import { EndCheck } from './end-check.js';
+import { EndCheck, type PeerFinding } from './end-check.js';
 import type { ServerEntry } from './server-entry.js';
+import { ServerReach } from './server-reach.js';
+
+const DEFAULT_ENTRY: ServerEntry = {
+  id: 'server',
+  service: 'service',
+  address: { host: '127.0.0.1', port: 1 },
+  dataCentre: 'dc',
+  slots: 1,
+  isLeaving: false,
+  kind: undefined,
+  layers: undefined,
+};
 
 async function startServer(
   context: TestContext,
@@ -16,21 +28,33 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  return {
-    id: 'server',
-    service: 'service',
-    address: { host: '127.0.0.1', port },
-    dataCentre: 'dc',
-    slots: 1,
-    isLeaving: false,
-    kind: undefined,
-    layers: undefined,
-  };
+  return { ...DEFAULT_ENTRY, address: { host: '127.0.0.1', port } };
+}
+
+interface Vantage {
+  /** Whether this instance reaches another server. */
+  readonly isReached?: boolean;
+  readonly peerFinding?: PeerFinding;
 }
 
-async function checkHasEnded(entry: ServerEntry): Promise<boolean> {
-  const fleet = new BackendFleet({ log: createSilentLogger() });
-  await new EndCheck(fleet).check(entry);
+function createCheck({ isReached = true, peerFinding }: Vantage = {}) {
+  const log = createSilentLogger();
+  const fleet = new BackendFleet({ log });
+  const other: ServerEntry = { ...DEFAULT_ENTRY, id: 'other' };
+  const serverReach = new ServerReach({
+    listServers: () => [other],
+    probe: () => Promise.resolve(isReached ? 'held' : 'unknown'),
+    onChange: () => undefined,
+    log,
+    signal: new AbortController().signal,
+  });
+  const askPeer = (): Promise<PeerFinding> => Promise.resolve(peerFinding);
+  return { fleet, endCheck: new EndCheck({ fleet, serverReach, askPeer, log }) };
+}
+
+async function checkHasEnded(entry: ServerEntry, vantage?: Vantage): Promise<boolean> {
+  const { fleet, endCheck } = createCheck(vantage);
+  await endCheck.check(entry);
   return fleet.hasEnded(entry.id);
 }
 
@@ -54,3 +78,20 @@
   const entry = await startServer(context, (_, socket) => socket.destroy());
   assert.equal(await checkHasEnded(entry), false);
 });
+
+// An instance whose own links refused connections recorded live servers as ended.
+test('end check: a refusal is no end where this instance reaches no other server, or a peer is accepted', async () => {
+  const outcomes: [Vantage, boolean][] = [
+    [{}, true],
+    [{ peerFinding: 'refused' }, true],
+    [{ peerFinding: 'held' }, false],
+    [{ peerFinding: 'unknown' }, false],
+    [{ isReached: false }, false],
+    [{ isReached: false, peerFinding: 'refused' }, false],
+  ];
+  for (const [vantage, hasEnded] of outcomes) {
+    const { fleet, endCheck } = createCheck(vantage);
+    await endCheck.recordRefusal(DEFAULT_ENTRY, 'refused');
+    assert.equal(fleet.hasEnded('server'), hasEnded, JSON.stringify(vantage));
+  }
+});
--- a/src/fleet/server-reach.ts
+++ b/src/fleet/server-reach.ts
@@ -26,6 +26,7 @@
 const REACH_LIFETIME_MILLISECONDS = 300;
 /** Servers tried at once to find out whether it is one of them or the instance itself. */
 const PROBES_TO_DECIDE = 4;
+const PROBES_TO_CONFIRM = 2;
 /** So many servers that fail, of two data centres where there are two, make the instance the likelier fault. */
 const FAILURES_TO_DECIDE = 3;
 const DATA_CENTRES_TO_DECIDE = 2;
@@ -113,6 +114,20 @@
     if (!this.#isChecking && !this.#isCut && !isReachKnown) void this.#check();
   }
 
+  /**
+   * Finds out whether this instance reaches servers other than one that it couldn't connect to.
+   *
+   * @param entry - That server.
+   * @returns True also if there is no other server to try.
+   */
+  async confirm({ id }: ServerEntry): Promise<boolean> {
+    if (this.#isCut) return false;
+    const startedAt = this.#now();
+    const others = this.#options.listServers().filter((entry) => entry.id !== id);
+    await this.#probe(pickSpread(others, PROBES_TO_CONFIRM));
+    return others.length === 0 || this.#connectedAt >= startedAt;
+  }
+
   /** Finds out whether other servers can be reached. */
   async #check(): Promise<void> {
     const startedAt = this.#now();
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -34,7 +34,7 @@
    * JSON documents served to peers, by path, or promises of them. A document that is undefined is
    * answered with 404.
    */
-  readonly documents: Readonly<Record<string, () => unknown>>;
+  readonly documents: Readonly<Record<string, (query: URLSearchParams) => unknown>>;
   readonly log: Logger;
   readonly signal: AbortSignal;
 }
@@ -152,10 +152,15 @@
    * Reads a JSON document from a peer.
    *
    * @param address - Address on which the peer listens for its peers.
-   * @param path - One of the paths in {@link GossipOptions.documents}.
-   * @returns The parsed document, or undefined if the peer has none or does not answer within 1 s.
+   * @param path - One of the paths in {@link GossipOptions.documents}, and the query.
+   * @param timeoutMilliseconds - The longest wait; 1 s by default.
+   * @returns The parsed document, or undefined if the peer has none or does not answer in time.
    */
-  async fetchDocument(address: Address, path: string): Promise<unknown> {
+  async fetchDocument(
+    address: Address,
+    path: string,
+    timeoutMilliseconds = DOCUMENT_TIMEOUT_MILLISECONDS,
+  ): Promise<unknown> {
     try {
       const answer = await fetchResponse({
         address,
@@ -163,7 +168,7 @@
         method: 'GET',
         path,
         headers: { 'accept-encoding': COMPRESSED_ENCODING },
-        timeoutMilliseconds: DOCUMENT_TIMEOUT_MILLISECONDS,
+        timeoutMilliseconds,
       });
       if (answer.status !== 200) return undefined;
       const { body, headers } = answer;
@@ -312,7 +317,8 @@
         this.#mergeRecords([exchange.own]);
         body = this.#findRecordsNewerThan(exchange);
       } else {
-        body = await documents[request.url ?? '']?.();
+        const { pathname, searchParams } = new URL(request.url ?? '', 'http://peer');
+        body = await documents[pathname]?.(searchParams);
       }
       response.statusCode = body === undefined ? 404 : 200;
       response.setHeader('Content-Type', 'application/json');
