Notice a loss of all links that follows a connection at once

A failure within 300 ms of an accepted connection was held to be the server's own, and nothing looked again later. Three servers that fail with no connection accepted between are looked at right away, a single one once the last connection has lost its weight. The server that accepted the last connection is always among those that are tried, so that a fleet of which one server is left isn't taken for a cut. Whether a connection was made meanwhile is counted, not timed. Two of the three new unit tests failed on the code before (links lost right after a connection, a single failure); the third guards the side effect. Ruled out: a shorter lifetime of a connection's evidence (a busy instance would try other servers for each one that ends).

--- a/src/fleet/server-reach.test.ts
+++ b/src/fleet/server-reach.test.ts
@@ -77,6 +77,37 @@
   assert.ok(!reach.isCut);
 });
 
+test('server reach: the server that accepted the last connection is tried before a cut is concluded', async () => {
+  const { clock, reach, unreachable, fail, entries } = createReach(9);
+  entries.slice(0, 8).forEach(({ id }) => unreachable.add(id));
+  for (let turn = 0; turn < 50; turn += 1) {
+    reach.recordConnected(entries[8] as ServerEntry);
+    clock.now += 10;
+    await fail(0, 1, 2, 3);
+    assert.ok(!reach.isCut);
+  }
+});
+
+// All failures came within the time for which the last connection counts, and nothing was tried after them.
+test('server reach: links that are lost right after a connection are a cut', async () => {
+  const { reach, entries, unreachable, fail } = createReach(9);
+  reach.recordConnected(entries[0] as ServerEntry);
+  entries.forEach(({ id }) => unreachable.add(id));
+  await fail(0, 1, 2);
+  assert.ok(reach.isCut);
+});
+
+test('server reach: a single failure right after a connection is looked at later', async () => {
+  const { clock, reach, entries, unreachable, fail } = createReach(9);
+  reach.recordConnected(entries[0] as ServerEntry);
+  entries.forEach(({ id }) => unreachable.add(id));
+  await fail(0);
+  assert.ok(!reach.isCut);
+  clock.now += 300;
+  await sleep(320);
+  assert.ok(reach.isCut);
+});
+
 test('server reach: a data centre whose servers all fail is not a cut', async () => {
   const { reach, unreachable, fail, entries } = createReach(9);
   entries
--- a/src/fleet/server-reach.ts
+++ b/src/fleet/server-reach.ts
@@ -22,7 +22,7 @@
   readonly now?: () => number;
 }
 
-/** After a connection was made, failures of others within this long are theirs. */
+/** After a connection was made, the first failures of others within this long are theirs. */
 const REACH_LIFETIME_MILLISECONDS = 300;
 /** Servers tried at once to find out whether it is one of them or the instance itself. */
 const PROBES_TO_DECIDE = 4;
@@ -68,8 +68,15 @@
   /** When a server last accepted a connection. */
   #connectedAt = Number.NEGATIVE_INFINITY;
 
+  /** How many connections were accepted. */
+  #connections = 0;
+
+  #lastConnectedId: string | undefined;
+
   #isChecking = false;
 
+  #isCheckPlanned = false;
+
   #isCut = false;
 
   /** When the first of the failed connections failed. */
@@ -94,6 +101,8 @@
   recordConnected({ id }: ServerEntry): void {
     const now = this.#now();
     this.#connectedAt = now;
+    this.#connections += 1;
+    this.#lastConnectedId = id;
     if (!this.#isCut) {
       this.#failed.clear();
       return;
@@ -108,10 +117,12 @@
 
   /** Notes that a new connection to a server was refused, reset or not made in time. */
   recordUnreachable(entry: ServerEntry): void {
-    if (this.#failed.size === 0) this.#failingSince = this.#now();
-    this.#failed.set(entry.id, entry);
-    const isReachKnown = this.#now() - this.#connectedAt < REACH_LIFETIME_MILLISECONDS;
-    if (!this.#isChecking && !this.#isCut && !isReachKnown) void this.#check();
+    this.#noteFailure(entry);
+    const isReachKnown =
+      this.#now() - this.#connectedAt < REACH_LIFETIME_MILLISECONDS &&
+      this.#failed.size < FAILURES_TO_DECIDE;
+    if (isReachKnown) void this.#checkLater();
+    else this.#startCheck();
   }
 
   /**
@@ -122,20 +133,45 @@
    */
   async confirm({ id }: ServerEntry): Promise<boolean> {
     if (this.#isCut) return false;
-    const startedAt = this.#now();
+    const connections = this.#connections;
     const others = this.#options.listServers().filter((entry) => entry.id !== id);
     await this.#probe(pickSpread(others, PROBES_TO_CONFIRM));
-    return others.length === 0 || this.#connectedAt >= startedAt;
+    return others.length === 0 || this.#connections > connections;
+  }
+
+  #noteFailure(entry: ServerEntry): void {
+    if (this.#failed.size === 0) this.#failingSince = this.#now();
+    this.#failed.set(entry.id, entry);
+  }
+
+  /** Checks once the last connection proves nothing any more, unless another one is made by then. */
+  async #checkLater(): Promise<void> {
+    if (this.#isCheckPlanned) return;
+    this.#isCheckPlanned = true;
+    await sleep(REACH_LIFETIME_MILLISECONDS, this.#options.signal);
+    this.#isCheckPlanned = false;
+    if (this.#failed.size > 0) this.#startCheck();
+  }
+
+  #startCheck(): void {
+    if (!this.#isChecking && !this.#isCut) void this.#check();
   }
 
   /** Finds out whether other servers can be reached. */
   async #check(): Promise<void> {
-    const startedAt = this.#now();
+    const connections = this.#connections;
     this.#isChecking = true;
-    const others = this.#options.listServers().filter(({ id }) => !this.#failed.has(id));
-    await this.#probe(pickSpread(others, PROBES_TO_DECIDE));
+    await this.#probe(this.#pickWitnesses());
     this.#isChecking = false;
-    if (this.#connectedAt < startedAt && this.#isLikelyCut()) this.#beginCut();
+    if (this.#connections === connections && this.#isLikelyCut()) this.#beginCut();
+  }
+
+  /** Takes the server that accepted the last connection, and others that haven't failed. */
+  #pickWitnesses(): ServerEntry[] {
+    const others = this.#options.listServers().filter(({ id }) => !this.#failed.has(id));
+    const last = others.filter(({ id }) => id === this.#lastConnectedId);
+    const rest = others.filter(({ id }) => id !== this.#lastConnectedId);
+    return [...last, ...pickSpread(rest, PROBES_TO_DECIDE - last.length)];
   }
 
   #isLikelyCut(): boolean {
@@ -153,7 +189,7 @@
     await Promise.all(
       entries.map(async (entry) => {
         if ((await this.#options.probe(entry)) === 'held') this.recordConnected(entry);
-        else this.recordUnreachable(entry);
+        else this.#noteFailure(entry);
       }),
     );
   }
