Pass requests on to a peer while this instance reaches no server

An instance that is cut sends the request as it is to one peer, with a header that states what the peer needs: time left, the configuration it must have at least, servers that may have run the request, the last event of a stream. The peer serves it with its own limits, budgets and records, as if the caller had come there, and never passes it on. Streams that are cut midway resume through it, with the head of their first answer. At most once: a connection that can't be made, or a refusal that only speaks of that peer, leads to another peer, three at most; a peer that is lost later leaves the outcome unknown (502). A peer that is considered dead is given up with all that is open there, since a frozen one closes nothing. The caller's leaving ends the request at the peer. Retries and first attempts are counted once. A peer serves at most 256 such requests, refuses where its configuration is older, and is chosen of two at random by what is open there; older builds don't say that they accept such requests and get none. While a stream that has begun waits for a chain, a cut ends the wait. Ruled out: leaving the list of addresses (callers keep answers for seconds and connections for longer), passing on the single exchange with an engine (reports, reroutes and orders would need a way as well), a connection through the peer (the peer would know nothing of limits and load). The stand-in for cuts left sockets of refused and reset connections as if they had been made; they count as unmade now.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -14,6 +14,8 @@
 import { EntryMetrics } from '../entry/entry-metrics.js';
 import { startEntryServer, type EntryServer } from '../entry/entry-server.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
+import { PeerRelay } from '../entry/peer-relay.js';
+import { RELAY_HEADER } from '../entry/relayed-request.js';
 import { RefusalPacing } from '../entry/refusal-pacing.js';
 import { RetryBudget } from '../entry/retry-budget.js';
 import { StallDetector } from '../entry/stall-detector.js';
@@ -102,6 +104,8 @@
 
   readonly #peers: PeerTable;
 
+  readonly #peerRelay: PeerRelay;
+
   readonly #storeFollower: StoreFollower;
 
   readonly #gossip: Gossip;
@@ -167,7 +171,17 @@
       dataCentre: settings.dataCentre,
       log: logs('peer'),
       // A dead instance cannot withdraw its ejections, so they are dropped with it.
-      onPeerLost: (instance) => this.#outlierEjection.replacePeerEjections(instance, []),
+      onPeerLost: (instance) => {
+        this.#outlierEjection.replacePeerEjections(instance, []);
+        this.#peerRelay.abandon(instance);
+      },
+    });
+    this.#peerRelay = new PeerRelay({
+      instance: settings.instance,
+      listPeers: () => this.#peers.aliveRecords,
+      configurationVersion: () => this.#configuration.current?.version ?? -1,
+      protocol: platform.protocol,
+      log: logs('routing'),
     });
     this.#lease = new PlannerLease({
       store: platform.store,
@@ -218,6 +232,13 @@
           countOpenRequests: () => this.#server?.openRequests() ?? 0,
         }),
       },
+      relay: {
+        header: RELAY_HEADER,
+        serve: (incoming, response) => {
+          if (this.#server) this.#server.serveRelayed(incoming, response);
+          else response.destroy();
+        },
+      },
       log: logs('peer'),
       signal: this.#taskController.signal,
     });
@@ -244,6 +265,7 @@
         log: logs('backend'),
       }),
       serverReach: this.#serverReach,
+      peerRelay: this.#peerRelay,
       refusalPacing: new RefusalPacing(),
       retryBudget: new RetryBudget({
         settings: settings.retryBudget,
--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -73,6 +73,7 @@
       changeCounter: this.#changeCounter,
       callers: settings.listen.callers,
       peers: settings.listen.peers,
+      acceptsRequests: true,
       ...urgent,
       ...state,
     };
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -10,6 +10,7 @@
 import type { CrashBlame } from './crash-blame.js';
 import type { ProtocolAdapter } from './protocol-adapter.js';
 import type { EntryMetrics } from './entry-metrics.js';
+import type { PeerRelay } from './peer-relay.js';
 import type { RefusalPacing } from './refusal-pacing.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { StallDetector } from './stall-detector.js';
@@ -25,6 +26,7 @@
   readonly crashBlame: CrashBlame;
   readonly serverLimits: ServerLimits;
   readonly serverReach: ServerReach;
+  readonly peerRelay: PeerRelay;
   readonly refusalPacing: RefusalPacing;
   readonly retryBudget: RetryBudget;
   readonly linkLoad: DataCentreLinkLoad;
--- a/src/entry/entry-request.ts
+++ b/src/entry/entry-request.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { RequestContent } from './blocked-parts.js';
 import type { RequestMetadata } from './protocol-adapter.js';
+import type { RelayedRequest } from './relayed-request.js';
 import type { ClientAccount, Route, Service } from './serving-configuration.js';
 
 /** A caller's request that has been read completely and matched to a route. */
@@ -23,6 +24,8 @@
   /** Aborts with an {@link AbortReason} when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
   readonly content: RequestContent;
+  /** What the instance states that passed the request on; undefined if the caller sent it here. */
+  readonly relayed: RelayedRequest | undefined;
 }
 
 /** Why a request's signal was aborted. */
--- a/src/entry/entry-response.ts
+++ b/src/entry/entry-response.ts
@@ -3,6 +3,7 @@
  * responses.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HOP_BY_HOP_HEADERS } from './request-headers.js';
 
 /** A response that the instance creates itself, without one from a backend server. */
 export interface LocalResponse {
@@ -14,17 +15,6 @@
   readonly retryAfterSeconds?: number;
 }
 
-/** Headers that apply to a single connection and are not relayed. */
-const HOP_BY_HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 /**
  * Sends a local response as JSON. A response that has already started is cut off instead, so that
  * the caller sees that it is incomplete.
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -7,7 +7,19 @@
 import { sendLocalResponse, type LocalResponse } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import type { AbortReason, EntryRequest } from './entry-request.js';
-import type { RequestMetadata } from './protocol-adapter.js';
+import type { ProtocolAdapter, RequestMetadata } from './protocol-adapter.js';
+import { decodeRelayedRequest, RELAY_HEADER, type RelayedRequest } from './relayed-request.js';
+import {
+  BAD_RELAY,
+  BAD_REQUEST,
+  NO_CONFIGURATION,
+  NO_ROUTE,
+  RELAY_FULL,
+  STALE_CONFIGURATION,
+  STOPPING,
+  TOO_LARGE,
+  UNKNOWN_KEY,
+} from './request-rejections.js';
 import { parseRequestTarget, type RequestTarget } from './request-target.js';
 import { relayCall } from './relay-call.js';
 import { relayStream } from './relay-stream.js';
@@ -34,6 +46,8 @@
 
 /** A running HTTP server for callers. */
 export interface EntryServer {
+  /** Serves a request that a peer passes on. */
+  readonly serveRelayed: (incoming: IncomingMessage, response: ServerResponse) => void;
   /** The number of requests whose response has not ended. */
   readonly openRequests: () => number;
   /** Closes connections that carry no request. */
@@ -42,51 +56,14 @@
   readonly close: () => void;
 }
 
-const NO_CONFIGURATION: LocalResponse = {
-  status: 503,
-  code: 'no_configuration',
-  message: 'The instance has no configuration yet; the request was not run.',
-  retryAfterSeconds: 0.3,
-};
-const STALE_CONFIGURATION: LocalResponse = {
-  status: 503,
-  code: 'stale_configuration',
-  message: 'The instance may not have the newest configuration; the request was not run.',
-  retryAfterSeconds: 0.3,
-};
-const STOPPING: LocalResponse = {
-  status: 503,
-  code: 'stopping',
-  message: 'The instance is stopping; the request was not run.',
-  retryAfterSeconds: 0.6,
-};
-const NO_ROUTE: LocalResponse = {
-  status: 404,
-  code: 'no_route',
-  message: 'No route has this path.',
-};
-const UNKNOWN_KEY: LocalResponse = {
-  status: 401,
-  code: 'unknown_key',
-  message: 'The API key is not known.',
-};
-const TOO_LARGE: LocalResponse = {
-  status: 413,
-  code: 'too_large',
-  message: 'The body is too large.',
-};
-const BAD_REQUEST: LocalResponse = {
-  status: 400,
-  code: 'bad_request',
-  message: 'The request has no id, no host or no path.',
-};
-
 const CONTENT_HASH_BYTES = 8;
 const MAXIMUM_LOGGED_PATH_CHARACTERS = 200;
 const MAXIMUM_HEADER_BYTES = 65_536;
 /** The server keeps idle connections for this much longer than callers may. */
 const IDLE_TIMEOUT_MARGIN_MILLISECONDS = 3000;
 const DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 60_000;
+/** Requests of peers that are served at the same time; each takes two connections. */
+const MAXIMUM_RELAYED_REQUESTS = 256;
 
 class BodyTooLargeError extends Error {}
 
@@ -122,6 +99,21 @@
   return UNKNOWN_KEY;
 }
 
+/** Reads what a request states; a peer that passes it on knows better how far it has come. */
+function readMetadata(
+  protocol: ProtocolAdapter,
+  incoming: IncomingMessage,
+  relayed: RelayedRequest | undefined,
+): RequestMetadata {
+  const metadata = protocol.parseRequestHeaders(incoming.headers);
+  if (!relayed) return metadata;
+  return {
+    ...metadata,
+    deadlineMilliseconds: relayed.remainingMilliseconds,
+    lastEventId: relayed.lastEventId ?? metadata.lastEventId,
+  };
+}
+
 function isLocalResponse(result: Route | LocalResponse): result is LocalResponse {
   return 'status' in result;
 }
@@ -143,6 +135,7 @@
     countError: (code) => metrics.countEvent(`connection_error_${code}`),
   });
   let openCount = 0;
+  let relayedCount = 0;
 
   const rejectRequest = (
     incoming: IncomingMessage,
@@ -165,11 +158,17 @@
     sendLocalResponse(response, requestId, localResponse);
   };
 
-  const serve = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+  const serve = async (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    relayed?: RelayedRequest,
+  ): Promise<void> => {
     const receivedAt = performance.now();
     if (!configuration.current) return rejectRequest(incoming, response, NO_CONFIGURATION);
+    if (relayed && configuration.current.version < relayed.configurationVersion)
+      return rejectRequest(incoming, response, STALE_CONFIGURATION);
     const { bodyBytes } = configuration.current.limits;
-    const metadata = protocol.parseRequestHeaders(incoming.headers);
+    const metadata = readMetadata(protocol, incoming, relayed);
     const target = parseRequestTarget(incoming.url ?? '', incoming.headers.host);
     if (metadata.requestId === '' || !target) {
       return rejectRequest(incoming, response, BAD_REQUEST);
@@ -213,6 +212,7 @@
         receivedAt,
         deadline,
         signal: abortController.signal,
+        relayed,
         content: {
           hash: hashContent(target.path, account?.name ?? '', body),
           sharedParts: metadata.sharedPromptParts,
@@ -234,12 +234,32 @@
     }
   };
 
-  const serveRequest = (incoming: IncomingMessage, response: ServerResponse): void => {
+  const countOpen = (response: ServerResponse): void => {
     openCount += 1;
-    if (isStopping()) response.setHeader('Connection', 'close');
     response.once('close', () => {
       openCount -= 1;
     });
+  };
+
+  const serveRelayed = (incoming: IncomingMessage, response: ServerResponse): void => {
+    const relayed = decodeRelayedRequest(String(incoming.headers[RELAY_HEADER]));
+    if (!relayed) return rejectRequest(incoming, response, BAD_RELAY);
+    if (relayedCount >= MAXIMUM_RELAYED_REQUESTS)
+      return rejectRequest(incoming, response, RELAY_FULL);
+    const { requestId } = protocol.parseRequestHeaders(incoming.headers);
+    log.info('Serving a request for a peer.', { requestId, ...relayed });
+    countOpen(response);
+    relayedCount += 1;
+    response.once('close', () => {
+      relayedCount -= 1;
+    });
+    void serve(incoming, response, relayed);
+    return undefined;
+  };
+
+  const serveRequest = (incoming: IncomingMessage, response: ServerResponse): void => {
+    countOpen(response);
+    if (isStopping()) response.setHeader('Connection', 'close');
     const { requestId } = protocol.parseRequestHeaders(incoming.headers);
     connections.addRequest(incoming, response, requestId);
     void serve(incoming, response);
@@ -263,6 +283,7 @@
     server.listen({ host: address.host, port: address.port, backlog: 1024 }, resolve);
   });
   return {
+    serveRelayed,
     openRequests: () => openCount,
     closeIdleConnections: () => server.closeIdleConnections(),
     close: () => {
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -13,10 +13,16 @@
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { sendRelayedRequest } from './relay-request.js';
 import { assertOwnResponse } from './response-origin.js';
-import { getEndToEndHeaders, sendLocalResponse, appendHeaders } from './entry-response.js';
+import {
+  appendHeaders,
+  getEndToEndHeaders,
+  sendLocalResponse,
+  type LocalResponse,
+} from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, isIdempotent, type EntryRequest } from './entry-request.js';
 import { readAnswer } from './backend-request.js';
+import type { PeerAnswer } from './peer-relay.js';
 
 /** A backend server's response, read completely. */
 interface BufferedResponse {
@@ -59,6 +65,9 @@
   /** Attempts that may have run. */
   #possibleRuns = 0;
 
+  /** Processes of servers that may have run the call. */
+  readonly #processKeys = new Set<string>();
+
   #refusedAttempts = 0;
 
   /** The last error response (status 500 or above) of a backend server. */
@@ -67,16 +76,17 @@
   constructor(context: EntryContext, request: EntryRequest) {
     this.#context = context;
     this.#request = request;
+    this.#possibleRuns = request.relayed?.processKeys.length ?? 0;
   }
 
   async serve(): Promise<string> {
     const { crashBlame, retryBudget, serverReach, logs } = this.#context;
-    const { content, service, signal, metadata, route } = this.#request;
+    const { content, service, signal, metadata, route, relayed } = this.#request;
     if (crashBlame.admit(content) === 'refuse')
       return this.#sendRefusal('crashes_servers', RETRY_AFTER_BLOCKED_SECONDS);
-    retryBudget.recordFirstAttempt(service.name);
+    if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
-      if (serverReach.isCut) return this.#endWhileCut();
+      if (serverReach.isCut) return this.#serveWhileCut();
       const server = this.#chooseServer();
       if (!server) {
         if (this.#lastFailure) return this.#sendBackendResponse(this.#lastFailure);
@@ -98,7 +108,10 @@
         return this.#sendBackendResponse(result.response);
       if (result.kind === 'answered') this.#lastFailure = result.response;
       if (result.kind === 'notRun') this.#refusedAttempts += 1;
-      else this.#possibleRuns += 1;
+      else {
+        this.#possibleRuns += 1;
+        this.#processKeys.add(getProcessKey(server.entry));
+      }
       this.#triedServerIds.add(server.entry.id);
       const canRepeat = isIdempotent(route) || this.#possibleRuns === 0;
       const isContentAllowed = !crashBlame.isBlocked(content);
@@ -285,13 +298,59 @@
     return this.#recordOutcome('refused', code);
   }
 
-  #endWhileCut(): string {
+  /** Lets a peer serve the call, unless this instance is itself the peer of another one. */
+  async #serveWhileCut(): Promise<string> {
+    const { peerRelay } = this.#context;
+    const answer: PeerAnswer = this.#request.relayed
+      ? { kind: 'none' }
+      : await peerRelay.relay(this.#request, {
+          processKeys: [...this.#processKeys],
+          lastEventId: this.#request.metadata.lastEventId,
+        });
+    if (this.#request.signal.aborted) return this.#sendTimeout();
+    if (answer.kind === 'none') return this.#endWithoutPeer();
+    if (answer.kind === 'ended') return this.#sendPeerResponse(answer.response);
+    this.#possibleRuns += 1;
+    if (answer.kind === 'lost') return this.#sendUnknownOutcome();
+    return this.#relayFromPeer(answer);
+  }
+
+  #endWithoutPeer(): string {
     if (this.#lastFailure) return this.#sendBackendResponse(this.#lastFailure);
     return this.#possibleRuns > 0
       ? this.#sendUnknownOutcome()
       : this.#sendRefusal('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
   }
 
+  #sendPeerResponse(localResponse: LocalResponse): string {
+    const { response, metadata } = this.#request;
+    sendLocalResponse(response, metadata.requestId, localResponse);
+    return localResponse.status === 503
+      ? this.#recordOutcome('refused', localResponse.code)
+      : this.#recordOutcome('unknown');
+  }
+
+  async #relayFromPeer({
+    peer,
+    message,
+    status,
+  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string> {
+    try {
+      const body = await readAnswer(message);
+      if (!message.complete)
+        throw new HttpRequestError('answering', 'The peer broke the answer off.');
+      return this.#sendBackendResponse({ status, headers: getEndToEndHeaders(message), body });
+    } catch (error) {
+      if (this.#request.signal.aborted) return this.#sendTimeout();
+      this.#context.logs('routing').info('The answer of the peer broke off.', {
+        requestId: this.#request.metadata.requestId,
+        peer,
+        message: getErrorMessage(error),
+      });
+      return this.#sendUnknownOutcome();
+    }
+  }
+
   #refuseWithoutServer(): string {
     const { fleet, serverLimits, outlierEjection, logs } = this.#context;
     const ids = fleet.listForService(this.#request.service.name).map(({ entry }) => entry.id);
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -3,12 +3,14 @@
  * over another chain after the last event that the caller received.
  */
 import { sleep } from '../common/clock.js';
+import { getErrorMessage } from '../common/http-client.js';
 import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { CallerStream } from './caller-stream.js';
 import { ChainSelector, type EngineChain } from './chain-selector.js';
 import type { EntryContext } from './entry-context.js';
 import { isIdempotent, type EntryRequest } from './entry-request.js';
+import type { PeerAnswer } from './peer-relay.js';
 import type { EngineProfile } from './serving-configuration.js';
 import type { WatchedStream } from './stall-detector.js';
 import { StreamEnding } from './stream-ending.js';
@@ -76,6 +78,7 @@
       maximumServers: request.route.maximumAttempts,
       hasEnded: (processKey) => context.fleet.hasEnded(processKey),
     });
+    request.relayed?.processKeys.forEach((key) => this.#runs.record(key, true));
     this.#chainSelector = new ChainSelector(
       context,
       request,
@@ -89,16 +92,15 @@
 
   async serve(): Promise<string> {
     const { crashBlame, retryBudget, serverReach } = this.#context;
-    const { content, service, signal } = this.#request;
+    const { content, service, signal, relayed } = this.#request;
     const admission = crashBlame.admit(content);
     if (admission === 'refuse') return this.#ending.refuseBlocked();
-    retryBudget.recordFirstAttempt(service.name);
+    if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
-      if (serverReach.isCut)
-        return this.#ending.sendFailure('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
+      if (serverReach.isCut) return this.#serveWhileCut();
       const chain = await this.#findChain();
       if (signal.aborted) return this.#ending.sendTimeout();
-      if (!chain) return this.#endWithoutChain();
+      if (!chain) return serverReach.isCut ? this.#serveWhileCut() : this.#endWithoutChain();
       if (admission === 'try' && !this.#isTrial) crashBlame.startTrial(content);
       this.#isTrial = admission === 'try';
       const firstEngine = chain.stages[0]?.engine.server.entry;
@@ -111,6 +113,42 @@
     }
   }
 
+  /** Lets a peer serve the request, unless this instance is itself the peer of another one. */
+  async #serveWhileCut(): Promise<string> {
+    const { peerRelay } = this.#context;
+    const answer: PeerAnswer = this.#request.relayed
+      ? { kind: 'none' }
+      : await peerRelay.relay(this.#request, {
+          processKeys: this.#runs.processKeys,
+          lastEventId: this.#caller.lastEventId,
+        });
+    if (this.#request.signal.aborted) return this.#ending.sendTimeout();
+    if (answer.kind === 'none')
+      return this.#ending.sendFailure('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
+    if (answer.kind === 'ended') return this.#ending.sendPeerResponse(answer.response);
+    if (answer.kind === 'lost') return this.#ending.sendPeerLost();
+    return this.#relayFromPeer(answer);
+  }
+
+  async #relayFromPeer({
+    message,
+    status,
+  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string> {
+    const { signal, metadata } = this.#request;
+    try {
+      const result = await this.#exchange.relayFromPeer(message, status);
+      return this.#ending.complete(result.kind === 'answered' ? 'answered' : 'completed');
+    } catch (error) {
+      if (signal.aborted) return this.#ending.sendTimeout();
+      this.#context.logs('routing').info('The answer of the peer broke off.', {
+        requestId: metadata.requestId,
+        lastEventId: this.#caller.lastEventId,
+        message: getErrorMessage(error),
+      });
+      return this.#ending.sendPeerLost();
+    }
+  }
+
   /**
    * Decides on a retry after a failed attempt; returns the request's outcome when there is none.
    */
@@ -195,6 +233,7 @@
         return chain;
       }
       if (!this.#caller.hasStarted || performance.now() > until) return undefined;
+      if (this.#context.serverReach.isCut) return undefined;
       if (this.#request.signal.aborted) return undefined;
       await sleep(CHAIN_POLL_INTERVAL_MILLISECONDS, this.#request.signal);
     }
--- a/src/entry/stream-ending.ts
+++ b/src/entry/stream-ending.ts
@@ -71,6 +71,27 @@
     });
   }
 
+  /**
+   * Ends the request with the response of a peer that it was passed on to.
+   *
+   * @param localResponse - A response that the peer created itself.
+   */
+  sendPeerResponse(localResponse: LocalResponse): string {
+    return this.#sendLocalResponse(
+      localResponse.status === 503 ? 'refused' : 'broken',
+      localResponse,
+    );
+  }
+
+  /** Ends a request whose peer was lost while it served it. */
+  sendPeerLost(): string {
+    return this.#sendLocalResponse('broken', {
+      status: 502,
+      code: 'peer_lost',
+      message: 'The instance that served the request was lost; it may have run.',
+    });
+  }
+
   /** Ends a request whose deadline has passed or whose caller has left. */
   sendTimeout(): string {
     const reason = getAbortReason(this.#options.request.signal) ?? 'deadline';
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -166,6 +166,28 @@
     return { kind: 'completed' };
   }
 
+  /**
+   * Relays an answer that a peer got for the request.
+   *
+   * @throws Error when the peer's response is incomplete.
+   */
+  async relayFromPeer(peerResponse: IncomingMessage, status: number): Promise<AttemptResult> {
+    if (status >= 300) return this.#relayFailure(peerResponse, status);
+    const { caller } = this.#options;
+    const splitter = new EventSplitter(caller.lastEventId);
+    for await (const chunk of readChunks(peerResponse)) {
+      const events = splitter.push(chunk);
+      if (events.bytes.length > 0) {
+        this.#startResponse(peerResponse, status);
+        await caller.write(events.bytes, events.lastEventId);
+      }
+    }
+    if (!peerResponse.complete || !splitter.isBetweenEvents)
+      throw new HttpRequestError('answering', 'The peer broke the event stream off.');
+    this.#startResponse(peerResponse, status);
+    return { kind: 'completed' };
+  }
+
   /**
    * Checks that a stream has ended and was not cut off. A stream that its connection delimits looks the same
    * when its engine ends between two events, so that the engine is asked then.
--- a/src/entry/stream-runs.ts
+++ b/src/entry/stream-runs.ts
@@ -31,6 +31,11 @@
     this.#runs.push({ processKey, hadEvents });
   }
 
+  /** Processes of the servers that may have run the request. */
+  get processKeys(): string[] {
+    return [...new Set(this.#runs.map(({ processKey }) => processKey))];
+  }
+
   /** Number of attempts that may have run. */
   get total(): number {
     return this.#runs.length;
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -30,6 +30,7 @@
     dataCentreLoads: () => ({ engine: [7, 300] }),
     onRecord: () => undefined,
     onRecords: () => undefined,
+    relay: { header: 'relayed', serve: (_, response) => response.destroy() },
     documents: {},
     log: createSilentLogger(),
     signal: controller.signal,
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -35,6 +35,11 @@
    * answered with 404.
    */
   readonly documents: Readonly<Record<string, (query: URLSearchParams) => unknown>>;
+  /** Takes requests of callers that a peer passes on; they carry this header. */
+  readonly relay: {
+    readonly header: string;
+    readonly serve: (incoming: http.IncomingMessage, response: http.ServerResponse) => void;
+  };
   readonly log: Logger;
   readonly signal: AbortSignal;
 }
@@ -81,6 +86,8 @@
 const PROBE_PROBABILITY = 0.3;
 const EXCHANGE_TIMEOUT_MILLISECONDS = 400;
 const DOCUMENT_TIMEOUT_MILLISECONDS = 1000;
+/** More than the longest head that instances accept from callers. */
+const MAXIMUM_HEADER_BYTES = 96 * 1024;
 
 export class Gossip {
   readonly #options: GossipOptions;
@@ -97,9 +104,15 @@
 
   /** Starts the HTTP server that answers peers; rejects if the address cannot be bound. */
   async listen(): Promise<void> {
-    const server = http.createServer((request, response) => {
-      void this.#handleRequest(request, response);
-    });
+    const { relay } = this.#options;
+    const server = http.createServer(
+      { maxHeaderSize: MAXIMUM_HEADER_BYTES },
+      (request, response) => {
+        if (request.headers[relay.header] === undefined)
+          void this.#handleRequest(request, response);
+        else relay.serve(request, response);
+      },
+    );
     server.keepAliveTimeout = 30_000;
     this.#server = server;
     const { host, port } = this.#options.address;
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -31,6 +31,8 @@
   isStoreReachable: z.boolean(),
   /** Whether it has lost its links to all backend servers. Absent in records of older builds. */
   isCutFromServers: z.boolean().optional(),
+  /** Whether it serves requests that peers pass on. Absent in records of older builds, which don't. */
+  acceptsRequests: z.boolean().optional(),
   /** Ids of the backend servers that it has ejected. */
   suspects: z.array(z.string()),
   /** For each of them when, on the clock of `clock`, and why. Absent in records of older builds. */
--- a/tools/link-faults.ts
+++ b/tools/link-faults.ts
@@ -43,7 +43,7 @@
 }
 
 const CONNECT_IN_CUT: Readonly<Record<CutMode, (socket: net.Socket) => unknown>> = {
-  silent: (socket) => Object.assign(socket, { connecting: true }),
+  silent: () => undefined,
   reset: (socket) => process.nextTick(() => socket.destroy(createError('ECONNRESET'))),
   refused: (socket) => process.nextTick(() => socket.destroy(createError('ECONNREFUSED'))),
 };
@@ -70,7 +70,7 @@
   remember(port, this);
   const mode = cutPorts.get(port);
   if (mode === undefined) return connect.apply(this, parameters);
-  CONNECT_IN_CUT[mode](this);
+  CONNECT_IN_CUT[mode](Object.assign(this, { connecting: true }));
   return this;
 }
 
