Keep to what servers say of themselves: that they leave, that they want a pause

Both are new words of servers in their answers (DRAIN, BUDGET) and were read nowhere: a server whose entry stays "ready" went on getting requests after it had said that it leaves, and one that refused with a time got the next request after this instance's own guess of 150 to 1,200 ms (streams) or at once (calls). Calls, first and later stages, retries, reroutes, orders, health checks and reports of speed ask it. A process that leaves isn't listed any more, also when its entry comes back from an older copy; a new process under the id is. Where all are closed, requests are refused at once with the time at which the first has room, at most 2 s since pauses speak of one instance, spread by half of it. Peers are told who leaves (record field `leaving`, optional) and prefer other servers. Not decoded: the words in answers to health checks and reports; an instance that got an answer through a peer learns only by the peer's record.

--- a/src/daemon/server-health.ts
+++ b/src/daemon/server-health.ts
@@ -5,6 +5,7 @@
 import type { EndCheck } from '../fleet/end-check.js';
 import { checkHealth } from '../fleet/health-check.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
+import { getAvailability } from '../fleet/server-availability.js';
 import type { ServerLimits } from '../fleet/server-limits.js';
 
 /** Options of {@link ServerHealth}. */
@@ -38,8 +39,9 @@
 
   async #checkServer(id: string): Promise<void> {
     const { fleet, outlierEjection, endCheck, configuration } = this.#options;
-    const entry = fleet.find(id)?.entry;
-    if (!entry) return;
+    const server = fleet.find(id);
+    if (!server || getAvailability(server, performance.now()) === 'closed') return;
+    const { entry } = server;
     const path = configuration.current?.services.get(entry.service)?.healthPath;
     const health = await checkHealth(entry.address, path ?? DEFAULT_HEALTH_PATH);
     if (health === 'refused') await endCheck.recordRefusal(entry, 'a health check was refused');
--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -1,5 +1,6 @@
 /** Selects chains of engines for one streaming request and reserves its work at their engines. */
 import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
+import { getAvailability } from '../fleet/server-availability.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import type { Chain, ChainCandidate, ChainStage } from '../layers/chain-choice.js';
 import { chooseChainByObjectives } from '../layers/objective-choice.js';
@@ -121,9 +122,14 @@
     fleet.listForService(this.#request.service.name).forEach((server) => {
       const { id, kind } = server.entry;
       const layers = getHeldLayers(server);
-      const isExcludedAsFull = server.fullUntil > now && !canUseFull;
+      const availability = getAvailability(server, now);
+      const isExcludedAsFull = availability === 'avoided' && !canUseFull;
       const isExcludedAsAvoided = this.avoidedEngineIds.has(id) && !canUseAvoided;
-      const isExcluded = isExcludedAsAvoided || outlierEjection.isEjected(id) || isExcludedAsFull;
+      const isExcluded =
+        availability === 'closed' ||
+        isExcludedAsAvoided ||
+        outlierEjection.isEjected(id) ||
+        isExcludedAsFull;
       if (!layers || (isExcluded && id !== pinnedStage?.engine.id)) return;
       candidates.push({
         id,
--- a/src/entry/protocol-adapter.ts
+++ b/src/entry/protocol-adapter.ts
@@ -60,8 +60,12 @@
   readonly load: { readonly running: number; readonly waiting: number } | undefined;
   /** Requests per second that the server takes from all instances together; undefined if any number. */
   readonly requestsPerSecond: number | undefined;
-  /** A limit that can't be read; it says nothing. */
-  readonly malformedLimit: string | undefined;
+  /** Whether the server says that it leaves and wants no further request. */
+  readonly isLeaving: boolean;
+  /** For how long the server wants no request from this instance; undefined if it doesn't say. */
+  readonly pauseMilliseconds: number | undefined;
+  /** What the server says of itself but can't be read; it says nothing. Shortened, by what it is about. */
+  readonly malformed: Readonly<Partial<Record<'limit' | 'leaving' | 'pause', string>>>;
   /** Whether the body has a content encoding, so that it was altered on the way. */
   readonly isEncoded: boolean;
 }
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -10,6 +10,8 @@
 } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
+import { findExpectedRoom } from '../fleet/expected-room.js';
+import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { sendRelayedRequest } from './relay-request.js';
 import { assertOwnResponse } from './response-origin.js';
@@ -146,11 +148,14 @@
     const servers = fleet
       .listForService(this.#request.service.name)
       .filter(({ entry }) => !this.#triedServerIds.has(entry.id))
-      .filter(({ entry }) => serverLimits.hasRoom(entry.id));
+      .filter(({ entry }) => serverLimits.hasRoom(entry.id))
+      .filter((server) => getAvailability(server, performance.now()) !== 'closed');
     const notEjected = servers.filter(({ entry }) => !outlierEjection.isEjected(entry.id));
     // When all are ejected, a request that may be repeated is still tried on one of them.
-    const eligible =
+    const reachable =
       notEjected.length > 0 || !isIdempotent(this.#request.route) ? notEjected : servers;
+    const staying = reachable.filter(({ isLeavingByPeer }) => !isLeavingByPeer);
+    const eligible = staying.length > 0 ? staying : reachable;
     let best: FleetServer | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     eligible.forEach((server) => {
@@ -353,17 +358,18 @@
 
   #refuseWithoutServer(): string {
     const { fleet, serverLimits, outlierEjection, logs } = this.#context;
-    const ids = fleet.listForService(this.#request.service.name).map(({ entry }) => entry.id);
+    const servers = fleet.listForService(this.#request.service.name);
+    const room = findExpectedRoom({ servers, serverLimits, now: performance.now() });
     logs('routing').info('No backend server can be used.', {
       requestId: this.#request.metadata.requestId,
-      servers: ids.length,
+      servers: servers.length,
+      expectedRoom: room,
       ejections: outlierEjection.counts,
       fleetRevision: fleet.revision,
     });
-    const roomInMilliseconds = serverLimits.firstRoomInMilliseconds(ids);
-    return roomInMilliseconds === undefined
-      ? this.#sendRefusal('no_server', RETRY_AFTER_NO_SERVER_SECONDS)
-      : this.#sendRefusal('servers_limited', roomInMilliseconds / 1000);
+    return room
+      ? this.#sendRefusal(room.code, room.seconds)
+      : this.#sendRefusal('no_server', RETRY_AFTER_NO_SERVER_SECONDS);
   }
 
   #sendUnknownOutcome(): string {
--- a/src/entry/relay-request.ts
+++ b/src/entry/relay-request.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage } from 'node:http';
 import { formatAddress } from '../common/address.js';
 import { HttpRequestError } from '../common/http-client.js';
-import type { ServerEntry } from '../fleet/server-entry.js';
+import { recordPause } from '../fleet/server-availability.js';
+import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { sendBackendRequest, type BackendRequest } from './backend-request.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
@@ -30,6 +31,7 @@
 const FIRST_LOGGED_STATUS = 300;
 /** Another server answers at the address. */
 const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
 /** The least urgent of the ten degrees that backend servers know. */
 const LEAST_URGENT = 9;
 
@@ -50,22 +52,32 @@
   });
 }
 
-/** Notes the limit that a server names, in an answer that is its own. */
-function recordLimit(
-  { serverLimits, logs }: EntryContext,
+/** Notes what a server says of itself in an answer that is its own. */
+function recordStatements(
+  { serverLimits, fleet, logs }: EntryContext,
   requestId: string,
-  { id }: ServerEntry,
+  entry: ServerEntry,
   { status, metadata }: RelayedResponse,
 ): void {
+  const { id } = entry;
   const isOwn = metadata.requestId === requestId || metadata.isNotExecuted;
-  if (!isOwn || status === MISDIRECTED) return;
-  if (metadata.malformedLimit === undefined)
-    serverLimits.recordAnswer(id, metadata.requestsPerSecond);
-  else
-    logs('routing').warn('Backend server named a limit that is no number; ignored.', {
+  const registered = fleet.find(id);
+  const isSameProcess =
+    registered !== undefined && getProcessKey(registered.entry) === getProcessKey(entry);
+  if (!isOwn || status === MISDIRECTED || !isSameProcess) return;
+  const log = logs('routing');
+  const { malformed, requestsPerSecond, isLeaving, pauseMilliseconds } = metadata;
+  if (malformed.limit === undefined) serverLimits.recordAnswer(id, requestsPerSecond);
+  if (isLeaving) fleet.recordLeaving(entry);
+  if (status === UNAVAILABLE && pauseMilliseconds !== undefined) {
+    recordPause(registered, performance.now() + pauseMilliseconds);
+    log.info('Backend server asks for a pause.', { requestId, server: id, pauseMilliseconds });
+  }
+  if (Object.keys(malformed).length > 0)
+    log.warn('Backend server says something of itself that cannot be read; ignored.', {
       requestId,
       server: id,
-      limit: metadata.malformedLimit,
+      ...malformed,
     });
 }
 
@@ -126,7 +138,7 @@
     status,
     metadata: protocol.parseResponseHeaders(message.headers, status),
   };
-  recordLimit(context, metadata.requestId, server, response);
+  recordStatements(context, metadata.requestId, server, response);
   if (status >= FIRST_LOGGED_STATUS) logFailure(context, metadata.requestId, server, response);
   return response;
 }
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -5,6 +5,7 @@
 import { sleep } from '../common/clock.js';
 import { getErrorMessage } from '../common/http-client.js';
 import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
+import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { CallerStream } from './caller-stream.js';
 import { ChainSelector, type EngineChain } from './chain-selector.js';
@@ -241,14 +242,13 @@
 
   #endWithoutChain(): string {
     const { fleet, serverLimits } = this.#context;
-    const firstEngineIds = fleet
+    const servers = fleet
       .listForService(this.#request.service.name)
-      .filter((server) => getHeldLayers(server)?.from === 0)
-      .map(({ entry }) => entry.id);
-    const roomInMilliseconds = serverLimits.firstRoomInMilliseconds(firstEngineIds);
-    return roomInMilliseconds === undefined
-      ? this.#ending.sendFailure('no_chain')
-      : this.#ending.sendFailure('servers_limited', roomInMilliseconds / 1000);
+      .filter((server) => getHeldLayers(server)?.from === 0);
+    const room = findExpectedRoom({ servers, serverLimits, now: performance.now() });
+    return room
+      ? this.#ending.sendFailure(room.code, room.seconds)
+      : this.#ending.sendFailure('no_chain');
   }
 
   /** Sends the request over a chain, watching for stalls until the attempt ends. */
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -11,6 +11,7 @@
 } from '../common/http-client.js';
 import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
 import type { EndCheck } from '../fleet/end-check.js';
+import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import type { ServerReach } from '../fleet/server-reach.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
@@ -164,7 +165,10 @@
     this.#options.fleet.servers.forEach((server) => {
       if (server.ownSlowdownFactor > 1) engines.set(server.entry.id, server);
     });
-    await Promise.all([...engines.values()].map((server) => this.#refreshSlowdownFactor(server)));
+    const asked = [...engines.values()].filter(
+      (server) => getAvailability(server, now) !== 'closed',
+    );
+    await Promise.all(asked.map((server) => this.#refreshSlowdownFactor(server)));
   }
 
   /** Whether a report may be requested now; if so, starts the interval until the next one. */
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -9,7 +9,8 @@
   isConnectionLost,
   isConnectionRefused,
 } from '../common/http-client.js';
-import { recordAcceptance, recordRefusal, type FleetServer } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/backend-fleet.js';
+import { recordAcceptance, recordRefusal } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { isBodyDelimited, readAnswer, readChunks } from './backend-request.js';
 import type { CallerStream } from './caller-stream.js';
--- a/src/fleet/backend-fleet.test.ts
+++ b/src/fleet/backend-fleet.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { createSilentLogger } from '../telemetry/log.js';
-import { BackendFleet, getHeldLayers, recordRefusal } from './backend-fleet.js';
+import { BackendFleet, getHeldLayers } from './backend-fleet.js';
+import { recordRefusal } from './server-availability.js';
 import { getProcessKey, type ServerEntry } from './server-entry.js';
 
 function createEntry(id: string, port: number, incarnation?: string): ServerEntry {
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -37,6 +37,10 @@
   peerLayerReport: LayerReport | undefined;
   /** Until when it is assumed to have no capacity, because it has refused a request. */
   fullUntil: number;
+  /** Until when it wants no requests from this instance, as it has said. */
+  pausedUntil: number;
+  /** Whether it has told a peer that it leaves. */
+  isLeavingByPeer: boolean;
   /** When the current run of refusals began; undefined if it accepted the last request. */
   refusingSince: number | undefined;
   /** Number of requests refused since it last accepted one. */
@@ -62,6 +66,8 @@
   ownLayerReport: undefined,
   peerLayerReport: undefined,
   fullUntil: 0,
+  pausedUntil: 0,
+  isLeavingByPeer: false,
   refusingSince: undefined,
   consecutiveRefusals: 0,
 } satisfies Partial<FleetServer>;
@@ -73,13 +79,10 @@
 
 /** Ended processes that are remembered; far more than may run one request. */
 const MAXIMUM_ENDED_PROCESSES = 1000;
+const MAXIMUM_LEAVING_PROCESSES = 1000;
 
 /** After this long an engine's registry entry shows the reported layers. */
 const LAYER_REPORT_MAX_AGE_MILLISECONDS = 6000;
-/** How long a server is assumed to be full; doubles with each consecutive refusal. */
-const INITIAL_FULL_PAUSE_MILLISECONDS = 150;
-const MAXIMUM_FULL_PAUSE_MILLISECONDS = 1200;
-
 /**
  * Returns the layers that an engine holds.
  *
@@ -98,33 +101,6 @@
   return newest.layers;
 }
 
-/**
- * Records that a server refused a request because it is full or leaving.
- *
- * @param server - The server, changed in place.
- * @param now - Current time on the monotonic clock, in milliseconds.
- */
-export function recordRefusal(server: FleetServer, now: number): void {
-  const pause = Math.min(
-    MAXIMUM_FULL_PAUSE_MILLISECONDS,
-    INITIAL_FULL_PAUSE_MILLISECONDS * 2 ** server.consecutiveRefusals,
-  );
-  server.consecutiveRefusals += 1;
-  server.refusingSince ??= now;
-  server.fullUntil = now + pause;
-}
-
-/**
- * Records that a server accepted a request.
- *
- * @param server - The server, changed in place.
- */
-export function recordAcceptance(server: FleetServer): void {
-  server.consecutiveRefusals = 0;
-  server.refusingSince = undefined;
-  server.fullUntil = 0;
-}
-
 export class BackendFleet {
   readonly #servers = new Map<string, FleetServer>();
 
@@ -145,6 +121,12 @@
   /** Keys of processes that are shown to have ended, also when they are no longer registered. */
   readonly #endedProcesses = new LruMap<string, true>(MAXIMUM_ENDED_PROCESSES);
 
+  /**
+   * Keys of processes that have told this instance that they leave. They outlast their entries, which may
+   * come back from an older copy of the store.
+   */
+  readonly #leavingProcesses = new LruMap<string, true>(MAXIMUM_LEAVING_PROCESSES);
+
   constructor(options: BackendFleetOptions) {
     this.#log = options.log;
     this.#onEnded = options.onEnded ?? (() => undefined);
@@ -169,6 +151,29 @@
     this.#onEnded(processKey);
   }
 
+  /**
+   * Notes that a server has said in an answer that it leaves; that process gets no new request.
+   *
+   * @param entry - The entry of that process.
+   */
+  recordLeaving(entry: ServerEntry): void {
+    const processKey = getProcessKey(entry);
+    if (this.#leavingProcesses.get(processKey)) return;
+    this.#leavingProcesses.set(processKey, true);
+    const { id, incarnation } = entry;
+    this.#log.info('Backend server says that it leaves.', {
+      id,
+      incarnation,
+      revision: this.revision,
+    });
+  }
+
+  /** Keys of registered processes that have told this instance that they leave. */
+  get leavingProcessKeys(): string[] {
+    const keys = this.servers.map(({ entry }) => getProcessKey(entry));
+    return keys.filter((key) => this.#leavingProcesses.get(key) === true);
+  }
+
   /** Withdraws {@link recordEnd}, since the process has answered. */
   recordLife(entry: ServerEntry): void {
     this.#endedProcesses.delete(getProcessKey(entry));
@@ -212,13 +217,18 @@
   }
 
   /**
-   * Lists the servers of a service that are not leaving.
+   * Lists the servers of a service that are not leaving, by their entries or by their own word.
    *
    * @param service - Name of the service.
    * @returns The servers, ejected and full ones included.
    */
   listForService(service: string): FleetServer[] {
-    return this.servers.filter(({ entry }) => entry.service === service && !entry.isLeaving);
+    return this.servers.filter(
+      ({ entry }) =>
+        entry.service === service &&
+        !entry.isLeaving &&
+        this.#leavingProcesses.get(getProcessKey(entry)) === undefined,
+    );
   }
 
   /**
--- a/src/fleet/server-limits.test.ts
+++ b/src/fleet/server-limits.test.ts
@@ -81,8 +81,6 @@
   assert.ok(limits.hasRoom('server'));
   limits.recordAnswer('server', 3);
   assert.equal(limits.roomInMilliseconds('server'), 3000);
-  assert.equal(limits.firstRoomInMilliseconds(['server']), 2000);
-  assert.equal(limits.firstRoomInMilliseconds(['server', 'other']), undefined);
   clock.now += 3000;
   assert.ok(limits.hasRoom('server'));
 });
--- a/src/fleet/server-limits.ts
+++ b/src/fleet/server-limits.ts
@@ -65,9 +65,6 @@
 const PROBE_INTERVAL_MILLISECONDS = 2000;
 const MAXIMUM_UNCONFIRMED_STEPS = 15;
 const MAXIMUM_SENT_TIMES = 10_000;
-/** Other instances may have room sooner, and callers come back to any. */
-const MAXIMUM_RETRY_MILLISECONDS = 2000;
-const MINIMUM_RETRY_MILLISECONDS = 100;
 /** Ranks are hashes over all peers; within this time they are not computed again. */
 const PLACE_LIFETIME_MILLISECONDS = 500;
 
@@ -168,18 +165,6 @@
     return Math.max(1, (sent.at(-ownPart) ?? now) + window - now);
   }
 
-  /**
-   * Returns when the first of some servers has room, where limits leave room at none now.
-   *
-   * @param ids - Ids of the servers.
-   * @returns Milliseconds; undefined if one has room now, or there is none.
-   */
-  firstRoomInMilliseconds(ids: readonly string[]): number | undefined {
-    const first = Math.min(...ids.map((id) => this.roomInMilliseconds(id)));
-    if (first === 0 || !Number.isFinite(first)) return undefined;
-    return Math.min(MAXIMUM_RETRY_MILLISECONDS, Math.max(MINIMUM_RETRY_MILLISECONDS, first));
-  }
-
   /** Discards what is known of a server, since it is gone or another process has its id now. */
   forget(id: string): void {
     this.#servers.delete(id);
--- a/src/fleet/server-observations.ts
+++ b/src/fleet/server-observations.ts
@@ -4,9 +4,10 @@
  */
 import type { PeerRecord, ServerLoads } from '../gossip/peer-record.js';
 import type { BackendFleet } from './backend-fleet.js';
+import { getProcessKey } from './server-entry.js';
 
 /** The fields of an instance's record that describe backend servers. */
-export type ServerObservations = Pick<PeerRecord, 'loads' | 'paces' | 'holdings'>;
+export type ServerObservations = Pick<PeerRecord, 'loads' | 'paces' | 'holdings' | 'leaving'>;
 
 /**
  * A layer report is shared with peers for this long; by then the registry entry shows the layers.
@@ -25,7 +26,12 @@
  *   load of 0 or a normal speed, are left out.
  */
 export function collectServerObservations(fleet: BackendFleet): ServerObservations {
-  const observations: ServerObservations = { loads: {}, paces: {}, holdings: {} };
+  const observations: ServerObservations = {
+    loads: {},
+    paces: {},
+    holdings: {},
+    leaving: fleet.leavingProcessKeys,
+  };
   const oldest = performance.now() - LAYER_REPORT_SHARED_MILLISECONDS;
   fleet.servers.forEach(({ entry: { id }, ownLoad, ownSlowdownFactor, ownLayerReport }) => {
     if (ownLayerReport && ownLayerReport.reportedAt > oldest) {
@@ -93,7 +99,8 @@
 
 /**
  * Replaces what the servers hold of the peers' observations: the sum of the loads, the highest
- * slowdown factor and the reported layers.
+ * slowdown factor, the reported layers and
+ * whether a server leaves.
  *
  * @param fleet - The registered servers, changed in place.
  * @param peers - Records of the peers that are alive.
@@ -109,7 +116,14 @@
     server.peerLoad.requests = 0;
     server.peerLoad.reservedTokenLayers = 0;
     server.peerSlowdownFactor = 1;
+    server.isLeavingByPeer = false;
   });
+  const leaving = new Set(peers.flatMap((peer) => peer.leaving ?? []));
+  servers
+    .filter(({ entry }) => leaving.has(getProcessKey(entry)))
+    .forEach((server) => {
+      server.isLeavingByPeer = true;
+    });
   const now = performance.now();
   const totalLoads: ServerLoads = {};
   remoteLoads.forEach((loads) => addLoads(totalLoads, loads));
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -33,6 +33,8 @@
   isCutFromServers: z.boolean().optional(),
   /** Whether it serves requests that peers pass on. Absent in records of older builds, which don't. */
   acceptsRequests: z.boolean().optional(),
+  /** Processes of backend servers that told it that they leave. Absent in records of older builds. */
+  leaving: z.array(z.string()).optional(),
   /** Ids of the backend servers that it has ejected. */
   suspects: z.array(z.string()),
   /** For each of them when, on the clock of `clock`, and why. Absent in records of older builds. */
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -9,6 +9,7 @@
 import type { EntryMetrics } from '../entry/entry-metrics.js';
 import type { EngineProfile } from '../entry/serving-configuration.js';
 import { getHeldLayers, type BackendFleet, type FleetServer } from '../fleet/backend-fleet.js';
+import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type LayerRange } from '../fleet/server-entry.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
@@ -262,6 +263,10 @@
     const { id, address, kind } = server.entry;
     const processKey = getProcessKey(server.entry);
     if (layers.to - layers.from > maximumLayerCount(profile, kind)) return;
+    if (getAvailability(server, performance.now()) === 'closed') {
+      this.#busyUntil.set(processKey, server.pausedUntil);
+      return;
+    }
     const layerCount = layers.to - layers.from;
     const loadMilliseconds = (profile.loadMilliseconds * layerCount) / profile.layerCount;
     const expiresAt = performance.now() + 2 * loadMilliseconds + ORDER_MARGIN_MILLISECONDS;
--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -57,6 +57,10 @@
   restartMilliseconds: number | undefined;
   /** What it names as `Server-Limit` in all its answers to callers' requests. */
   namedLimit: string | undefined;
+  /** Says in all its answers to callers' requests that it leaves, as its entry may or may not. */
+  saysThatItLeaves: boolean;
+  /** The `Retry-After` of its refusals. */
+  namedPause: string | undefined;
   /** Ends in order, as a process that exits does, after this many events of a stream. */
   closesBetweenEvents: number;
   /** Withdraws its entry from the store when it has begun a stream, and goes on serving. */
@@ -105,6 +109,8 @@
     eventsBeforeCrash: 0,
     restartMilliseconds: undefined,
     namedLimit: undefined,
+    saysThatItLeaves: false,
+    namedPause: undefined,
     closesBetweenEvents: Number.POSITIVE_INFINITY,
     unregistersWhileRunning: false,
   };
@@ -204,10 +210,12 @@
 
   async #handleRequest(request: StandInRequest): Promise<void> {
     const { path, response, headers } = request;
-    const { namedLimit } = this.faults;
+    const { namedLimit, namedPause, saysThatItLeaves, refusesAll } = this.faults;
     if (headers['request-id'] !== undefined) {
       this.arrivals.push(performance.now());
       if (namedLimit !== undefined) response.setHeader('server-limit', namedLimit);
+      if (saysThatItLeaves) response.setHeader('server-leaving', '1');
+      if (refusesAll && namedPause !== undefined) response.setHeader('retry-after', namedPause);
     }
     if (this.faults.neverAnswers) {
       await new Promise<void>((resolve) => {
@@ -220,7 +228,7 @@
     else if (path === '/order') this.#handleOrder(request);
     else if (headers['expect-instance'] !== this.#options.id) {
       response.writeHead(421, { 'instance-id': this.#options.id }).end();
-    } else if (this.faults.refusesAll) {
+    } else if (refusesAll) {
       response.writeHead(503, { 'not-executed': '1', 'at-server': this.address }).end();
     } else if (this.faults.unsignedStatus > 0) {
       const { unsignedStatus: status } = this.faults;
@@ -296,6 +304,16 @@
     await this.#endProcess();
     if (restartMilliseconds === undefined) return;
     await sleep(restartMilliseconds);
+    await this.#startAgain();
+  }
+
+  /** Ends the process and starts another one under the same id. */
+  async restart(): Promise<void> {
+    await this.#endProcess();
+    await this.#startAgain();
+  }
+
+  async #startAgain(): Promise<void> {
     if (!this.#mayRestart) return;
     this.#isClosed = false;
     this.#born += 1;
