Plan all data centres together where none can hold the model

Where each data centre had lost so many engines that none could hold the model by itself, a layer that no engine held stayed so until new engines came, whatever memory the others had: every stream was refused (no_chain). Each data centre is planned by itself, and a plan that can't hold every layer there changed nothing; besides, a move was held back for a layer that only another data centre held. Now, where a layer would be held by no engine at all, the engines of all data centres are planned as one group, with room for KV cache if that suffices; and a data centre that lacks layers anyway relies on the others' in the check for changes that uncover layers, which is a module of its own now.

--- a/src/layers/coverage-plan.test.ts
+++ b/src/layers/coverage-plan.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { ENGINE_PROFILE as PROFILE } from '../../tools/engine-profile.js';
+import { createRandom } from '../../tools/random.js';
 import type { LayerRange } from '../fleet/server-entry.js';
 import { findUncoveredRanges, planCoverage, type PlannedEngine } from './coverage-plan.js';
 import { cacheCapacityTokenLayers, maximumLayerCount } from './engine-estimates.js';
@@ -122,6 +123,39 @@
   );
 });
 
+// Each data centre was repaired by itself, and where none could hold the model the gap stayed open.
+test('plan: layers that no data centre can add are placed, whatever remains of the fleet', () => {
+  const kinds = fc.array(fc.constantFrom('large', 'middle', 'small'), {
+    minLength: 4,
+    maxLength: 9,
+  });
+  const sites = fc.array(kinds, { minLength: 2, maxLength: 5 });
+  fc.assert(
+    fc.property(
+      sites,
+      fc.integer(),
+      fc.double({ min: 0, max: 0.6, noNaN: true }),
+      (drawn, seed, lostShare) => {
+        const fleet = drawn.flatMap((group, site) =>
+          group.map((kind, index) =>
+            engine(index, { id: `s${site}-${index}`, dataCentre: `site-${site}`, kind }),
+          ),
+        );
+        const placed = apply(fleet, planCoverage(fleet, PROFILE, true));
+        const random = createRandom(seed).next;
+        const left = placed
+          .filter(() => random() >= lostShare)
+          .map((each) => ({ ...each, isInUse: true }));
+        const room = left.reduce((sum, { kind }) => sum + maximumLayerCount(PROFILE, kind), 0);
+        fc.pre(room >= PROFILE.layerCount && left.every(({ layers }) => layers !== undefined));
+        const repaired = apply(left, planCoverage(left, PROFILE, false));
+        assert.deepEqual(findUncoveredRanges(rangesOf(repaired), PROFILE.layerCount), []);
+      },
+    ),
+    { seed: 53, numRuns: 200 },
+  );
+});
+
 test('plan: an engine that is carrying out an order keeps its layers', () => {
   const [first, second, third, ...others] = PLACED;
   assert.ok(first && second && third);
--- a/src/layers/coverage-plan.ts
+++ b/src/layers/coverage-plan.ts
@@ -3,8 +3,9 @@
  * layer, if their memory suffices, and each keeps KV cache for as many requests as it has slots.
  * Layers that one data centre cannot hold are left to the others. Handles an empty fleet, which is
  * planned from scratch; the loss of an engine, whose layers the engines next to it take over as far
- * as their memory allows; and new engines without layers, which get the layers for which the least
- * KV cache exists.
+ * as their memory allows; the loss of engines in all data centres, none of which can then hold the
+ * model by itself; and new engines without layers, which get the layers for which the least KV cache
+ * exists.
  */
 import type { EngineProfile } from '../entry/serving-configuration.js';
 import type { LayerRange } from '../fleet/server-entry.js';
@@ -393,10 +394,27 @@
   return new Map(plans.flatMap((plan) => [...plan]));
 }
 
+/**
+ * Plans the engines of all data centres as one group, whose chains cross between data centres.
+ *
+ * @param layerLimits - Tried in turn until every layer is held.
+ */
+function planTogether(
+  engines: readonly PlannedEngine[],
+  profile: EngineProfile,
+  layerLimits: readonly LayerLimit[],
+): Map<string, LayerRange> {
+  const plans = layerLimits.map((limit) => planDataCentre(engines, profile, false, limit));
+  const whole = plans.find(
+    (plan) => findUncoveredRanges([...plan.values()], profile.layerCount).length === 0,
+  );
+  return whole ?? plans.at(-1) ?? new Map<string, LayerRange>();
+}
+
 /**
  * Plans the layer ranges of a service's engines. First tries to leave each engine a minimum of KV
  * cache; if some layer would then be held by no engine in any data centre, plans again with the
- * memory as the only limit.
+ * memory as the only limit, and if that isn't enough either, all data centres together.
  *
  * @param engines - The service's engines, without lost and leaving ones.
  * @param profile - The service's profile.
@@ -424,6 +442,11 @@
   if (findUncoveredRanges([...planned.values()], profile.layerCount).length > 0) {
     const limitByMemory: LayerLimit = ({ kind }) => maximumLayerCount(profile, kind);
     planned = planDataCentres([...groups.values()], profile, isIdle, limitByMemory);
+    if (findUncoveredRanges([...planned.values()], profile.layerCount).length > 0)
+      planned = planTogether([...groups.values()].flat(), profile, [
+        limitWithCacheReserve,
+        limitByMemory,
+      ]);
   }
   const changes = new Map<string, LayerRange>();
   engines.forEach(({ id, layers }) => {
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -15,6 +15,7 @@
 import type { Logger } from '../telemetry/log.js';
 import { isEngineLost } from './engine-loss.js';
 import { maximumLayerCount } from './engine-estimates.js';
+import { wouldUncoverLayers, type LayerHolder } from './coverage-guard.js';
 import { planCoverage, type PlannedEngine } from './coverage-plan.js';
 import { PeakDemand } from './peak-demand.js';
 import type { LeaseState, PlannerLease } from './planner-lease.js';
@@ -181,8 +182,9 @@
     const isEmpty = engines.every(({ layers }) => layers === undefined);
     const isSettled = this.#trackEngineSet(service, engines) >= SETTLE_MILLISECONDS;
     if ((isEmpty || isIdle) && !isSettled) return;
+    const holders = this.#listHolders(service);
     const plan = [...planCoverage(engines, profile, isIdle)].filter(
-      ([id, range]) => isIdle || !this.#wouldUncoverLayers(id, range, service),
+      ([id, layers]) => isIdle || !wouldUncoverLayers({ id, layers }, holders, profile.layerCount),
     );
     if (plan.length === 0) return;
     const { lease, isHolderGone, log } = this.#options;
@@ -203,22 +205,16 @@
     );
   }
 
-  /** Whether a change would drop layers that no other engine of the data centre holds yet. */
-  #wouldUncoverLayers(id: string, range: LayerRange, service: string): boolean {
-    const server = this.#options.fleet.find(id);
-    const currentLayers = server && getHeldLayers(server);
-    if (!currentLayers) return false;
-    const otherRanges = this.#options.fleet
+  /** Lists a service's engines, without lost ones, with the layers that they hold now. */
+  #listHolders(service: string): LayerHolder[] {
+    return this.#options.fleet
       .listForService(service)
-      .filter((other) => other.entry.id !== id && !this.#isLost(other))
-      .filter(({ entry }) => entry.dataCentre === server.entry.dataCentre)
-      .flatMap((other) => getHeldLayers(other) ?? []);
-    for (let layer = currentLayers.from; layer < currentLayers.to; layer += 1) {
-      const isKept = range.from <= layer && layer < range.to;
-      const isHeldElsewhere = otherRanges.some(({ from, to }) => from <= layer && layer < to);
-      if (!isKept && !isHeldElsewhere) return true;
-    }
-    return false;
+      .filter((server) => !this.#isLost(server))
+      .map((server) => ({
+        id: server.entry.id,
+        dataCentre: server.entry.dataCentre,
+        layers: getHeldLayers(server),
+      }));
   }
 
   /** Reads an engine's reports until it has carried out an order or the order expires. */
