--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -15,25 +15,13 @@
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { sendRelayedRequest } from './relay-request.js';
 import { assertOwnResponse } from './response-origin.js';
-import {
-  appendHeaders,
-  getEndToEndHeaders,
-  sendLocalResponse,
-  type LocalResponse,
-} from './entry-response.js';
+import { CallEnding, type BufferedResponse } from './call-ending.js';
+import { getEndToEndHeaders } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
-import { getAbortReason, isIdempotent, type EntryRequest } from './entry-request.js';
+import { isIdempotent, type EntryRequest } from './entry-request.js';
 import { readAnswer } from './backend-request.js';
 import type { PeerAnswer } from './peer-relay.js';
 
-/** A backend server's response, read completely. */
-interface BufferedResponse {
-  readonly status: number;
-  /** Alternating names and values. */
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-}
-
 /** The result of one attempt. */
 type AttemptResult =
   | { readonly kind: 'answered'; readonly response: BufferedResponse }
@@ -61,6 +49,8 @@
 
   readonly #request: EntryRequest;
 
+  readonly #ending: CallEnding;
+
   /** Backend servers that are not tried again for this call. */
   readonly #triedServerIds = new Set<string>();
 
@@ -79,20 +69,23 @@
     this.#context = context;
     this.#request = request;
     this.#possibleRuns = request.relayed?.processKeys.length ?? 0;
+    this.#ending = new CallEnding({ context, request, countRuns: () => this.#possibleRuns });
   }
 
   async serve(): Promise<string> {
     const { crashBlame, retryBudget, serverReach, logs } = this.#context;
     const { content, service, signal, metadata, route, relayed } = this.#request;
     if (crashBlame.admit(content) === 'refuse')
-      return this.#sendRefusal('crashes_servers', RETRY_AFTER_BLOCKED_SECONDS);
+      return this.#ending.refuse('crashes_servers', RETRY_AFTER_BLOCKED_SECONDS);
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
       if (serverReach.isCut) return this.#serveWhileCut();
       const server = this.#chooseServer();
       if (!server) {
-        if (this.#lastFailure) return this.#sendBackendResponse(this.#lastFailure);
-        return this.#possibleRuns > 0 ? this.#sendUnknownOutcome() : this.#refuseWithoutServer();
+        if (this.#lastFailure) return this.#ending.complete(this.#lastFailure);
+        return this.#possibleRuns > 0
+          ? this.#ending.sendUnknownOutcome()
+          : this.#refuseWithoutServer();
       }
       logs('routing').info('Backend server chosen.', {
         requestId: metadata.requestId,
@@ -105,9 +98,9 @@
         fleetRevision: this.#context.fleet.revision,
       });
       const result = await this.#attempt(server);
-      if (signal.aborted) return this.#sendTimeout();
+      if (signal.aborted) return this.#ending.sendTimeout();
       if (result.kind === 'answered' && result.response.status < 500)
-        return this.#sendBackendResponse(result.response);
+        return this.#ending.complete(result.response);
       if (result.kind === 'answered') this.#lastFailure = result.response;
       if (result.kind === 'notRun') this.#refusedAttempts += 1;
       else {
@@ -134,10 +127,10 @@
         refusedTries: this.#refusedAttempts,
       });
       if (!isRetried) {
-        if (this.#lastFailure) return this.#sendBackendResponse(this.#lastFailure);
+        if (this.#lastFailure) return this.#ending.complete(this.#lastFailure);
         return this.#possibleRuns > 0
-          ? this.#sendUnknownOutcome()
-          : this.#sendRefusal('servers_full', RETRY_AFTER_FULL_SECONDS);
+          ? this.#ending.sendUnknownOutcome()
+          : this.#ending.refuse('servers_full', RETRY_AFTER_FULL_SECONDS);
       }
     }
   }
@@ -285,24 +278,6 @@
     };
   }
 
-  #sendBackendResponse(backendResponse: BufferedResponse): string {
-    const { response } = this.#request;
-    appendHeaders(response, backendResponse.headers);
-    response.statusCode = backendResponse.status;
-    response.end(backendResponse.body);
-    return this.#recordOutcome(backendResponse.status < 400 ? 'completed' : 'answered');
-  }
-
-  #sendRefusal(code: string, retryAfterSeconds: number): string {
-    sendLocalResponse(this.#request.response, this.#request.metadata.requestId, {
-      status: 503,
-      code,
-      message: 'No server could run the request; it was not run.',
-      retryAfterSeconds,
-    });
-    return this.#recordOutcome('refused', code);
-  }
-
   /** Lets a peer serve the call, unless this instance is itself the peer of another one. */
   async #serveWhileCut(): Promise<string> {
     const { peerRelay } = this.#context;
@@ -312,48 +287,19 @@
           processKeys: [...this.#processKeys],
           lastEventId: this.#request.metadata.lastEventId,
         });
-    if (this.#request.signal.aborted) return this.#sendTimeout();
+    if (this.#request.signal.aborted) return this.#ending.sendTimeout();
     if (answer.kind === 'none') return this.#endWithoutPeer();
-    if (answer.kind === 'ended') return this.#sendPeerResponse(answer.response);
+    if (answer.kind === 'ended') return this.#ending.sendPeerResponse(answer.response);
     this.#possibleRuns += 1;
-    if (answer.kind === 'lost') return this.#sendUnknownOutcome();
-    return this.#relayFromPeer(answer);
+    if (answer.kind === 'lost') return this.#ending.sendUnknownOutcome();
+    return this.#ending.completeFromPeer(answer);
   }
 
   #endWithoutPeer(): string {
-    if (this.#lastFailure) return this.#sendBackendResponse(this.#lastFailure);
+    if (this.#lastFailure) return this.#ending.complete(this.#lastFailure);
     return this.#possibleRuns > 0
-      ? this.#sendUnknownOutcome()
-      : this.#sendRefusal('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
-  }
-
-  #sendPeerResponse(localResponse: LocalResponse): string {
-    const { response, metadata } = this.#request;
-    sendLocalResponse(response, metadata.requestId, localResponse);
-    return localResponse.status === 503
-      ? this.#recordOutcome('refused', localResponse.code)
-      : this.#recordOutcome('unknown');
-  }
-
-  async #relayFromPeer({
-    peer,
-    message,
-    status,
-  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string> {
-    try {
-      const body = await readAnswer(message);
-      if (!message.complete)
-        throw new HttpRequestError('answering', 'The peer broke the answer off.');
-      return this.#sendBackendResponse({ status, headers: getEndToEndHeaders(message), body });
-    } catch (error) {
-      if (this.#request.signal.aborted) return this.#sendTimeout();
-      this.#context.logs('routing').info('The answer of the peer broke off.', {
-        requestId: this.#request.metadata.requestId,
-        peer,
-        message: getErrorMessage(error),
-      });
-      return this.#sendUnknownOutcome();
-    }
+      ? this.#ending.sendUnknownOutcome()
+      : this.#ending.refuse('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
   }
 
   #refuseWithoutServer(): string {
@@ -368,45 +314,8 @@
       fleetRevision: fleet.revision,
     });
     return room
-      ? this.#sendRefusal(room.code, room.seconds)
-      : this.#sendRefusal('no_server', RETRY_AFTER_NO_SERVER_SECONDS);
-  }
-
-  #sendUnknownOutcome(): string {
-    sendLocalResponse(this.#request.response, this.#request.metadata.requestId, {
-      status: 502,
-      code: 'outcome_unknown',
-      message: 'The server gave no whole answer; the request may have run.',
-    });
-    return this.#recordOutcome('unknown');
-  }
-
-  #sendTimeout(): string {
-    sendLocalResponse(this.#request.response, this.#request.metadata.requestId, {
-      status: 504,
-      code: 'timeout',
-      message: 'The request was not finished in its time; it may have run.',
-    });
-    return this.#recordOutcome(getAbortReason(this.#request.signal) ?? 'deadline');
-  }
-
-  /** @param code - Why the request was refused. */
-  #recordOutcome(outcome: string, code?: string): string {
-    const { metrics, logs } = this.#context;
-    const { account, route, metadata, receivedAt } = this.#request;
-    if (code !== undefined) metrics.countEvent(`refused_${code}`);
-    const totalMilliseconds = performance.now() - receivedAt;
-    const labels = { account: account?.name ?? '', kind: route.kind, outcome };
-    metrics.recordRequest(labels, outcome === 'completed' ? totalMilliseconds / 1000 : undefined);
-    logs('caller').info('Request finished.', {
-      requestId: metadata.requestId,
-      ...labels,
-      code,
-      route: route.name,
-      totalMilliseconds: Math.round(totalMilliseconds),
-      runs: this.#possibleRuns,
-    });
-    return outcome;
+      ? this.#ending.refuse(room.code, room.seconds)
+      : this.#ending.refuse('no_server', RETRY_AFTER_NO_SERVER_SECONDS);
   }
 }
 
