--- a/src/layers/coverage-guard.ts
+++ b/src/layers/coverage-guard.ts
@@ -18,6 +18,14 @@
   readonly layers: LayerRange;
 }
 
+/** On what the guard decides. */
+export interface GuardConditions {
+  /** Number of layers of the model. */
+  readonly layerCount: number;
+  /** Whether a data centre that lacks layers may rely on the others for more of them. */
+  readonly canSpanDataCentres: boolean;
+}
+
 function listRanges(holders: readonly LayerHolder[]): LayerRange[] {
   return holders.flatMap(({ layers }) => layers ?? []);
 }
@@ -27,24 +35,25 @@
 }
 
 /**
- * Tells whether a change would drop layers that no other engine holds. While a data centre holds the whole
- * model, its own engines must go on holding it; one that doesn't relies on the others, so that all count.
+ * Tells whether a change would drop layers that no other engine of the data centre holds. Where data centres
+ * are planned together, engines of all data centres count, unless its own hold the whole model.
  *
  * @param change - The change.
  * @param holders - The service's engines, without lost ones.
- * @param layerCount - Number of layers of the model.
+ * @param conditions - The model, and whether data centres are planned together.
  */
 export function wouldUncoverLayers(
   { id, layers: planned }: LayerChange,
   holders: readonly LayerHolder[],
-  layerCount: number,
+  { layerCount, canSpanDataCentres }: GuardConditions,
 ): boolean {
   const changed = holders.find((holder) => holder.id === id);
   const held = changed?.layers;
   if (!held) return false;
   const local = holders.filter(({ dataCentre }) => dataCentre === changed.dataCentre);
   const isWholeLocally = findUncoveredRanges(listRanges(local), layerCount).length === 0;
-  const others = (isWholeLocally ? local : holders).filter((holder) => holder.id !== id);
+  const relevant = isWholeLocally || !canSpanDataCentres ? local : holders;
+  const others = relevant.filter((holder) => holder.id !== id);
   const otherRanges = listRanges(others);
   for (let layer = held.from; layer < held.to; layer += 1) {
     const isHeldElsewhere = otherRanges.some((range) => contains(range, layer));
--- a/src/layers/coverage-plan.test.ts
+++ b/src/layers/coverage-plan.test.ts
@@ -148,7 +148,7 @@
           .map((each) => ({ ...each, isInUse: true }));
         const room = left.reduce((sum, { kind }) => sum + maximumLayerCount(PROFILE, kind), 0);
         fc.pre(room >= PROFILE.layerCount && left.every(({ layers }) => layers !== undefined));
-        const repaired = apply(left, planCoverage(left, PROFILE, false));
+        const repaired = apply(left, planCoverage(left, PROFILE, false, true));
         assert.deepEqual(findUncoveredRanges(rangesOf(repaired), PROFILE.layerCount), []);
       },
     ),
--- a/src/layers/coverage-plan.ts
+++ b/src/layers/coverage-plan.ts
@@ -414,18 +414,21 @@
 /**
  * Plans the layer ranges of a service's engines. First tries to leave each engine a minimum of KV
  * cache; if some layer would then be held by no engine in any data centre, plans again with the
- * memory as the only limit, and if that isn't enough either, all data centres together.
+ * memory as the only limit, and if that isn't enough either, all data centres together, where allowed.
  *
  * @param engines - The service's engines, without lost and leaving ones.
  * @param profile - The service's profile.
  * @param isIdle - Whether the service has had no requests recently, so that a data centre may be
  *   planned from scratch.
+ * @param canSpanDataCentres - Whether all data centres may be planned together. What is moved for that is in
+ *   the way once engines that have crashed are back, so that it is for losses that last.
  * @returns The ranges that change.
  */
 export function planCoverage(
   engines: readonly PlannedEngine[],
   profile: EngineProfile,
   isIdle: boolean,
+  canSpanDataCentres = false,
 ): CoveragePlan {
   const groups = new Map<string, PlannedEngine[]>();
   [...engines]
@@ -442,7 +445,8 @@
   if (findUncoveredRanges([...planned.values()], profile.layerCount).length > 0) {
     const limitByMemory: LayerLimit = ({ kind }) => maximumLayerCount(profile, kind);
     planned = planDataCentres([...groups.values()], profile, isIdle, limitByMemory);
-    if (findUncoveredRanges([...planned.values()], profile.layerCount).length > 0)
+    const isWhole = findUncoveredRanges([...planned.values()], profile.layerCount).length === 0;
+    if (!isWhole && canSpanDataCentres)
       planned = planTogether([...groups.values()].flat(), profile, [
         limitWithCacheReserve,
         limitByMemory,
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -16,7 +16,7 @@
 import { isEngineLost } from './engine-loss.js';
 import { maximumLayerCount } from './engine-estimates.js';
 import { wouldUncoverLayers, type LayerHolder } from './coverage-guard.js';
-import { planCoverage, type PlannedEngine } from './coverage-plan.js';
+import { findUncoveredRanges, planCoverage, type PlannedEngine } from './coverage-plan.js';
 import { PeakDemand } from './peak-demand.js';
 import type { LeaseState, PlannerLease } from './planner-lease.js';
 
@@ -51,6 +51,8 @@
  * hold no layers is planned only after its set of engines has not changed for this long.
  */
 const SETTLE_MILLISECONDS = 1000;
+/** Engines that crash are mostly back within this time, empty; what is missing after it is missing for good. */
+const GAP_MILLISECONDS = 8000;
 const REPORT_TIMEOUT_MILLISECONDS = 400;
 /** Time between two checks whether an engine has carried out an order. */
 const ORDER_CHECK_INTERVAL_MILLISECONDS = 300;
@@ -76,6 +78,9 @@
   /** By id of an ejected server: when this task first saw it ejected, on the monotonic clock. */
   readonly #ejectedSince = new Map<string, number>();
 
+  /** By service: since when some layer has been held by no engine. */
+  readonly #gapsSince = new Map<string, number>();
+
   /** By service: the ids of its engines at the last review, and when their set last changed. */
   readonly #engineSets = new Map<string, { readonly ids: string; readonly changedAt: number }>();
 
@@ -125,6 +130,17 @@
     return 0;
   }
 
+  /** Returns for how many milliseconds some layer has been held by no engine in any data centre. */
+  #trackGap(service: string, engines: readonly PlannedEngine[], layerCount: number): number {
+    const now = performance.now();
+    const ranges = engines.flatMap(({ layers }) => layers ?? []);
+    const hasGap = findUncoveredRanges(ranges, layerCount).length > 0;
+    const since = hasGap ? (this.#gapsSince.get(service) ?? now) : now;
+    if (hasGap) this.#gapsSince.set(service, since);
+    else this.#gapsSince.delete(service);
+    return now - since;
+  }
+
   /** Records how many requests run in each data centre, by the KV cache that they have reserved. */
   #recordDemand(service: string, profile: EngineProfile): void {
     const requestTokens = profile.typicalPromptTokens + profile.typicalOutputTokens;
@@ -182,9 +198,12 @@
     const isEmpty = engines.every(({ layers }) => layers === undefined);
     const isSettled = this.#trackEngineSet(service, engines) >= SETTLE_MILLISECONDS;
     if ((isEmpty || isIdle) && !isSettled) return;
+    const { layerCount } = profile;
+    const canSpanDataCentres = this.#trackGap(service, engines, layerCount) >= GAP_MILLISECONDS;
     const holders = this.#listHolders(service);
-    const plan = [...planCoverage(engines, profile, isIdle)].filter(
-      ([id, layers]) => isIdle || !wouldUncoverLayers({ id, layers }, holders, profile.layerCount),
+    const plan = [...planCoverage(engines, profile, isIdle, canSpanDataCentres)].filter(
+      ([id, layers]) =>
+        isIdle || !wouldUncoverLayers({ id, layers }, holders, { layerCount, canSpanDataCentres }),
     );
     if (plan.length === 0) return;
     const { lease, isHolderGone, log } = this.#options;
