Don't pass a peer's refusal on for a request that may have run before

An instance that lost its links while an idempotent request was under way passes it on; a peer that is stopping, full or blocks its content refuses with 503, "it was not run", which speaks of that peer alone. The caller was told so though a server may have run the request. Such a refusal is left out now where processes are named that may have run the request, and the request ends as one whose outcome is unknown (502).

--- a/src/entry/peer-relay.ts
+++ b/src/entry/peer-relay.ts
@@ -65,6 +65,14 @@
   return status === 503 && DECLINING_CODES.has(code);
 }
 
+function isRefusal(answer: PeerAnswer): boolean {
+  return answer.kind === 'ended' && answer.response.status === 503;
+}
+
+function mayHaveRunBefore({ processKeys }: RelayProgress): boolean {
+  return processKeys.length > 0;
+}
+
 function buildHeaders(request: EntryRequest, relayed: RelayedRequest): string[] {
   const headers = listEndToEndHeaders(request.incoming.rawHeaders)
     .filter(([name]) => name.toLowerCase() !== RELAY_HEADER)
@@ -112,11 +120,12 @@
    *
    * @param request - The request; its signal ends the exchange, also while the answer's body is read.
    * @param progress - How far this instance has come with it.
-   * @returns The answer of the first peer that took the request.
+   * @returns The answer of the first peer that took the request; otherwise the last refusal, which is left out
+   *   for a request that may have run before, since it states that the request has not.
    */
   async relay(request: EntryRequest, progress: RelayProgress): Promise<PeerAnswer> {
     const excluded = new Set<string>();
-    let declined: PeerAnswer = { kind: 'none' };
+    let last: PeerAnswer = { kind: 'none' };
     while (excluded.size < MAXIMUM_PEERS_TRIED && !request.signal.aborted) {
       const peer = choosePeer({
         peers: this.#options.listPeers(),
@@ -127,11 +136,14 @@
       if (!peer) break;
       excluded.add(peer.instance);
       const answer = await this.#send(peer, request, progress);
-      if (answer.kind !== 'none' && !(answer.kind === 'ended' && isDeclined(answer.response)))
-        return answer;
-      if (answer.kind === 'ended') declined = answer;
+      const isFinal = answer.kind === 'ended' && !isDeclined(answer.response);
+      if (answer.kind === 'served' || answer.kind === 'lost' || isFinal) {
+        last = answer;
+        break;
+      }
+      if (answer.kind === 'ended') last = answer;
     }
-    return declined;
+    return mayHaveRunBefore(progress) && isRefusal(last) ? { kind: 'none' } : last;
   }
 
   async #send(
