--- a/src/entry/crash-blame.test.ts
+++ b/src/entry/crash-blame.test.ts
@@ -62,6 +62,21 @@
   assert.ok(!blame.isBlocked(victim));
 });
 
+// The part explained the content's ends, so that the content was free again.
+test('request that ends engines: it stays blocked when a part is blocked for the same ends', () => {
+  const { clock, blame } = createBlame();
+  const guilty = createContent('guilty', 'its-part');
+  for (let server = 0; server < CRASHES_TO_BLOCK; server += 1) {
+    const sound = createContent(`sound-${server}`, 'a-popular-part');
+    blame.recordFailure({ content: sound, wasWritten: false }, `server-${server}`);
+    blame.recordFailure({ content: guilty, wasWritten: false }, `server-${server}`);
+    blame.recordEndedServer(`server-${server}`);
+    clock.now += 1000;
+  }
+  assert.equal(blame.admit(guilty), 'refuse');
+  assert.equal(blame.admit(createContent('new', 'a-popular-part')), 'run');
+});
+
 test('prompt part that ends engines: streams that were being written are not blamed for an end', () => {
   const { clock, blame } = createBlame();
   for (let server = 0; server < CRASHES_TO_BLOCK; server += 1) {
