Count the ends that a request was beginning against it, whatever else explains them

Cause: each end has one cause, and a part of prompts that was blocked for the same ends, also by mistake, took them off the content, which then ran until the part was cleared, and again with the next part. Class: one inference voids the evidence of another one. Now a content counts as a culprit by the ends that it was beginning, and nothing takes these off; what had been written for 300 ms counts only at ends that neither a blocked part nor a culprit explains. A merge of the two tables into one was weighed: peers' records and the store hold both forms, and older builds read them.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -360,7 +360,7 @@
         suspects: this.outlierEjection.ownEjections,
         ejections: this.outlierEjection.ownEjectionCauses,
         plannerTerm: this.lease.isHolder ? this.lease.term : 0,
-        crashes: this.context.crashBlame.contents.serversByContent,
+        ...this.context.crashBlame.contents.reported,
         promptParts: this.context.crashBlame.promptParts.reported,
       },
       fleetRevision: this.fleet.revision,
@@ -383,7 +383,7 @@
 
   #acceptRecord(record: PeerRecord): void {
     this.outlierEjection.replacePeerEjections(record.instance, listPeerEjections(record));
-    this.context.crashBlame.contents.merge(record.crashes);
+    this.context.crashBlame.contents.merge(record);
     if (record.promptParts && record.clock !== undefined)
       this.context.crashBlame.promptParts.merge(record.promptParts, record.clock);
     this.context.serverLimits.merge(record.limits ?? {});
--- a/src/daemon/instance-registration.ts
+++ b/src/daemon/instance-registration.ts
@@ -33,6 +33,7 @@
   /** When it was written, in wall-clock milliseconds; clocks may differ by seconds. */
   writtenAt: z.number(),
   crashes: PeerRecord.shape.crashes,
+  crashesWhileWritten: PeerRecord.shape.crashesWhileWritten,
   promptParts: PeerRecord.shape.promptParts.unwrap(),
   clock: z.number(),
 });
@@ -137,10 +138,10 @@
     const { crashBlame, log, settings } = this.#options;
     const found = RegisteredBlocks.safeParse(value);
     if (!found.success) return;
-    const { writtenAt, clock, crashes, promptParts } = found.data.blocks;
+    const { writtenAt, clock, promptParts, ...reportedCrashes } = found.data.blocks;
     const ageMilliseconds = Math.max(0, this.#wallClock() - writtenAt);
-    if (name === settings.instance) this.#keptKeys = describeKeys({ crashes, promptParts });
-    if (ageMilliseconds < CRASH_RETENTION_MILLISECONDS) crashBlame.contents.merge(crashes);
+    if (name === settings.instance) this.#keptKeys = describeKeys(found.data.blocks);
+    if (ageMilliseconds < CRASH_RETENTION_MILLISECONDS) crashBlame.contents.merge(reportedCrashes);
     crashBlame.promptParts.merge(promptParts, clock + ageMilliseconds);
     log.info('Blocked requests read from the store.', { keeper: name, ageMilliseconds });
   }
--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -16,6 +16,7 @@
   | 'ejections'
   | 'plannerTerm'
   | 'crashes'
+  | 'crashesWhileWritten'
   | 'promptParts'
 >;
 
--- a/src/entry/crash-blame.test.ts
+++ b/src/entry/crash-blame.test.ts
@@ -62,9 +62,8 @@
   assert.ok(!blame.isBlocked(victim));
 });
 
-// The part explained the content's ends, so that the content was free again.
-test('request that ends engines: it stays blocked when a part is blocked for the same ends', () => {
-  const { clock, blame } = createBlame();
+/** Ends engines under one content, each of which was beginning another request with a popular part. */
+function endUnderContent({ clock, blame }: ReturnType<typeof createBlame>): RequestContent {
   const guilty = createContent('guilty', 'its-part');
   for (let server = 0; server < CRASHES_TO_BLOCK; server += 1) {
     const sound = createContent(`sound-${server}`, 'a-popular-part');
@@ -73,8 +72,19 @@
     blame.recordEndedServer(`server-${server}`);
     clock.now += 1000;
   }
-  assert.equal(blame.admit(guilty), 'refuse');
-  assert.equal(blame.admit(createContent('new', 'a-popular-part')), 'run');
+  return guilty;
+}
+
+// The part explained the content's ends, so that the content was free again.
+test('request that ends engines: it stays blocked when a part is blocked for the same ends', () => {
+  const created = createBlame();
+  assert.equal(created.blame.admit(endUnderContent(created)), 'refuse');
+});
+
+test('request that ends engines: no part that others share is blocked for its ends', () => {
+  const created = createBlame();
+  endUnderContent(created);
+  assert.equal(created.blame.admit(createContent('new', 'a-popular-part')), 'run');
 });
 
 test('prompt part that ends engines: streams that were being written are not blamed for an end', () => {
--- a/src/entry/crash-blame.ts
+++ b/src/entry/crash-blame.ts
@@ -5,7 +5,7 @@
  */
 import { LruMap } from '../common/lru-map.js';
 import type { RequestContent } from './blocked-parts.js';
-import type { CrashedServers, CrashRecords } from './crash-records.js';
+import type { CrashRecords, ReportedCrashes } from './crash-records.js';
 import type { PromptPartRecords, ReportedPartRecords } from './prompt-part-records.js';
 
 /** Options of {@link CrashBlame}. */
@@ -23,8 +23,7 @@
 }
 
 /** What blocks requests. */
-export interface Blocks {
-  readonly crashes: CrashedServers;
+export interface Blocks extends ReportedCrashes {
   readonly promptParts: ReportedPartRecords;
 }
 
@@ -79,7 +78,7 @@
     const oldest = this.#now() - SUSPICION_LIFETIME_MILLISECONDS;
     suspicions?.forEach(({ content, wasWritten, since }) => {
       if (since < oldest) return;
-      this.contents.recordCrash(content.hash, processKey);
+      this.contents.recordCrash(content.hash, processKey, wasWritten);
       if (!wasWritten) this.promptParts.recordEnd(processKey, content, since);
     });
   }
@@ -118,7 +117,7 @@
 
   /** The records that make another instance block the same requests. */
   describeBlocks(): Blocks {
-    return { crashes: this.contents.blocking, promptParts: this.promptParts.blocking };
+    return { ...this.contents.blocking, promptParts: this.promptParts.blocking };
   }
 
   /** Records that a request that was admitted as a trial is sent. */
--- a/src/entry/crash-records.test.ts
+++ b/src/entry/crash-records.test.ts
@@ -34,11 +34,11 @@
     peer.clock.now += 1000;
     for (let other = 0; other < 10; other += 1)
       records.recordCrash(`other-${second}-${other}`, 'server-x');
-    records.merge(peer.records.serversByContent);
-    peer.records.merge(records.serversByContent);
+    records.merge(peer.records.reported);
+    peer.records.merge(records.reported);
   }
   assert.ok(!records.isBlocked('guilty'));
-  assert.ok(!('guilty' in peer.records.serversByContent));
+  assert.ok(!('guilty' in peer.records.reported.crashes));
 });
 
 // Content that many callers ask for runs on many servers, some of which end for other reasons.
@@ -51,7 +51,23 @@
     records.recordCrash('popular', `server-${crash}`);
     peer.records.recordCrash('popular', `server-${crash}`);
   }
-  records.merge(peer.records.serversByContent);
+  records.merge(peer.records.reported);
   assert.ok(!records.isBlocked('popular'));
-  assert.ok(!('popular' in records.serversByContent));
+  assert.ok(!('popular' in records.reported.crashes));
+});
+
+test('request that ends engines: peers know at which ends it was beginning, and take reports without that', () => {
+  const { records } = createRecords();
+  const peer = createRecords();
+  const older = createRecords();
+  for (let crash = 0; crash < CRASHES_TO_BLOCK; crash += 1) {
+    records.recordCrash('guilty', `server-${crash}`);
+    records.recordCrash('sound', `server-${crash}`, true);
+  }
+  const { crashes, crashesWhileWritten } = records.reported;
+  peer.records.merge({ crashes, crashesWhileWritten });
+  assert.ok(peer.records.isBlocked('guilty'));
+  assert.ok(!peer.records.isBlocked('sound'));
+  older.records.merge({ crashes });
+  assert.ok(older.records.isBlocked('guilty'));
 });
--- a/src/entry/crash-records.ts
+++ b/src/entry/crash-records.ts
@@ -1,16 +1,17 @@
 /**
- * Records under which requests backend servers ended. Content under which three processes of servers
- * ended is blocked, so that a request that crashes every server it runs on cannot take down the fleet
- * when it is sent repeatedly. Handles many servers that end at a time, each of which cuts the streams of
- * many innocent requests: what has completed is innocent, and what was seen at fewer ends is forgotten
- * first.
+ * Records under which requests backend servers ended. Content that three processes of servers were
+ * beginning to run when they ended is blocked, so that a request that crashes every server it runs on
+ * cannot take down the fleet when it is sent repeatedly. Handles many servers that end at a time, each of
+ * which cuts the streams of many innocent requests: what was already being written at an end is blamed only
+ * for ends that nothing else explains, what has completed is innocent, and what was seen at fewer ends is
+ * forgotten first.
  */
 import { LruMap } from '../common/lru-map.js';
 import type { Logger } from '../telemetry/log.js';
 
 /** Options of {@link CrashRecords}. */
 export interface CrashRecordsOptions {
-  /** Whether something else is known to have ended a process, so that no content is to blame. */
+  /** Whether something other than whole content is known to have ended a process. */
   readonly isExplained?: (processKey: string) => boolean;
   readonly log: Logger;
   readonly now?: () => number;
@@ -19,6 +20,13 @@
 /** The keys of ended processes by content hash, as exchanged with peers. */
 export type CrashedServers = Record<string, string[]>;
 
+/** What an instance tells its peers. */
+export interface ReportedCrashes {
+  readonly crashes: CrashedServers;
+  /** Those of the ends at which the content had been written for a while; absent from older builds. */
+  readonly crashesWhileWritten?: CrashedServers | undefined;
+}
+
 /** Content is blocked once this many processes of servers ended under it. */
 export const CRASHES_TO_BLOCK = 3;
 /** How long content stays blocked and is reported to peers. */
@@ -30,16 +38,29 @@
 const MAXIMUM_REPORTED_CONTENTS = 200;
 const MAXIMUM_COMPLETED_CONTENTS = 2000;
 
+/** What a server was doing with a content when it ended. */
+type Phase = 'beginning' | 'written';
+
 /** The ends of servers during which one content was running. */
 interface ContentCrashes {
   readonly contentHash: string;
-  readonly processKeys: Set<string>;
+  readonly phases: Map<string, Phase>;
   lastCrashAt: number;
 }
 
+/** Processes of servers that ended during a phase of the content. */
+function listEnds({ phases }: ContentCrashes, wanted: Phase): string[] {
+  return [...phases].flatMap(([processKey, phase]) => (phase === wanted ? [processKey] : []));
+}
+
+/** Whether so many servers ended as they began the content that nothing else need explain it. */
+function isCulprit(crashes: ContentCrashes): boolean {
+  return listEnds(crashes, 'beginning').length >= CRASHES_TO_BLOCK;
+}
+
 /** Sorts what is more likely to crash servers first: more ends, then newer ones. */
 function compareByRisk(one: ContentCrashes, other: ContentCrashes): number {
-  return other.processKeys.size - one.processKeys.size || other.lastCrashAt - one.lastCrashAt;
+  return other.phases.size - one.phases.size || other.lastCrashAt - one.lastCrashAt;
 }
 
 /** The crash records of one instance, merged with those of its peers. */
@@ -66,22 +87,26 @@
    *
    * @param contentHash - The hash of the request's content.
    * @param processKey - Identifies the server's process; another one after a restart.
+   * @param wasWritten - Whether a server had been writing the answer for a while.
    */
-  recordCrash(contentHash: string, processKey: string): void {
+  recordCrash(contentHash: string, processKey: string, wasWritten = false): void {
     if (this.#isInnocent(contentHash)) return;
     const crashes = this.#crashesByContent.get(contentHash) ?? {
       contentHash,
-      processKeys: new Set<string>(),
+      phases: new Map<string, Phase>(),
       lastCrashAt: 0,
     };
-    if (crashes.processKeys.has(processKey)) return;
-    crashes.processKeys.add(processKey);
+    const known = crashes.phases.get(processKey);
+    if (known === 'beginning' || (known && wasWritten)) return;
+    crashes.phases.set(processKey, wasWritten ? 'written' : 'beginning');
+    if (known) return;
     crashes.lastCrashAt = this.#now();
     this.#crashesByContent.set(contentHash, crashes);
     this.#log.warn('Backend server crashed while running a request.', {
       content: contentHash,
       server: processKey,
-      crashes: crashes.processKeys.size,
+      wasWritten,
+      crashes: crashes.phases.size,
     });
     this.#trim();
   }
@@ -95,37 +120,51 @@
   /** Whether requests with this content are no longer run, as too many servers crashed under it. */
   isBlocked(contentHash: string): boolean {
     const crashes = this.#crashesByContent.get(contentHash);
-    if (!crashes || crashes.processKeys.size < CRASHES_TO_BLOCK) return false;
+    if (!crashes || crashes.phases.size < CRASHES_TO_BLOCK) return false;
     if (!this.#isCurrent(crashes)) return false;
-    const unexplained = [...crashes.processKeys].filter((key) => !this.#isExplained(key));
+    if (isCulprit(crashes)) return true;
+    const unexplained = [...crashes.phases.keys()].filter((key) => !this.#explains(key));
     return unexplained.length >= CRASHES_TO_BLOCK;
   }
 
   /** The records that peers should know, the most dangerous ones where there are too many. */
-  get serversByContent(): CrashedServers {
+  get reported(): ReportedCrashes {
     return this.#describe(() => true);
   }
 
   /** The records that make other instances block the same contents. */
-  get blocking(): CrashedServers {
+  get blocking(): ReportedCrashes {
     return this.#describe(({ contentHash }) => this.isBlocked(contentHash));
   }
 
   /** Adds the crashes that a peer has recorded. */
-  merge(peerRecords: CrashedServers): void {
-    Object.entries(peerRecords).forEach(([contentHash, processKeys]) => {
-      processKeys.forEach((processKey) => this.recordCrash(contentHash, processKey));
+  merge({ crashes, crashesWhileWritten = {} }: ReportedCrashes): void {
+    Object.entries(crashes).forEach(([contentHash, processKeys]) => {
+      const written = new Set(crashesWhileWritten[contentHash]);
+      processKeys.forEach((key) => this.recordCrash(contentHash, key, written.has(key)));
     });
   }
 
-  #describe(isWanted: (crashes: ContentCrashes) => boolean): CrashedServers {
+  #explains(processKey: string): boolean {
+    if (this.#isExplained(processKey)) return true;
+    const contents = [...this.#crashesByContent.values()];
+    return contents.some((crashes) => crashes.phases.has(processKey) && isCulprit(crashes));
+  }
+
+  #describe(isWanted: (crashes: ContentCrashes) => boolean): ReportedCrashes {
     const described = [...this.#crashesByContent.values()]
       .filter((crashes) => this.#isCurrent(crashes) && isWanted(crashes))
       .sort(compareByRisk)
       .slice(0, MAXIMUM_REPORTED_CONTENTS);
-    return Object.fromEntries(
-      described.map(({ contentHash, processKeys }) => [contentHash, [...processKeys]]),
-    );
+    const written = described
+      .map((crashes) => [crashes.contentHash, listEnds(crashes, 'written')] as const)
+      .filter(([, processKeys]) => processKeys.length > 0);
+    return {
+      crashes: Object.fromEntries(
+        described.map(({ contentHash, phases }) => [contentHash, [...phases.keys()]]),
+      ),
+      crashesWhileWritten: Object.fromEntries(written),
+    };
   }
 
   #isCurrent({ lastCrashAt }: ContentCrashes): boolean {
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -63,6 +63,10 @@
   limits: z.record(z.string(), z.tuple([z.number().nullable(), z.number()])).optional(),
   /** By content key of a request: ids of the backend servers that crashed while running it. */
   crashes: z.record(z.string(), z.array(z.string())),
+  /**
+   * Those of `crashes` at which the answer had been written for a while. Absent in records of older builds.
+   */
+  crashesWhileWritten: z.record(z.string(), z.array(z.string())).optional(),
   /**
    * By process of an engine that ended: when, and for each request that it had just begun the content key
    * and the shared parts of the prompt. By part: when an engine wrote on it, and when a request with it was
--- a/tools/crash-replay.ts
+++ b/tools/crash-replay.ts
@@ -126,7 +126,7 @@
       const { contents, promptParts } = this.#blames[index] ?? {};
       if (!contents || !promptParts) return;
       const { reported } = promptParts;
-      const crashes = contents.serversByContent;
+      const crashes = contents.reported;
       const { now } = this.#clock;
       this.#blames.forEach((blame, other) => {
         if (other === index) return;
