Don't block a part of prompts for ends that one content explains

Callers: sound requests with a popular part were refused for half a second and more after each third end under some other request. Cause: a content explained the ends of a part only if it had that part itself; other parts that were beginning at the same three ends were taken for the cause. Now a part isn't blocked while one content was beginning at all of its ends, whatever its parts; the next end without that content tells them apart. The test failed before.

--- a/src/entry/blocked-parts.ts
+++ b/src/entry/blocked-parts.ts
@@ -125,24 +125,31 @@
   );
 }
 
-/** Contents and parts that some request with the part had at each of the ends. */
-function findCommonCauses({ part, ends }: Candidate): string[] {
-  const causesByEnd = ends.map(({ beginning }) => {
-    const withPart = beginning.filter(({ sharedParts }) => sharedParts.includes(part));
-    return new Set(
-      withPart.flatMap(({ hash, sharedParts }) => [`content ${hash}`, ...sharedParts]),
-    );
-  });
-  const [first = new Set<string>(), ...others] = causesByEnd;
-  return [...first].filter((cause) => others.every((causes) => causes.has(cause)));
+function findCommon([first = [], ...others]: readonly (readonly string[])[]): string[] {
+  const otherSets = others.map((items) => new Set(items));
+  return [...new Set(first)].filter((item) => otherSets.every((items) => items.has(item)));
+}
+
+/** Whether some content was beginning at all of the ends, so that it is the likelier cause. */
+function haveCommonContent(ends: readonly EndedProcess[]): boolean {
+  return findCommon(ends.map(({ beginning }) => beginning.map(({ hash }) => hash))).length > 0;
+}
+
+/** Parts that some request with the candidate part had at each of its ends. */
+function findCommonParts({ part, ends }: Candidate): string[] {
+  return findCommon(
+    ends.map(({ beginning }) =>
+      beginning.flatMap(({ sharedParts }) => (sharedParts.includes(part) ? sharedParts : [])),
+    ),
+  );
 }
 
 /**
  * Chooses the parts to block.
  *
  * @param evidence - Ends of engines, and what was written since.
- * @returns The blocked parts, the likeliest cause first. A part isn't blocked while all ends are those of one
- *   content, which is blocked by itself.
+ * @returns The blocked parts, the likeliest cause first. A part isn't blocked while one content was beginning
+ *   at all of its ends, with the part or not; that content is blocked by itself.
  */
 export function chooseBlockedParts(evidence: BlockingEvidence): BlockedPart[] {
   const blocked: BlockedPart[] = [];
@@ -151,12 +158,11 @@
     const [likeliest] = listCandidates(evidence, unexplained).sort(compareByLikelihood);
     if (!likeliest) return blocked;
     const { part, ends, writtenAt } = likeliest;
-    const common = findCommonCauses(likeliest);
     const explained = new Set(ends.map(({ processKey }) => processKey));
     unexplained = unexplained.filter(({ processKey }) => !explained.has(processKey));
-    if (!common.some((cause) => cause.startsWith('content '))) {
-      const commonParts = common.filter(
-        (cause) => !ends.some((end) => isCleared(evidence, cause, end)),
+    if (!haveCommonContent(ends)) {
+      const commonParts = findCommonParts(likeliest).filter(
+        (common) => !ends.some((end) => isCleared(evidence, common, end)),
       );
       blocked.push({
         part,
--- a/src/entry/crash-blame-fleet.test.ts
+++ b/src/entry/crash-blame-fleet.test.ts
@@ -21,6 +21,7 @@
   beginPerRequestMilliseconds: fc.integer({ min: 0, max: 40 }),
   restartMilliseconds: fc.integer({ min: 500, max: 4000 }),
   newsMilliseconds: fc.integer({ min: 1, max: 100 }),
+  guilt: fc.constant('content'),
 });
 
 // A part blocked by mistake explained the content's ends, so that the content was free again.
--- a/tools/crash-replay.ts
+++ b/tools/crash-replay.ts
@@ -1,6 +1,6 @@
 /**
- * Replays, over the blame records of several instances, a request that ends each engine which begins to run
- * it, among sound streams that are sent on from an ended engine to another one.
+ * Replays, over the blame records of several instances, requests that end each engine which begins to run
+ * them, among sound streams that are sent on from an ended engine to another one.
  */
 import type { RequestContent } from '../src/entry/blocked-parts.js';
 import { CrashBlame } from '../src/entry/crash-blame.js';
@@ -23,6 +23,8 @@
   readonly engines: number;
   readonly soundPerSecond: number;
   readonly guiltyPerSecond: number;
+  /** What ends engines: one request that comes again, or a part of prompts in requests of which no two are alike. */
+  readonly guilt: 'content' | 'part';
   /** How many parts all requests choose their first part from. */
   readonly sharedParts: number;
   /** From sending to the first event, at an engine without other requests. */
@@ -63,13 +65,11 @@
 
   readonly #blames: CrashBlame[];
 
-  readonly #guilty: RequestContent = { hash: 'guilty', sharedParts: ['part-0'] };
-
   #streamCount = 0;
 
   #processCount = 0;
 
-  /** When the request was sent to an engine, in milliseconds from the start. */
+  /** When a request that ends engines was sent to one, in milliseconds from the start. */
   readonly guiltySends: number[] = [];
 
   /** When engines ended, in milliseconds from the start. */
@@ -157,7 +157,7 @@
     this.#streamCount += 1;
     const part = `part-${Math.floor(this.#random.next() * this.#scenario.sharedParts)}`;
     const content = isGuilty
-      ? this.#guilty
+      ? this.#createGuiltyContent(part)
       : { hash: `sound-${this.#streamCount}`, sharedParts: [part] };
     const instance = Math.floor(this.#random.next() * this.#scenario.instances);
     const admission = this.#blames[instance]?.admit(content);
@@ -174,6 +174,12 @@
     if (this.#send(stream) && admission === 'try') this.#blames[instance]?.startTrial(content);
   }
 
+  #createGuiltyContent(part: string): RequestContent {
+    return this.#scenario.guilt === 'content'
+      ? { hash: 'guilty', sharedParts: ['part-0'] }
+      : { hash: `guilty-${this.#streamCount}`, sharedParts: [part, 'guilty-part'] };
+  }
+
   /** @returns Whether there is an engine to send it to. */
   #send(stream: Stream): boolean {
     const running = this.#engines.filter(({ isRunning }) => isRunning);
