--- a/tools/crash-replay.ts
+++ b/tools/crash-replay.ts
@@ -10,6 +10,8 @@
 import { createRandom, type Random } from './random.js';
 
 const REPLAYED_MILLISECONDS = 30_000;
+/** Before, sound requests alone run, so that most parts have been written on. */
+const GUILTY_FROM_MILLISECONDS = 5000;
 const MAXIMUM_ATTEMPTS = 4;
 const MAXIMUM_ENDS_AT_BEGIN = 2;
 const WRITTEN_AFTER_MILLISECONDS = 300;
@@ -93,7 +95,9 @@
 
   run(): void {
     this.#arrive('sound', this.#scenario.soundPerSecond);
-    this.#arrive('guilty', this.#scenario.guiltyPerSecond);
+    this.#after(GUILTY_FROM_MILLISECONDS, () =>
+      this.#arrive('guilty', this.#scenario.guiltyPerSecond),
+    );
     for (;;) {
       this.#queue.sort((one, two) => one.at - two.at);
       const next = this.#queue.shift();
