Don't take a server's failure for a run that clears a request of ends

Callers: calls that end servers beside servers that answer part of their calls with 500: six ends of one content in six sends (process test), without an end to it. Cause: any answer counted as a completion, which removes all ends of the content and lets none count for two minutes. Now only an answer below 400 clears: what fails may not have begun the work that ends others. The test failed before (6 ends, 3 allowed).

--- a/src/entry/crash-blame.ts
+++ b/src/entry/crash-blame.ts
@@ -93,7 +93,7 @@
     this.promptParts.recordWritten(content, beganAt);
   }
 
-  /** Records that a request completed: its content does not crash the servers that run it. */
+  /** Records that a request ran to a good end: its content does not crash the servers that run it. */
   recordCompletion({ hash }: RequestContent): void {
     this.contents.recordCompletion(hash);
   }
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -34,6 +34,9 @@
  * Limit on attempts that backend servers refuse; these do not count towards the route's maximum.
  */
 const MAXIMUM_REFUSED_ATTEMPTS = 3;
+/** The lowest HTTP status of a failure, and of one that the server itself is to blame for. */
+const FIRST_FAILURE = 400;
+const FIRST_SERVER_FAILURE = 500;
 const RETRY_AFTER_FULL_SECONDS = 0.3;
 const RETRY_AFTER_NO_SERVER_SECONDS = 0.6;
 const RETRY_AFTER_BLOCKED_SECONDS = 30;
@@ -99,7 +102,7 @@
       });
       const result = await this.#attempt(server);
       if (signal.aborted) return this.#ending.sendTimeout();
-      if (result.kind === 'answered' && result.response.status < 500)
+      if (result.kind === 'answered' && result.response.status < FIRST_SERVER_FAILURE)
         return this.#ending.complete(result.response);
       if (result.kind === 'answered') this.#lastFailure = result.response;
       if (result.kind === 'notRun') this.#refusedAttempts += 1;
@@ -183,9 +186,10 @@
     try {
       const result = await this.#sendToServer(server, attempt.signal);
       outlierEjection.recordLife(id);
-      if (result.kind === 'answered') crashBlame.recordCompletion(content);
-      if (result.kind === 'answered' && result.response.status < 500)
-        outlierEjection.recordSuccess(id);
+      const status = result.kind === 'answered' ? result.response.status : undefined;
+      // A server may fail a call before it begins the work that ends others.
+      if (status !== undefined && status < FIRST_FAILURE) crashBlame.recordCompletion(content);
+      if (status !== undefined && status < FIRST_SERVER_FAILURE) outlierEjection.recordSuccess(id);
       return result;
     } catch (error) {
       const message = getErrorMessage(error);
--- a/tests/backend-server-ends.test.ts
+++ b/tests/backend-server-ends.test.ts
@@ -78,6 +78,21 @@
   assert.equal(other.status, 200);
 });
 
+// Any answer counted as a completion, after which no end counted for two minutes.
+test('request that ends servers: a server that answers it with a failure does not clear it', async (context) => {
+  const group = await startGroup(context, { instances: 2, plainServers: 3 });
+  const [failing, ...ending] = group.servers.filter(({ kind }) => kind === undefined);
+  assert.ok(failing);
+  failing.faults.failedStatus = 500;
+  ending.forEach(({ faults }) => {
+    faults.crashingBody = 'crash';
+    faults.restartMilliseconds = 300;
+  });
+  const statuses = await sendRepeatedly(group, '/lookups/1', 'crash');
+  const crashes = ending.reduce((sum, { crashCount }) => sum + crashCount, 0);
+  assert.equal(crashes, MAXIMUM_CRASHES, statuses.join());
+});
+
 // Cancelling an attempt while its connection was made looked like a server that can't be connected to.
 test('own delay: a server is not ejected because its instance cancelled one connection early', async (context) => {
   const group = await startGroup(context, { plainServers: 1 });
--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -57,6 +57,8 @@
   restartMilliseconds: number | undefined;
   /** What it names as `Server-Limit` in all its answers to callers' requests. */
   namedLimit: string | undefined;
+  /** Runs calls and answers them with this status, if it isn't 0. */
+  failedStatus: number;
   /** Says in all its answers to callers' requests that it leaves, as its entry may or may not. */
   saysThatItLeaves: boolean;
   /** The `Retry-After` of its refusals. */
@@ -109,6 +111,7 @@
     eventsBeforeCrash: 0,
     restartMilliseconds: undefined,
     namedLimit: undefined,
+    failedStatus: 0,
     saysThatItLeaves: false,
     namedPause: undefined,
     closesBetweenEvents: Number.POSITIVE_INFINITY,
@@ -275,6 +278,14 @@
       promptPrefix: headers['prompt-prefix'] as string | undefined,
       arrivedAt: performance.now(),
     });
+    if (this.faults.failedStatus > 0) {
+      response.writeHead(this.faults.failedStatus, {
+        'request-id': requestId,
+        'response-signature': this.#options.id,
+      });
+      response.end('failed');
+      return;
+    }
     const isCrashing = body !== '' && body === this.faults.crashingBody;
     if (isCrashing && this.faults.eventsBeforeCrash === 0) {
       await this.#crash(response);
