Count ends after a completion against a request again

A completion now clears the ends known by then, and those of the next 3 s, in which servers that fail together end many runs of popular content; which ends are cleared is kept, since peers go on reporting them.

--- a/src/entry/crash-records.test.ts
+++ b/src/entry/crash-records.test.ts
@@ -56,6 +56,32 @@
   assert.ok(!('popular' in records.reported.crashes));
 });
 
+// One completion let no end count for two minutes.
+test('request that ends engines: content that completed before it turned bad is blocked after three ends', () => {
+  const { clock, records } = createRecords();
+  const peer = createRecords();
+  records.recordCompletion('turned');
+  clock.now += 4000;
+  peer.records.recordCrash('turned', 'server-0');
+  records.merge(peer.records.reported);
+  records.recordCrash('turned', 'server-1');
+  records.recordCrash('turned', 'server-2');
+  assert.ok(records.isBlocked('turned'));
+});
+
+// A peer goes on reporting ends that it doesn't know to be cleared.
+test('request that ends engines: ends before a completion stay cleared when peers report them again', () => {
+  const { clock, records } = createRecords();
+  const peer = createRecords();
+  for (let crash = 0; crash < CRASHES_TO_BLOCK; crash += 1)
+    peer.records.recordCrash('popular', `server-${crash}`);
+  records.merge(peer.records.reported);
+  records.recordCompletion('popular');
+  clock.now += 60_000;
+  records.merge(peer.records.reported);
+  assert.ok(!records.isBlocked('popular'));
+});
+
 test('request that ends engines: peers know at which ends it was beginning, and take reports without that', () => {
   const { records } = createRecords();
   const peer = createRecords();
--- a/src/entry/crash-records.ts
+++ b/src/entry/crash-records.ts
@@ -37,6 +37,9 @@
 /** Bounds the size of the records that peers exchange. */
 const MAXIMUM_REPORTED_CONTENTS = 200;
 const MAXIMUM_COMPLETED_CONTENTS = 2000;
+const MAXIMUM_CLEARED_ENDS_PER_CONTENT = 100;
+/** Servers that fail together end many runs of content that is asked for often, and completes meanwhile. */
+const INNOCENT_AFTER_COMPLETION_MILLISECONDS = 3000;
 
 /** What a server was doing with a content when it ended. */
 type Phase = 'beginning' | 'written';
@@ -48,6 +51,14 @@
   lastCrashAt: number;
 }
 
+/** What the last completion of a content shows. */
+interface Completion {
+  /** On the monotonic clock. */
+  readonly completedAt: number;
+  /** Ends that the content is not to blame for; peers may go on reporting them. */
+  readonly clearedKeys: Set<string>;
+}
+
 /** Processes of servers that ended during a phase of the content. */
 function listEnds({ phases }: ContentCrashes, wanted: Phase): string[] {
   return [...phases].flatMap(([processKey, phase]) => (phase === wanted ? [processKey] : []));
@@ -67,8 +78,7 @@
 export class CrashRecords {
   readonly #crashesByContent = new Map<string, ContentCrashes>();
 
-  /** When content last completed, on the monotonic clock. */
-  readonly #completedAt = new LruMap<string, number>(MAXIMUM_COMPLETED_CONTENTS);
+  readonly #completions = new LruMap<string, Completion>(MAXIMUM_COMPLETED_CONTENTS);
 
   readonly #isExplained: (processKey: string) => boolean;
 
@@ -90,7 +100,7 @@
    * @param wasWritten - Whether a server had been writing the answer for a while.
    */
   recordCrash(contentHash: string, processKey: string, wasWritten = false): void {
-    if (this.#isInnocent(contentHash)) return;
+    if (this.#isCleared(contentHash, processKey)) return;
     const crashes = this.#crashesByContent.get(contentHash) ?? {
       contentHash,
       phases: new Map<string, Phase>(),
@@ -111,9 +121,14 @@
     this.#trim();
   }
 
-  /** Records that a request completed: its content does not crash the servers that run it. */
+  /** Records that a request ran to a good end, so that its content did not crash servers so far. */
   recordCompletion(contentHash: string): void {
-    this.#completedAt.set(contentHash, this.#now());
+    const known = this.#crashesByContent.get(contentHash)?.phases.keys() ?? [];
+    const cleared = [...(this.#completions.get(contentHash)?.clearedKeys ?? []), ...known];
+    this.#completions.set(contentHash, {
+      completedAt: this.#now(),
+      clearedKeys: new Set(cleared.slice(-MAXIMUM_CLEARED_ENDS_PER_CONTENT)),
+    });
     this.#crashesByContent.delete(contentHash);
   }
 
@@ -171,9 +186,14 @@
     return this.#now() - lastCrashAt <= CRASH_RETENTION_MILLISECONDS;
   }
 
-  #isInnocent(contentHash: string): boolean {
-    const completedAt = this.#completedAt.get(contentHash);
-    return completedAt !== undefined && this.#now() - completedAt <= CRASH_RETENTION_MILLISECONDS;
+  /** Whether a completion shows that the content is not to blame for an end. */
+  #isCleared(contentHash: string, processKey: string): boolean {
+    const completion = this.#completions.get(contentHash);
+    if (!completion) return false;
+    const { completedAt, clearedKeys } = completion;
+    if (this.#now() - completedAt <= INNOCENT_AFTER_COMPLETION_MILLISECONDS)
+      clearedKeys.add(processKey);
+    return clearedKeys.has(processKey);
   }
 
   /** Drops expired content, and the least dangerous one while there is too much. */
