Look again at a refused connection that could not be confirmed as an end

An end counts against a request once the server's host refuses a connection, another server is reached and a peer is refused as well. The test failed without this ('the end is known' did not hold); that a peer which reaches the server keeps its word is tested too.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -219,6 +219,7 @@
         fetch: (peer, path, timeout) => this.gossip.fetchDocument(peer, path, timeout),
       }),
       log: logs('backend'),
+      signal,
     });
     this.context = {
       dataCentre: settings.dataCentre,
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -71,6 +71,7 @@
       serverReach,
       askPeer: () => Promise.resolve(undefined),
       log: createSilentLogger(),
+      signal: new AbortController().signal,
     }),
     serverReach,
     log: createSilentLogger(),
--- a/src/fleet/end-check.test.ts
+++ b/src/fleet/end-check.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import net, { type AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
+import { waitUntil } from '../../tools/platform-group.js';
+import { sleep } from '../common/clock.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import { BackendFleet } from './backend-fleet.js';
-import { EndCheck, type PeerFinding } from './end-check.js';
+import { CONFIRMATION_DELAYS_MILLISECONDS, EndCheck, type PeerFinding } from './end-check.js';
 import type { ServerEntry } from './server-entry.js';
 import { ServerReach } from './server-reach.js';
 
@@ -35,9 +37,14 @@
   /** Whether this instance reaches another server. */
   readonly isReached?: boolean;
   readonly peerFinding?: PeerFinding;
+  /** What the peer finds when it is asked again. */
+  readonly laterPeerFinding?: PeerFinding;
 }
 
-function createCheck({ isReached = true, peerFinding }: Vantage = {}) {
+function createCheck(context: TestContext, vantage: Vantage = {}) {
+  const { isReached = true, peerFinding, laterPeerFinding = peerFinding } = vantage;
+  const stop = new AbortController();
+  context.after(() => stop.abort());
   const log = createSilentLogger();
   const fleet = new BackendFleet({ log });
   const other: ServerEntry = { ...DEFAULT_ENTRY, id: 'other' };
@@ -46,21 +53,26 @@
     probe: () => Promise.resolve(isReached ? 'held' : 'unknown'),
     onChange: () => undefined,
     log,
-    signal: new AbortController().signal,
+    signal: stop.signal,
   });
-  const askPeer = (): Promise<PeerFinding> => Promise.resolve(peerFinding);
-  return { fleet, endCheck: new EndCheck({ fleet, serverReach, askPeer, log }) };
+  let questions = 0;
+  const askPeer = (): Promise<PeerFinding> => {
+    questions += 1;
+    return Promise.resolve(questions === 1 ? peerFinding : laterPeerFinding);
+  };
+  const { signal } = stop;
+  return { fleet, endCheck: new EndCheck({ fleet, serverReach, askPeer, log, signal }) };
 }
 
-async function checkHasEnded(entry: ServerEntry, vantage?: Vantage): Promise<boolean> {
-  const { fleet, endCheck } = createCheck(vantage);
+async function checkHasEnded(context: TestContext, entry: ServerEntry): Promise<boolean> {
+  const { fleet, endCheck } = createCheck(context);
   await endCheck.check(entry);
   return fleet.hasEnded(entry.id);
 }
 
 test('end check: a server that holds the connection has not ended', async (context) => {
   const entry = await startServer(context, (_, socket) => socket.on('error', () => undefined));
-  assert.equal(await checkHasEnded(entry), false);
+  assert.equal(await checkHasEnded(context, entry), false);
 });
 
 // The check was accepted by a process that was closing its sockets, and its end was missed.
@@ -70,17 +82,17 @@
       server.close();
       socket[close]();
     });
-    assert.equal(await checkHasEnded(entry), true, close);
+    assert.equal(await checkHasEnded(context, entry), true, close);
   }
 });
 
 test('end check: a server that closes each connection and goes on listening has not ended', async (context) => {
   const entry = await startServer(context, (_, socket) => socket.destroy());
-  assert.equal(await checkHasEnded(entry), false);
+  assert.equal(await checkHasEnded(context, entry), false);
 });
 
 // An instance whose own links refused connections recorded live servers as ended.
-test('end check: a refusal is no end where this instance reaches no other server, or a peer is accepted', async () => {
+test('end check: a refusal is no end where this instance reaches no other server, or a peer is accepted', async (context) => {
   const outcomes: [Vantage, boolean][] = [
     [{}, true],
     [{ peerFinding: 'refused' }, true],
@@ -90,8 +102,29 @@
     [{ isReached: false, peerFinding: 'refused' }, false],
   ];
   for (const [vantage, hasEnded] of outcomes) {
-    const { fleet, endCheck } = createCheck(vantage);
+    const { fleet, endCheck } = createCheck(context, vantage);
     await endCheck.recordRefusal(DEFAULT_ENTRY, 'refused');
     assert.equal(fleet.hasEnded('server'), hasEnded, JSON.stringify(vantage));
   }
 });
+
+// The peer was asked once; while many servers end at a time it may not answer, and the end was never known.
+test('end check: a refusal that could not be confirmed is confirmed later', async (context) => {
+  const { fleet, endCheck } = createCheck(context, {
+    peerFinding: 'unknown',
+    laterPeerFinding: 'refused',
+  });
+  await endCheck.recordRefusal(DEFAULT_ENTRY, 'refused');
+  assert.equal(fleet.hasEnded('server'), false);
+  await waitUntil(() => fleet.hasEnded('server'), 'the end is known');
+});
+
+test('end check: a refused server that a peer reaches is not taken for ended later either', async (context) => {
+  const { fleet, endCheck } = createCheck(context, {
+    peerFinding: 'unknown',
+    laterPeerFinding: 'held',
+  });
+  await endCheck.recordRefusal(DEFAULT_ENTRY, 'refused');
+  await sleep(CONFIRMATION_DELAYS_MILLISECONDS.reduce((sum, delay) => sum + delay, 200));
+  assert.equal(fleet.hasEnded('server'), false);
+});
--- a/src/fleet/end-check.ts
+++ b/src/fleet/end-check.ts
@@ -2,8 +2,10 @@
  * Finds out whether a backend server has ended. A live server may break off one answer, and a reset on the
  * way looks the same, so the server's host is asked with a new connection that carries no request. A refused
  * connection may be this instance's own loss of links, so that it shows an end only if this instance still
- * reaches another server, and a peer is refused as well.
+ * reaches another server, and a peer is refused as well. Handles many servers that end at a time: while the
+ * others or the peer can't be asked, the question is asked again.
  */
+import { sleep } from '../common/clock.js';
 import { probeConnection, type ConnectionResult } from '../common/connection-probe.js';
 import type { Logger } from '../telemetry/log.js';
 import type { BackendFleet } from './backend-fleet.js';
@@ -20,8 +22,12 @@
   /** Asks a peer to connect to a server. */
   readonly askPeer: (serverId: string) => Promise<PeerFinding>;
   readonly log: Logger;
+  /** Ends the checks that are to come. */
+  readonly signal: AbortSignal;
 }
 
+/** When a refusal that could not be confirmed is looked at again, each from the one before. */
+export const CONFIRMATION_DELAYS_MILLISECONDS = [200, 400, 800, 1600];
 /** A process that is ending may accept a connection just before it closes all of them. */
 const HOLD_MILLISECONDS = 50;
 const MAXIMUM_CONNECTIONS = 2;
@@ -46,6 +52,9 @@
   /** By process; requests that lose their connections at the same moment share one check. */
   readonly #running = new Map<string, Promise<void>>();
 
+  /** Processes whose refusal is to be looked at again. */
+  readonly #unconfirmed = new Set<string>();
+
   constructor(options: EndCheckOptions) {
     this.#options = options;
   }
@@ -83,21 +92,42 @@
   }
 
   async #confirm(entry: ServerEntry, evidence: string): Promise<void> {
-    const { fleet, serverReach, askPeer, log } = this.#options;
+    if (await this.#isConfirmed(entry, evidence)) this.#options.fleet.recordEnd(entry, evidence);
+    else void this.#confirmLater(entry, evidence);
+  }
+
+  /** Looks at a refusal again until it is confirmed, or the server accepts a connection. */
+  async #confirmLater(entry: ServerEntry, evidence: string): Promise<void> {
+    const { fleet, signal } = this.#options;
+    const processKey = getProcessKey(entry);
+    if (this.#unconfirmed.has(processKey)) return;
+    this.#unconfirmed.add(processKey);
+    for (const delayMilliseconds of CONFIRMATION_DELAYS_MILLISECONDS) {
+      await sleep(delayMilliseconds, signal);
+      if (signal.aborted || fleet.hasEnded(processKey)) break;
+      if ((await probeServer(entry)) === 'held') break;
+      if (await this.#isConfirmed(entry, evidence)) {
+        fleet.recordEnd(entry, evidence);
+        break;
+      }
+    }
+    this.#unconfirmed.delete(processKey);
+  }
+
+  async #isConfirmed(entry: ServerEntry, evidence: string): Promise<boolean> {
+    const { serverReach, askPeer, log } = this.#options;
     const [isReached, peerFinding] = await Promise.all([
       serverReach.confirm(entry),
       askPeer(entry.id),
     ]);
     const isRefusedElsewhere = peerFinding === undefined || peerFinding === 'refused';
-    if (isReached && isRefusedElsewhere) {
-      fleet.recordEnd(entry, evidence);
-      return;
-    }
+    if (isReached && isRefusedElsewhere) return true;
     log.info('A refused connection is not taken for the end of the server.', {
       id: entry.id,
       evidence,
       isAnotherServerReached: isReached,
       peerFinding,
     });
+    return false;
   }
 }
