Tell peers first of the requests that were beginning at most ends

A record names eight requests of an end, the first ones that had failed there. Requests are reported by the number of ends at which they were beginning, most first.

--- a/src/entry/prompt-part-records.test.ts
+++ b/src/entry/prompt-part-records.test.ts
@@ -206,3 +206,22 @@
     { seed: 31, numRuns: Number(process.env.RUNS ?? 150) },
   );
 });
+
+// Records name eight requests of an end, the first that had failed; the content to blame was left out.
+test('request that ends engines: peers are told of the content that was beginning at all ends, among many others', () => {
+  const log = createSilentLogger();
+  const clock = { now: 1000 };
+  const now = (): number => clock.now;
+  const create = (): PromptPartRecords =>
+    new PromptPartRecords({ countInstances: () => 2, log, now });
+  const records = create();
+  const peer = create();
+  for (let end = 0; end < 3; end += 1) {
+    for (let other = 0; other < 20; other += 1)
+      records.recordEnd(`engine-${end}`, { hash: `sound-${end}-${other}`, sharedParts: ['part'] });
+    records.recordEnd(`engine-${end}`, { hash: 'guilty', sharedParts: ['its-part'] });
+    clock.now += 1000;
+  }
+  peer.merge(records.reported, clock.now);
+  assert.ok(!peer.isBlocked({ hash: 'new', sharedParts: ['part'] }));
+});
--- a/src/entry/prompt-part-records.ts
+++ b/src/entry/prompt-part-records.ts
@@ -405,8 +405,12 @@
     const ends: ReportedPartRecords['ends'] = {};
     const written: ReportedPartRecords['written'] = {};
     const tried: ReportedPartRecords['tried'] = {};
+    const endsByContent = this.#countEndsByContent();
+    const countEnds = ({ hash }: RequestContent): number => endsByContent.get(hash) ?? 0;
     describedEnds.slice(0, MAXIMUM_REPORTED_ENDS).forEach(({ processKey, endedAt, beginning }) => {
-      const requests = beginning.slice(0, MAXIMUM_REPORTED_REQUESTS_PER_END);
+      const requests = [...beginning]
+        .sort((one, two) => countEnds(two) - countEnds(one))
+        .slice(0, MAXIMUM_REPORTED_REQUESTS_PER_END);
       ends[processKey] = [
         Math.round(endedAt),
         requests.map(({ hash, sharedParts }) => [
@@ -428,6 +432,15 @@
     return { ends, written, tried };
   }
 
+  /** By content: at how many ends it was beginning. */
+  #countEndsByContent(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    this.#ends.forEach(({ beginning }) =>
+      beginning.forEach(({ hash }) => counts.set(hash, (counts.get(hash) ?? 0) + 1)),
+    );
+    return counts;
+  }
+
   #forgetOldEnds(): void {
     const now = this.#now();
     const explained = new Set(this.#blocked.flatMap(({ processKeys }) => processKeys));
