--- a/src/entry/crash-blame.ts
+++ b/src/entry/crash-blame.ts
@@ -30,6 +30,14 @@
 /** What becomes of a new request. */
 export type Admission = 'run' | 'try' | 'refuse';
 
+/** What is known against a request when its admission is decided, for the log. */
+export interface CrashEvidence {
+  readonly content: string;
+  /** Servers that ended as they began it, and ones that had been writing its answer. */
+  readonly endsAtBegin: number;
+  readonly endsWhileWritten: number;
+}
+
 interface Suspicion extends FailedRequest {
   readonly since: number;
 }
@@ -115,6 +123,13 @@
     return 'refuse';
   }
 
+  /** What is known against a request, or undefined if no server has ended under its content. */
+  describeEvidence({ hash }: RequestContent): CrashEvidence | undefined {
+    const { beginning, written } = this.contents.countEnds(hash);
+    if (beginning + written === 0) return undefined;
+    return { content: hash, endsAtBegin: beginning, endsWhileWritten: written };
+  }
+
   /** The records that make another instance block the same requests. */
   describeBlocks(): Blocks {
     return { ...this.contents.blocking, promptParts: this.promptParts.blocking };
--- a/src/entry/crash-records.ts
+++ b/src/entry/crash-records.ts
@@ -142,6 +142,14 @@
     return unexplained.length >= CRASHES_TO_BLOCK;
   }
 
+  /** The number of servers that ended under a content, by what they were doing with it. */
+  countEnds(contentHash: string): Readonly<Record<Phase, number>> {
+    const crashes = this.#crashesByContent.get(contentHash);
+    if (!crashes || !this.#isCurrent(crashes)) return { beginning: 0, written: 0 };
+    const beginning = listEnds(crashes, 'beginning').length;
+    return { beginning, written: crashes.phases.size - beginning };
+  }
+
   /** The records that peers should know, the most dangerous ones where there are too many. */
   get reported(): ReportedCrashes {
     return this.#describe(() => true);
--- a/src/entry/prompt-part-records.ts
+++ b/src/entry/prompt-part-records.ts
@@ -214,11 +214,6 @@
       });
   }
 
-  /** The most ends at which a part of the request was beginning, without one that was written on since. */
-  countEnds({ sharedParts }: RequestContent): number {
-    return Math.max(0, ...sharedParts.map((part) => this.#countEndsOf(part)));
-  }
-
   /** Whether a blocked part explains the end of a process, so that no other request is to blame for it. */
   explains(processKey: string): boolean {
     return this.#currentlyBlocked.some(({ processKeys }) => processKeys.includes(processKey));
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -13,6 +13,7 @@
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
+import { admitRequest } from './admission.js';
 import { sendRelayedRequest } from './relay-request.js';
 import { assertOwnResponse } from './response-origin.js';
 import { CallEnding, type BufferedResponse } from './call-ending.js';
@@ -78,7 +79,7 @@
   async serve(): Promise<string> {
     const { crashBlame, retryBudget, serverReach, logs } = this.#context;
     const { content, service, signal, metadata, route, relayed } = this.#request;
-    if (crashBlame.admit(content) === 'refuse')
+    if (admitRequest(this.#context, this.#request) === 'refuse')
       return this.#ending.refuse('crashes_servers', RETRY_AFTER_BLOCKED_SECONDS);
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -7,6 +7,7 @@
 import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
+import { admitRequest } from './admission.js';
 import { CallerStream } from './caller-stream.js';
 import { ChainSelector, type EngineChain } from './chain-selector.js';
 import type { EntryContext } from './entry-context.js';
@@ -94,7 +95,7 @@
   async serve(): Promise<string> {
     const { crashBlame, retryBudget, serverReach } = this.#context;
     const { content, service, signal, relayed } = this.#request;
-    const admission = crashBlame.admit(content);
+    const admission = admitRequest(this.#context, this.#request);
     if (admission === 'refuse') return this.#ending.refuseBlocked();
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
