--- a/tests/server-statements.test.ts
+++ b/tests/server-statements.test.ts
@@ -93,6 +93,92 @@
   });
 });
 
+const PAUSE_SECONDS = 2;
+/** From the stated target: what is under way at the request for a pause may still arrive. */
+const UNDER_WAY_MILLISECONDS = 500;
+
+/** Contacts of any kind that reached a server within a pause that it had asked for. */
+function listContactsInPause({ id, contacts, pauses }: PlatformServer): string[] {
+  return contacts
+    .filter(({ at }) =>
+      pauses.some(
+        (pausedAt) =>
+          at > pausedAt + UNDER_WAY_MILLISECONDS && at < pausedAt + 1000 * PAUSE_SECONDS,
+      ),
+    )
+    .map(({ at, path }) => `${id} ${path} at ${Math.round(at)}`);
+}
+
+/** Sends calls and streams all the time, for a while. */
+async function keepSending(group: PlatformGroup, milliseconds: number): Promise<void> {
+  const until = performance.now() + milliseconds;
+  for (let turn = 0; performance.now() < until; turn += 1) {
+    void sendCallerRequest(getFirstInstance(group), `/lookups/${turn}`);
+    void sendCallerRequest(getFirstInstance(group), `/drafts/${turn}`);
+    await sleep(50);
+  }
+}
+
+// A pause was forgotten with the entry, and known again as none when the entry came back.
+test('pause: it outlasts the absence of the entry of the server that asked for it', async (context) => {
+  const group = await startGroup(context, { plainServers: 1 });
+  const [server] = listServers(group, false);
+  assert.ok(server);
+  Object.assign(server.faults, { refusesAll: true, namedPause: String(PAUSE_SECONDS) });
+  const sending = keepSending(group, 3000);
+  await waitUntil(() => server.pauses.length > 0, 'it has asked for the pause');
+  group.store.remove('servers', server.id);
+  await sleep(UNDER_WAY_MILLISECONDS);
+  server.register('ready');
+  await sending;
+  assert.deepEqual(listContactsInPause(server), []);
+});
+
+// Only answers to callers' requests were read.
+test('pause: a server that asks for it in the answer to a health check or a report gets nothing meanwhile', async (context) => {
+  const group = await startServing(context);
+  const asking = [
+    ...listServers(group, true).slice(0, 2),
+    ...listServers(group, false).slice(0, 1),
+  ];
+  asking.forEach(({ faults }) => Object.assign(faults, { closesWithoutAnswer: true }));
+  const sending = keepSending(group, 5000);
+  const isEjected = ({ id }: PlatformServer): boolean =>
+    new RegExp(`"id":"${id}".*Backend server ejected`).test(getFirstInstance(group).log.join(''));
+  await waitUntil(() => asking.some(isEjected), 'some are ejected');
+  asking.forEach(({ faults }) =>
+    Object.assign(faults, {
+      closesWithoutAnswer: false,
+      refusesAll: true,
+      refusesProbes: true,
+      namedPause: String(PAUSE_SECONDS),
+    }),
+  );
+  await sending;
+  assert.ok(asking.some(({ pauses }) => pauses.length > 0));
+  assert.deepEqual(asking.flatMap(listContactsInPause), []);
+});
+
+// A silent stream had its engine asked for reports several times a second, whatever the engine had said.
+test('pause: an engine with silent streams is asked for no more than one report meanwhile', async (context) => {
+  const group = await startGroup(context, { engines: 6, pauseMilliseconds: 400 });
+  const streams = Array.from({ length: 6 }, (_, index) =>
+    sendCallerRequest(getFirstInstance(group), `/drafts/${index}`),
+  );
+  await sleep(100);
+  const engines = listServers(group, true);
+  engines.forEach(({ faults }) =>
+    Object.assign(faults, { refusesAll: true, namedPause: String(PAUSE_SECONDS) }),
+  );
+  await keepSending(group, 2000);
+  (await Promise.all(streams)).forEach(({ status }) => assert.equal(status, 200));
+  assert.ok(engines.some(({ pauses }) => pauses.length > 0));
+  engines.forEach((engine) => {
+    const contacts = listContactsInPause(engine);
+    assert.ok(contacts.length <= 1, contacts.join());
+  });
+});
+
 test('pause: a server that starts again under its id has asked for none', async (context) => {
   const group = await startGroup(context, { plainServers: 1 });
   const [server] = listServers(group, false);
--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -63,6 +63,8 @@
   saysThatItLeaves: boolean;
   /** The `Retry-After` of its refusals. */
   namedPause: string | undefined;
+  /** Refuses health checks, reports and orders as well. */
+  refusesProbes: boolean;
   /** Ends in order, as a process that exits does, after this many events of a stream. */
   closesBetweenEvents: number;
   /** Withdraws its entry from the store when it has begun a stream, and goes on serving. */
@@ -114,6 +116,7 @@
     failedStatus: 0,
     saysThatItLeaves: false,
     namedPause: undefined,
+    refusesProbes: false,
     closesBetweenEvents: Number.POSITIVE_INFINITY,
     unregistersWhileRunning: false,
   };
@@ -124,6 +127,12 @@
   /** When callers' requests arrived, also rejected ones, on the monotonic clock. */
   readonly arrivals: number[] = [];
 
+  /** All requests that arrived, also health checks, reports and orders, on the monotonic clock. */
+  readonly contacts: { readonly at: number; readonly path: string }[] = [];
+
+  /** When it asked for a pause, on the monotonic clock. */
+  readonly pauses: number[] = [];
+
   readonly runs: Run[] = [];
 
   readonly orders: { readonly from: number; readonly to: number }[] = [];
@@ -213,20 +222,25 @@
 
   async #handleRequest(request: StandInRequest): Promise<void> {
     const { path, response, headers } = request;
-    const { namedLimit, namedPause, saysThatItLeaves, refusesAll } = this.faults;
-    if (headers['request-id'] !== undefined) {
+    const { namedLimit, saysThatItLeaves, refusesAll, refusesProbes } = this.faults;
+    this.contacts.push({ at: performance.now(), path });
+    const isProbe = headers['request-id'] === undefined;
+    if (!isProbe) {
       this.arrivals.push(performance.now());
       if (namedLimit !== undefined) response.setHeader('server-limit', namedLimit);
       if (saysThatItLeaves) response.setHeader('server-leaving', '1');
-      if (refusesAll && namedPause !== undefined) response.setHeader('retry-after', namedPause);
     }
+    if (refusesAll && (refusesProbes || !isProbe)) this.#askForPause(response);
     if (this.faults.neverAnswers) {
       await new Promise<void>((resolve) => {
         response.on('close', resolve);
       });
       return;
     }
-    if (path === '/health') response.writeHead(200, { 'instance-id': this.#options.id }).end();
+    if (isProbe && refusesAll && refusesProbes) {
+      response.writeHead(503, { 'not-executed': '1', 'instance-id': this.#options.id }).end();
+    } else if (path === '/health')
+      response.writeHead(200, { 'instance-id': this.#options.id }).end();
     else if (path === '/report') sendJson(response, 200, this.#buildReport());
     else if (path === '/order') this.#handleOrder(request);
     else if (headers['expect-instance'] !== this.#options.id) {
@@ -239,6 +253,13 @@
     } else await this.#handleRun(request);
   }
 
+  #askForPause(response: http.ServerResponse): void {
+    const { namedPause } = this.faults;
+    if (namedPause === undefined) return;
+    response.setHeader('retry-after', namedPause);
+    this.pauses.push(performance.now());
+  }
+
   #buildReport(): Record<string, unknown> {
     return {
       busy: false,
