Keep what a server says of itself with its process, not with its entry

Servers: one that asked for 2 s of rest got a call after 0.6 s, as its entry had gone and come back (process test). Cause: the pause was a field of the registered server, which is made anew with the entry; entries go and come back while the store is away, and may come from an older copy. Leaving was kept by process already. Both are now one record by process (OwnWord), to which the registered server refers; a pause is also kept that arrives while the entry is missing. A new process has said nothing.

--- a/src/entry/relay-request.ts
+++ b/src/entry/relay-request.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage } from 'node:http';
 import { formatAddress } from '../common/address.js';
 import { HttpRequestError } from '../common/http-client.js';
-import { recordPause } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { sendBackendRequest, type BackendRequest } from './backend-request.js';
 import type { EntryContext } from './entry-context.js';
@@ -61,16 +60,15 @@
 ): void {
   const { id } = entry;
   const isOwn = metadata.requestId === requestId || metadata.isNotExecuted;
-  const registered = fleet.find(id);
-  const isSameProcess =
-    registered !== undefined && getProcessKey(registered.entry) === getProcessKey(entry);
-  if (!isOwn || status === MISDIRECTED || !isSameProcess) return;
+  if (!isOwn || status === MISDIRECTED) return;
   const log = logs('routing');
   const { malformed, requestsPerSecond, isLeaving, pauseMilliseconds } = metadata;
-  if (malformed.limit === undefined) serverLimits.recordAnswer(id, requestsPerSecond);
+  const registered = fleet.find(id);
+  const isCurrent = registered && getProcessKey(registered.entry) === getProcessKey(entry);
+  if (isCurrent && malformed.limit === undefined) serverLimits.recordAnswer(id, requestsPerSecond);
   if (isLeaving) fleet.recordLeaving(entry);
   if (status === UNAVAILABLE && pauseMilliseconds !== undefined) {
-    recordPause(registered, performance.now() + pauseMilliseconds);
+    fleet.recordPause(entry, pauseMilliseconds);
     log.info('Backend server asks for a pause.', { requestId, server: id, pauseMilliseconds });
   }
   if (Object.keys(malformed).length > 0)
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -20,9 +20,23 @@
   readonly reportedAt: number;
 }
 
+/**
+ * What a process of a server has said of itself to this instance. It outlasts the process's entry, which
+ * may go and come back, also from an older copy of the store.
+ */
+export interface OwnWord {
+  /** Whether it leaves, and wants no further request. */
+  isLeaving: boolean;
+  /** When it last asked for a pause, on the monotonic clock. */
+  pausedSince: number;
+  /** Until when it wants no requests from this instance. */
+  pausedUntil: number;
+}
+
 /** A registered server and its current state. Times are on the monotonic clock. */
 export interface FleetServer {
   entry: ServerEntry;
+  ownWord: OwnWord;
   /** Requests sent by this instance. */
   readonly ownLoad: ServerLoad;
   /** Requests sent by all peers, from their last records. */
@@ -37,8 +51,6 @@
   peerLayerReport: LayerReport | undefined;
   /** Until when it is assumed to have no capacity, because it has refused a request. */
   fullUntil: number;
-  /** Until when it wants no requests from this instance, as it has said. */
-  pausedUntil: number;
   /** Whether it has told a peer that it leaves. */
   isLeavingByPeer: boolean;
   /** When the current run of refusals began; undefined if it accepted the last request. */
@@ -66,7 +78,6 @@
   ownLayerReport: undefined,
   peerLayerReport: undefined,
   fullUntil: 0,
-  pausedUntil: 0,
   isLeavingByPeer: false,
   refusingSince: undefined,
   consecutiveRefusals: 0,
@@ -79,7 +90,7 @@
 
 /** Ended processes that are remembered; far more than may run one request. */
 const MAXIMUM_ENDED_PROCESSES = 1000;
-const MAXIMUM_LEAVING_PROCESSES = 1000;
+const MAXIMUM_OWN_WORDS = 2000;
 
 /** After this long an engine's registry entry shows the reported layers. */
 const LAYER_REPORT_MAX_AGE_MILLISECONDS = 6000;
@@ -121,11 +132,8 @@
   /** Keys of processes that are shown to have ended, also when they are no longer registered. */
   readonly #endedProcesses = new LruMap<string, true>(MAXIMUM_ENDED_PROCESSES);
 
-  /**
-   * Keys of processes that have told this instance that they leave. They outlast their entries, which may
-   * come back from an older copy of the store.
-   */
-  readonly #leavingProcesses = new LruMap<string, true>(MAXIMUM_LEAVING_PROCESSES);
+  /** By process. */
+  readonly #ownWords = new LruMap<string, OwnWord>(MAXIMUM_OWN_WORDS);
 
   constructor(options: BackendFleetOptions) {
     this.#log = options.log;
@@ -157,9 +165,9 @@
    * @param entry - The entry of that process.
    */
   recordLeaving(entry: ServerEntry): void {
-    const processKey = getProcessKey(entry);
-    if (this.#leavingProcesses.get(processKey)) return;
-    this.#leavingProcesses.set(processKey, true);
+    const ownWord = this.#getOwnWord(entry);
+    if (ownWord.isLeaving) return;
+    ownWord.isLeaving = true;
     const { id, incarnation } = entry;
     this.#log.info('Backend server says that it leaves.', {
       id,
@@ -168,10 +176,23 @@
     });
   }
 
+  /**
+   * Notes that a server wants nothing from this instance for a time.
+   *
+   * @param entry - The entry of the process that said so.
+   * @param milliseconds - How long. An earlier word that reaches further stays in force.
+   */
+  recordPause(entry: ServerEntry, milliseconds: number): void {
+    const ownWord = this.#getOwnWord(entry);
+    ownWord.pausedSince = this.#now();
+    ownWord.pausedUntil = Math.max(ownWord.pausedUntil, this.#now() + milliseconds);
+  }
+
   /** Keys of registered processes that have told this instance that they leave. */
   get leavingProcessKeys(): string[] {
-    const keys = this.servers.map(({ entry }) => getProcessKey(entry));
-    return keys.filter((key) => this.#leavingProcesses.get(key) === true);
+    return this.servers
+      .filter(({ ownWord }) => ownWord.isLeaving)
+      .map(({ entry }) => getProcessKey(entry));
   }
 
   /** Withdraws {@link recordEnd}, since the process has answered. */
@@ -224,10 +245,7 @@
    */
   listForService(service: string): FleetServer[] {
     return this.servers.filter(
-      ({ entry }) =>
-        entry.service === service &&
-        !entry.isLeaving &&
-        this.#leavingProcesses.get(getProcessKey(entry)) === undefined,
+      ({ entry, ownWord }) => entry.service === service && !entry.isLeaving && !ownWord.isLeaving,
     );
   }
 
@@ -291,6 +309,15 @@
     });
   }
 
+  #getOwnWord(entry: ServerEntry): OwnWord {
+    const processKey = getProcessKey(entry);
+    const known = this.#ownWords.get(processKey);
+    if (known) return known;
+    const ownWord = { isLeaving: false, pausedSince: 0, pausedUntil: 0 };
+    this.#ownWords.set(processKey, ownWord);
+    return ownWord;
+  }
+
   #applyEntry(entry: ServerEntry): void {
     const known = this.#servers.get(entry.id);
     if (!known) {
@@ -298,6 +325,7 @@
       this.#log.info('Backend server registered.', { ...entry, revision: this.revision });
       this.#servers.set(entry.id, {
         entry,
+        ownWord: this.#getOwnWord(entry),
         ownLoad: { requests: 0, reservedTokenLayers: 0 },
         peerLoad: { requests: 0, reservedTokenLayers: 0 },
         ...STATE_OF_NEW_PROCESS,
@@ -307,7 +335,7 @@
     }
     if (getProcessKey(known.entry) !== getProcessKey(entry)) {
       this.recordEnd(known.entry, `it started again, incarnation ${entry.incarnation}`);
-      Object.assign(known, STATE_OF_NEW_PROCESS);
+      Object.assign(known, STATE_OF_NEW_PROCESS, { ownWord: this.#getOwnWord(entry) });
       this.#onRestarted(entry.id);
     }
     if (known.entry.isLeaving !== entry.isLeaving) {
--- a/src/fleet/expected-room.test.ts
+++ b/src/fleet/expected-room.test.ts
@@ -4,13 +4,16 @@
 import { createSilentLogger } from '../telemetry/log.js';
 import { BackendFleet, type FleetServer } from './backend-fleet.js';
 import { findExpectedRoom, type ExpectedRoom } from './expected-room.js';
-import { getAvailability, recordAcceptance, recordPause } from './server-availability.js';
+import { getAvailability, recordAcceptance } from './server-availability.js';
 import { ServerLimits } from './server-limits.js';
 
 const NOW = 100_000;
 
-function createServers(count: number): { fleet: BackendFleet; servers: FleetServer[] } {
-  const fleet = new BackendFleet({ log: createSilentLogger() });
+function createServers(
+  count: number,
+  clock = { now: NOW },
+): { fleet: BackendFleet; servers: FleetServer[] } {
+  const fleet = new BackendFleet({ log: createSilentLogger(), now: () => clock.now });
   for (let index = 0; index < count; index += 1)
     fleet.put(
       {
@@ -46,14 +49,15 @@
 }
 
 test('expected room: the first server that has room again decides, within two seconds', () => {
-  const { servers } = createServers(2);
+  const { fleet, servers } = createServers(2);
+  const [, second] = servers as [FleetServer, FleetServer];
   const limits = createLimits();
   for (let count = 0; count < 20; count += 1) limits.recordSend('server-0');
   limits.recordAnswer('server-0', 3);
   assert.equal(findRoom(servers, limits), undefined, 'the other one has room');
-  recordPause(servers[1] as FleetServer, NOW + 3_600_000);
+  fleet.recordPause(second.entry, 3_600_000);
   assert.deepEqual(findRoom(servers, limits), { code: 'servers_limited', seconds: 2 });
-  (servers[1] as FleetServer).pausedUntil = NOW + 700;
+  second.ownWord.pausedUntil = NOW + 700;
   assert.deepEqual(findRoom(servers, limits), { code: 'servers_paused', seconds: 0.7 });
   assert.deepEqual(findRoom(servers, limits, 1), { code: 'servers_paused', seconds: 1.05 });
   assert.equal(findRoom([], limits), undefined);
@@ -67,18 +71,18 @@
   });
   fc.assert(
     fc.property(fc.array(event, { maxLength: 20 }), (events) => {
-      const { servers } = createServers(1);
+      const clock = { now: NOW };
+      const { fleet, servers } = createServers(1, clock);
       const [server] = servers as [FleetServer];
-      let now = NOW;
       let end = 0;
       events.forEach(({ after, pause }) => {
-        now += after;
+        clock.now += after;
         if (pause === null) recordAcceptance(server);
         else {
-          end = Math.max(end, now + pause);
-          recordPause(server, now + pause);
+          end = Math.max(end, clock.now + pause);
+          fleet.recordPause(server.entry, pause);
         }
-        assert.equal(getAvailability(server, now) === 'closed', end > now);
+        assert.equal(getAvailability(server, clock.now) === 'closed', end > clock.now);
       });
     }),
     { seed: 41, numRuns: 500 },
--- a/src/fleet/expected-room.ts
+++ b/src/fleet/expected-room.ts
@@ -38,9 +38,9 @@
   now,
   random = Math.random,
 }: ExpectedRoomOptions): ExpectedRoom | undefined {
-  const waits = servers.map(({ entry, pausedUntil }) => ({
+  const waits = servers.map(({ entry, ownWord }) => ({
     limited: serverLimits.roomInMilliseconds(entry.id),
-    paused: Math.max(0, pausedUntil - now),
+    paused: Math.max(0, ownWord.pausedUntil - now),
   }));
   const [first] = waits.sort(
     (one, other) => Math.max(one.limited, one.paused) - Math.max(other.limited, other.paused),
--- a/src/fleet/server-availability.ts
+++ b/src/fleet/server-availability.ts
@@ -20,10 +20,10 @@
  * @param now - Current time on the monotonic clock, in milliseconds.
  */
 export function getAvailability(
-  { pausedUntil, fullUntil, isLeavingByPeer }: FleetServer,
+  { ownWord, fullUntil, isLeavingByPeer }: FleetServer,
   now: number,
 ): Availability {
-  if (pausedUntil > now) return 'closed';
+  if (ownWord.pausedUntil > now) return 'closed';
   return fullUntil > now || isLeavingByPeer ? 'avoided' : 'open';
 }
 
@@ -53,14 +53,3 @@
   server.refusingSince = undefined;
   server.fullUntil = 0;
 }
-
-/**
- * Records that a server wants nothing from this instance for a time.
- *
- * @param server - The server, changed in place.
- * @param until - The end of that time on the monotonic clock, in milliseconds. An earlier word that reaches
- *   further stays in force.
- */
-export function recordPause(server: FleetServer, until: number): void {
-  server.pausedUntil = Math.max(server.pausedUntil, until);
-}
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -279,7 +279,7 @@
     const processKey = getProcessKey(server.entry);
     if (layers.to - layers.from > maximumLayerCount(profile, kind)) return;
     if (getAvailability(server, performance.now()) === 'closed') {
-      this.#busyUntil.set(processKey, server.pausedUntil);
+      this.#busyUntil.set(processKey, server.ownWord.pausedUntil);
       return;
     }
     const layerCount = layers.to - layers.from;
