Read what servers say of themselves in answers to health checks and reports

Servers: one that was ejected and asked for 2 s of rest in its answer to a health check got a health check every 0.2 s, 19 in the time (process test). Cause: only answers to callers' requests were read. Now one recorder (StatementRecorder) takes what any answer says, of calls, streams, health checks and reports, unless another server gave it (421, or another id in the answer); only an answer to a caller's request tells that a limit is no longer named. An engine that refuses a report and asks for a pause is no longer ejected for it, nor asked while its order is checked. A server's word that it leaves is read on these ways too.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -8,6 +8,7 @@
 import { CrashBlame } from '../entry/crash-blame.js';
 import { CrashRecords } from '../entry/crash-records.js';
 import { PromptPartRecords } from '../entry/prompt-part-records.js';
+import { EngineReports } from '../entry/engine-reports.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import { EntryMetrics } from '../entry/entry-metrics.js';
 import { type EntryServer } from '../entry/entry-server.js';
@@ -29,6 +30,7 @@
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { ServerReach } from '../fleet/server-reach.js';
 import { ServerLimits } from '../fleet/server-limits.js';
+import { StatementRecorder } from '../fleet/server-statements.js';
 import { Gossip } from '../gossip/gossip.js';
 import type { PeerRecord, ServerLoads } from '../gossip/peer-record.js';
 import { PeerTable } from '../gossip/peer-table.js';
@@ -91,6 +93,8 @@
 
   readonly context: EntryContext;
 
+  readonly engineReports: EngineReports;
+
   readonly serverHealth: ServerHealth;
 
   readonly lease: PlannerLease;
@@ -221,6 +225,17 @@
       log: logs('backend'),
       signal,
     });
+    const serverLimits = new ServerLimits({
+      instance: settings.instance,
+      listPeers: () => this.peers.allRecords.map(({ instance }) => instance),
+      log: logs('backend'),
+    });
+    const statements = new StatementRecorder({
+      fleet: this.fleet,
+      serverLimits,
+      log: logs('routing'),
+    });
+    this.engineReports = new EngineReports({ protocol: platform.protocol, statements });
     this.context = {
       dataCentre: settings.dataCentre,
       protocol: platform.protocol,
@@ -229,11 +244,8 @@
       callTimes: new CallTimes(),
       endCheck,
       crashBlame: this.#createCrashBlame(),
-      serverLimits: new ServerLimits({
-        instance: settings.instance,
-        listPeers: () => this.peers.allRecords.map(({ instance }) => instance),
-        log: logs('backend'),
-      }),
+      serverLimits,
+      statements,
       serverReach: this.serverReach,
       peerRelay: this.peerRelay,
       refusalPacing: new RefusalPacing(),
@@ -246,7 +258,7 @@
         instanceCount: () => this.peers.aliveCount + 1,
       }),
       stallDetector: new StallDetector({
-        protocol: platform.protocol,
+        reports: this.engineReports,
         fleet: this.fleet,
         outlierEjection: this.outlierEjection,
         endCheck,
@@ -270,7 +282,9 @@
       fleet: this.fleet,
       outlierEjection: this.outlierEjection,
       endCheck,
-      serverLimits: this.context.serverLimits,
+      serverLimits,
+      statements,
+      protocol: platform.protocol,
       callTimes: this.context.callTimes,
       configuration: this.configuration,
     });
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -152,6 +152,7 @@
       outlierEjection: this.#components.outlierEjection,
       configuration: this.#components.configuration,
       protocol: platform.protocol,
+      reports: this.#components.engineReports,
       lease: this.#components.lease,
       isPlanner: () =>
         isPlanner(this.#components.ownRecord.current, this.#components.peers.aliveRecords),
--- a/src/daemon/server-health.ts
+++ b/src/daemon/server-health.ts
@@ -6,6 +6,8 @@
 import { checkHealth } from '../fleet/health-check.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { getAvailability } from '../fleet/server-availability.js';
+import type { StatementRecorder } from '../fleet/server-statements.js';
+import type { ProtocolAdapter } from '../entry/protocol-adapter.js';
 import type { ServerLimits } from '../fleet/server-limits.js';
 
 /** Options of {@link ServerHealth}. */
@@ -14,6 +16,8 @@
   readonly outlierEjection: OutlierEjection;
   readonly endCheck: EndCheck;
   readonly serverLimits: ServerLimits;
+  readonly statements: StatementRecorder;
+  readonly protocol: ProtocolAdapter;
   readonly callTimes: CallTimes;
   readonly configuration: ActiveConfiguration;
 }
@@ -38,12 +42,16 @@
   }
 
   async #checkServer(id: string): Promise<void> {
-    const { fleet, outlierEjection, endCheck, configuration } = this.#options;
+    const { fleet, outlierEjection, endCheck, configuration, protocol, statements } = this.#options;
     const server = fleet.find(id);
     if (!server || getAvailability(server, performance.now()) === 'closed') return;
     const { entry } = server;
     const path = configuration.current?.services.get(entry.service)?.healthPath;
-    const health = await checkHealth(entry.address, path ?? DEFAULT_HEALTH_PATH);
+    const { health, answer } = await checkHealth(entry.address, path ?? DEFAULT_HEALTH_PATH);
+    if (answer) {
+      const said = protocol.parseServerStatements(answer.headers);
+      statements.record({ entry, status: answer.status, statements: said });
+    }
     if (health === 'refused') await endCheck.recordRefusal(entry, 'a health check was refused');
     if (health !== 'healthy') return;
     fleet.recordLife(entry);
--- a/src/entry/protocol-adapter.ts
+++ b/src/entry/protocol-adapter.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Address } from '../common/address.js';
 import type { LayerRange } from '../fleet/server-entry.js';
+import type { ServerStatements } from '../fleet/server-statements.js';
 
 /** What the headers of a caller's request state. */
 export interface RequestMetadata {
@@ -47,7 +48,7 @@
 }
 
 /** What the headers of a backend server's response state. */
-export interface ResponseMetadata {
+export interface ResponseMetadata extends ServerStatements {
   readonly requestId: string | undefined;
   /**
    * Whether the response carries the backend server's signature, which shows where it comes from.
@@ -58,14 +59,6 @@
   /** `host:port` of the engine at fault, when the request ran over a chain. */
   readonly faultAddress: string | undefined;
   readonly load: { readonly running: number; readonly waiting: number } | undefined;
-  /** Requests per second that the server takes from all instances together; undefined if any number. */
-  readonly requestsPerSecond: number | undefined;
-  /** Whether the server says that it leaves and wants no further request. */
-  readonly isLeaving: boolean;
-  /** For how long the server wants no request from this instance; undefined if it doesn't say. */
-  readonly pauseMilliseconds: number | undefined;
-  /** What the server says of itself but can't be read; it says nothing. Shortened, by what it is about. */
-  readonly malformed: Readonly<Partial<Record<'limit' | 'leaving' | 'pause', string>>>;
   /** Whether the body has a content encoding, so that it was altered on the way. */
   readonly isEncoded: boolean;
 }
@@ -86,6 +79,14 @@
   }[];
 }
 
+/** An engine's answer to the question for a report. */
+export interface EngineReportAnswer {
+  readonly status: number;
+  readonly statements: ServerStatements;
+  /** Undefined if the engine answered with a failure. */
+  readonly report: EngineReport | undefined;
+}
+
 /** An order to hold a range of layers. */
 export interface PlacementOrder extends LayerRange {
   /** The engine accepts the order only if it has accepted this many orders before. */
@@ -119,11 +120,13 @@
     metadata: BackendRequestMetadata,
   ) => string[];
   readonly parseResponseHeaders: (headers: IncomingHttpHeaders, status: number) => ResponseMetadata;
-  /** Rejects when the engine sends no valid report in time. */
+  /** Reads what any answer of a server says of the server. */
+  readonly parseServerStatements: (headers: IncomingHttpHeaders) => ServerStatements;
+  /** Rejects when the engine sends no valid answer in time. */
   readonly fetchEngineReport: (
     address: Address,
     timeoutMilliseconds: number,
-  ) => Promise<EngineReport>;
+  ) => Promise<EngineReportAnswer>;
   readonly sendPlacementOrder: (
     address: Address,
     order: PlacementOrder,
--- a/src/entry/relay-request.ts
+++ b/src/entry/relay-request.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { formatAddress } from '../common/address.js';
 import { HttpRequestError } from '../common/http-client.js';
-import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
+import type { ServerEntry } from '../fleet/server-entry.js';
 import { sendBackendRequest, type BackendRequest } from './backend-request.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
@@ -28,9 +28,6 @@
 
 /** Statuses from here on are logged with what they say about the response's origin. */
 const FIRST_LOGGED_STATUS = 300;
-/** Another server answers at the address. */
-const MISDIRECTED = 421;
-const UNAVAILABLE = 503;
 /** The least urgent of the ten degrees that backend servers know. */
 const LEAST_URGENT = 9;
 
@@ -51,34 +48,6 @@
   });
 }
 
-/** Notes what a server says of itself in an answer that is its own. */
-function recordStatements(
-  { serverLimits, fleet, logs }: EntryContext,
-  requestId: string,
-  entry: ServerEntry,
-  { status, metadata }: RelayedResponse,
-): void {
-  const { id } = entry;
-  const isOwn = metadata.requestId === requestId || metadata.isNotExecuted;
-  if (!isOwn || status === MISDIRECTED) return;
-  const log = logs('routing');
-  const { malformed, requestsPerSecond, isLeaving, pauseMilliseconds } = metadata;
-  const registered = fleet.find(id);
-  const isCurrent = registered && getProcessKey(registered.entry) === getProcessKey(entry);
-  if (isCurrent && malformed.limit === undefined) serverLimits.recordAnswer(id, requestsPerSecond);
-  if (isLeaving) fleet.recordLeaving(entry);
-  if (status === UNAVAILABLE && pauseMilliseconds !== undefined) {
-    fleet.recordPause(entry, pauseMilliseconds);
-    log.info('Backend server asks for a pause.', { requestId, server: id, pauseMilliseconds });
-  }
-  if (Object.keys(malformed).length > 0)
-    log.warn('Backend server says something of itself that cannot be read; ignored.', {
-      requestId,
-      server: id,
-      ...malformed,
-    });
-}
-
 /** Sends a request, and notes whether the server could be reached. */
 async function sendObserved(
   { serverReach }: EntryContext,
@@ -136,7 +105,12 @@
     status,
     metadata: protocol.parseResponseHeaders(message.headers, status),
   };
-  recordStatements(context, metadata.requestId, server, response);
+  const isOwn =
+    response.metadata.requestId === metadata.requestId || response.metadata.isNotExecuted;
+  if (isOwn) {
+    const { requestId } = metadata;
+    context.statements.record({ entry: server, status, statements: response.metadata, requestId });
+  }
   if (status >= FIRST_LOGGED_STATUS) logFailure(context, metadata.requestId, server, response);
   return response;
 }
--- a/src/entry/stall-detector.test.ts
+++ b/src/entry/stall-detector.test.ts
@@ -6,7 +6,8 @@
 import { ServerReach } from '../fleet/server-reach.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { createSilentLogger } from '../telemetry/log.js';
-import type { ProtocolAdapter, EngineReport } from './protocol-adapter.js';
+import type { EngineReports } from './engine-reports.js';
+import type { EngineReport } from './protocol-adapter.js';
 import { StallDetector, type WatchedStream } from './stall-detector.js';
 
 const CHECK_INTERVAL_MILLISECONDS = 70;
@@ -19,10 +20,6 @@
   stalledRequests: [],
 };
 
-function failOnCall(): never {
-  throw new Error('unexpected call');
-}
-
 /** Creates a detector for engines a, b and c, which send the given reports. */
 function createDetector(
   reports: Record<string, EngineReport | 'silent' | 'unconnected' | 'refused'>,
@@ -44,14 +41,8 @@
     now: () => clock.now,
   });
   const askedEngineIds: string[] = [];
-  const protocol: ProtocolAdapter = {
-    parseRequestHeaders: failOnCall,
-    buildBackendHeaders: failOnCall,
-    parseResponseHeaders: failOnCall,
-    sendPlacementOrder: failOnCall,
-    rerouteStream: failOnCall,
-    fetchEngineReport: ({ port }) => {
-      const id = ['a', 'b', 'c'][port - 1] ?? '';
+  const engineReports: Pick<EngineReports, 'fetch'> = {
+    fetch: ({ entry: { id } }) => {
       askedEngineIds.push(id);
       const report = reports[id] ?? REPORT_WITHOUT_STALLS;
       if (report === 'unconnected')
@@ -63,7 +54,7 @@
     },
   };
   const detector = new StallDetector({
-    protocol,
+    reports: engineReports,
     fleet,
     outlierEjection,
     endCheck: new EndCheck({
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -16,7 +16,8 @@
 import type { ServerReach } from '../fleet/server-reach.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
-import type { ProtocolAdapter } from './protocol-adapter.js';
+import type { EngineReports } from './engine-reports.js';
+import { NoEngineReportError } from './no-engine-report-error.js';
 
 /** A running stream, and how to act on it when it stalls. */
 export interface WatchedStream {
@@ -38,7 +39,7 @@
 
 /** Options of {@link StallDetector}. */
 export interface StallDetectorOptions {
-  readonly protocol: ProtocolAdapter;
+  readonly reports: Pick<EngineReports, 'fetch'>;
   readonly fleet: BackendFleet;
   readonly outlierEjection: OutlierEjection;
   readonly endCheck: EndCheck;
@@ -191,11 +192,11 @@
   }
 
   async #refreshStalls(server: FleetServer): Promise<void> {
-    const { id, address } = server.entry;
-    const { protocol, fleet, outlierEjection, log } = this.#options;
+    const { id } = server.entry;
+    const { reports, fleet, outlierEjection, log } = this.#options;
     const requestedAt = this.#now();
     try {
-      const report = await protocol.fetchEngineReport(address, REPORT_TIMEOUT_MILLISECONDS);
+      const report = await reports.fetch(server, REPORT_TIMEOUT_MILLISECONDS);
       this.#options.serverReach.recordConnected(server.entry);
       server.ownSlowdownFactor = report.slowdownFactor;
       outlierEjection.recordLife(id);
@@ -239,6 +240,9 @@
   #ejectUnresponsive(server: FleetServer, requestedAt: number, error: unknown): void {
     const isUnconnected = error instanceof HttpRequestError && error.phase === 'connecting';
     if (isUnconnected) this.#options.serverReach.recordUnreachable(server.entry);
+    const hasAskedForPause =
+      error instanceof NoEngineReportError && getAvailability(server, this.#now()) === 'closed';
+    if (hasAskedForPause) return;
     const elapsedMilliseconds = this.#now() - requestedAt;
     if (elapsedMilliseconds > REPORT_TIMEOUT_MILLISECONDS + LOCAL_DELAY_TOLERANCE_MILLISECONDS)
       return;
@@ -253,12 +257,12 @@
   }
 
   async #refreshSlowdownFactor(server: FleetServer): Promise<void> {
-    const { id, address } = server.entry;
+    const { id } = server.entry;
     if (!this.#tryStartReport(`slowdown ${id}`, SLOWDOWN_REPORT_INTERVAL_MILLISECONDS)) return;
     const requestedAt = this.#now();
     try {
-      const { slowdownFactor } = await this.#options.protocol.fetchEngineReport(
-        address,
+      const { slowdownFactor } = await this.#options.reports.fetch(
+        server,
         REPORT_TIMEOUT_MILLISECONDS,
       );
       if (slowdownFactor !== server.ownSlowdownFactor)
--- a/src/fleet/health-check.ts
+++ b/src/fleet/health-check.ts
@@ -1,6 +1,6 @@
 /** HTTP health check of a backend server. */
 import type { Address } from '../common/address.js';
-import { fetchResponse, isConnectionRefused } from '../common/http-client.js';
+import { fetchResponse, isConnectionRefused, type HttpResponse } from '../common/http-client.js';
 
 const TIMEOUT_MILLISECONDS = 300;
 const MAXIMUM_BODY_BYTES = 65_536;
@@ -8,6 +8,13 @@
 /** `refused` means that no process listens at the address. */
 export type Health = 'healthy' | 'unhealthy' | 'refused';
 
+/** What a health check finds. */
+export interface HealthFinding {
+  readonly health: Health;
+  /** The server's answer, if one arrived. */
+  readonly answer?: Pick<HttpResponse, 'status' | 'headers'>;
+}
+
 /**
  * Sends a health check to a backend server.
  *
@@ -15,7 +22,7 @@
  * @param path - Path of its health check.
  * @returns Whether it answered with status 200 within 300 ms; failures never throw.
  */
-export async function checkHealth(address: Address, path: string): Promise<Health> {
+export async function checkHealth(address: Address, path: string): Promise<HealthFinding> {
   try {
     const answer = await fetchResponse({
       address,
@@ -24,9 +31,9 @@
       timeoutMilliseconds: TIMEOUT_MILLISECONDS,
       maximumBodyBytes: MAXIMUM_BODY_BYTES,
     });
-    return answer.status === 200 ? 'healthy' : 'unhealthy';
+    return { health: answer.status === 200 ? 'healthy' : 'unhealthy', answer };
   } catch (error) {
     // A server that cannot be reached or does not answer in time is unhealthy.
-    return isConnectionRefused(error) ? 'refused' : 'unhealthy';
+    return { health: isConnectionRefused(error) ? 'refused' : 'unhealthy' };
   }
 }
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -5,6 +5,7 @@
 import { sleep } from '../common/clock.js';
 import { getErrorMessage } from '../common/http-client.js';
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
+import type { EngineReports } from '../entry/engine-reports.js';
 import type { ProtocolAdapter } from '../entry/protocol-adapter.js';
 import type { EntryMetrics } from '../entry/entry-metrics.js';
 import type { EngineProfile } from '../entry/serving-configuration.js';
@@ -26,6 +27,7 @@
   readonly outlierEjection: OutlierEjection;
   readonly configuration: ActiveConfiguration;
   readonly protocol: ProtocolAdapter;
+  readonly reports: EngineReports;
   readonly lease: PlannerLease;
   /** Whether this instance is the planner now. */
   readonly isPlanner: () => boolean;
@@ -242,13 +244,15 @@
     layers: LayerRange,
     expiresAt: number,
   ): Promise<void> {
-    const { protocol, signal, log } = this.#options;
-    const { id, address } = server.entry;
+    const { reports, signal, log } = this.#options;
+    const { id } = server.entry;
     while (performance.now() < expiresAt && !signal.aborted) {
       await sleep(ORDER_CHECK_INTERVAL_MILLISECONDS, signal);
       if (isSameRange(layers, getHeldLayers(server))) return;
+      // Its entry shows the layers as well.
+      if (isClosed(server)) return;
       try {
-        const report = await protocol.fetchEngineReport(address, REPORT_TIMEOUT_MILLISECONDS);
+        const report = await reports.fetch(server, REPORT_TIMEOUT_MILLISECONDS);
         storeLayerReport(server, report.layers);
         if (isSameRange(layers, report.layers) && !report.isBusy) {
           log.info('Engine carried out the order.', { id, ...layers });
@@ -274,11 +278,11 @@
     profile: EngineProfile,
     leaseState: LeaseState,
   ): Promise<void> {
-    const { protocol, lease, log, metrics } = this.#options;
+    const { protocol, reports, lease, log, metrics } = this.#options;
     const { id, address, kind } = server.entry;
     const processKey = getProcessKey(server.entry);
     if (layers.to - layers.from > maximumLayerCount(profile, kind)) return;
-    if (getAvailability(server, performance.now()) === 'closed') {
+    if (isClosed(server)) {
       this.#busyUntil.set(processKey, server.ownWord.pausedUntil);
       return;
     }
@@ -287,7 +291,7 @@
     const expiresAt = performance.now() + 2 * loadMilliseconds + ORDER_MARGIN_MILLISECONDS;
     this.#pendingOrders.set(processKey, { layers, expiresAt });
     try {
-      const report = await protocol.fetchEngineReport(address, REPORT_TIMEOUT_MILLISECONDS);
+      const report = await reports.fetch(server, REPORT_TIMEOUT_MILLISECONDS);
       storeLayerReport(server, report.layers);
       // If the store does not answer, the order sequence number that each engine checks keeps two
       // planners from overriding each other's orders.
@@ -317,11 +321,17 @@
       }
     } catch (error) {
       this.#pendingOrders.delete(processKey);
-      this.#options.outlierEjection.eject(id, getErrorMessage(error));
+      if (isClosed(server)) this.#busyUntil.set(processKey, server.ownWord.pausedUntil);
+      else this.#options.outlierEjection.eject(id, getErrorMessage(error));
     }
   }
 }
 
+/** Whether the engine wants no requests for a time. */
+function isClosed(server: FleetServer): boolean {
+  return getAvailability(server, performance.now()) === 'closed';
+}
+
 /** Stores the layers that an engine reports, if its registry entry does not show them yet. */
 function storeLayerReport(server: FleetServer, layers: LayerRange | undefined): void {
   if (layers && !isSameRange(layers, server.entry.layers)) {
--- a/tests/endless-answers.test.ts
+++ b/tests/endless-answers.test.ts
@@ -92,7 +92,7 @@
   const address = { host: '127.0.0.1', port: endless.port };
   for (const part of PARTS) {
     endless.part = part;
-    assert.equal(await checkHealth(address, '/health'), 'unhealthy', part);
+    assert.equal((await checkHealth(address, '/health')).health, 'unhealthy', part);
     await assert.rejects(createProtocolAdapter().fetchEngineReport(address, 250), part);
     await waitUntil(() => endless.openConnections() === 0, `${part}: the connection is closed`);
   }
