Ask an engine that wants a pause for one report at most

Engines: one that asked for 2 s of rest while its streams were silent, as they are where it is slow, was asked for a report every 150 ms, 7 in the time (process test). Now one report in a pause tells which of its streams are stalled; streams over other engines that fail are led around them by the reports of others. After a broken stream such an engine is connected to, without a request. Orders that lead a running stream around a fault still go to its first engine: they concern what it runs.

--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -124,6 +124,7 @@
     });
     await Promise.all(
       [...firstEngines.values()]
+        .filter((server) => !this.#wasAskedInPause(server))
         .filter(({ entry }) => this.#tryStartReport(entry.id, STALL_REPORT_INTERVAL_MILLISECONDS))
         .map((server) => this.#shareReport(server)),
     );
@@ -142,16 +143,30 @@
 
   /**
    * Asks an engine for a report, not sent before now. Ejects it when it does not respond, and reroutes the
-   * streams that it reports as stalled.
+   * streams that it reports as stalled. One that wants no requests now is only connected to, to see whether
+   * it has ended.
    *
    * @param id - The engine's id; an unregistered engine is ignored.
    */
   async checkEngine(id: string): Promise<void> {
-    const server = this.#options.fleet.find(id);
+    const { fleet, endCheck } = this.#options;
+    const server = fleet.find(id);
     if (!server) return;
     // A report that is under way may have been sent while the engine still ran.
     await this.#runningReports.get(id);
-    if (!this.#options.fleet.hasEnded(getProcessKey(server.entry))) await this.#shareReport(server);
+    if (fleet.hasEnded(getProcessKey(server.entry))) return;
+    if (getAvailability(server, this.#now()) === 'closed') await endCheck.check(server.entry);
+    else await this.#shareReport(server);
+  }
+
+  /**
+   * Whether an engine that wants no requests now has been asked since it said so. One report tells which of
+   * the streams that it runs are stalled.
+   */
+  #wasAskedInPause(server: FleetServer): boolean {
+    const { pausedSince } = server.ownWord;
+    const askedAt = this.#lastRequestedAt.get(server.entry.id) ?? Number.NEGATIVE_INFINITY;
+    return getAvailability(server, this.#now()) === 'closed' && askedAt > pausedSince;
   }
 
   /** Reads the slowdown factor of engines that silent streams run over or that were slow before. */
