Wait for missing entries only after a real outage, and from the store's return

Cause: after any failed call to the store a missing entry was kept for 1.9 s from when it was missed, as entries of live servers may have lapsed in an outage; with the pause between watches that is more than the bound. But entries lapse only after three heartbeats of silence, and are back within two seconds of the store's return. Now an outage counts from two heartbeats of the servers on (heartbeat-ms of the settings file), and the time runs from the store's return.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -166,6 +166,7 @@
       dataCentre: settings.dataCentre,
       fleet: this.fleet,
       changeBoundMilliseconds: settings.changeBoundMilliseconds,
+      serverHeartbeatMilliseconds: settings.serverHeartbeatMilliseconds,
       listPeers: () => this.peers.aliveRecords,
       fetch: (peer, path) => this.gossip.fetchDocument(peer, path),
       isFollowedByPeers: () =>
--- a/src/daemon/own-record.test.ts
+++ b/src/daemon/own-record.test.ts
@@ -11,6 +11,7 @@
   listen: { callers: ADDRESS, readiness: ADDRESS, peers: ADDRESS, addresses: ADDRESS },
   storeAddress: ADDRESS,
   changeBoundMilliseconds: 2000,
+  serverHeartbeatMilliseconds: 1200,
   stopTimeoutMilliseconds: 8000,
   maximumAddressLifetimeSeconds: 5,
   retryBudget: { ratio: 0.2, windowMilliseconds: 10_000, minimumRetries: 100 },
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -24,6 +24,8 @@
   readonly fleet: BackendFleet;
   /** The time after its acknowledgement at which a configuration must be in force everywhere. */
   readonly changeBoundMilliseconds: number;
+  /** How often backend servers renew their entries in the store. */
+  readonly serverHeartbeatMilliseconds: number;
   /** Records of the live peers. */
   readonly listPeers: () => readonly PeerRecord[];
   /** Reads a document of a peer; resolves to undefined when the peer does not provide it. */
@@ -59,6 +61,11 @@
  * watch of the configuration.
  */
 const STORE_REACHABLE_MILLISECONDS = 5000;
+/**
+ * Entries lapse after three heartbeats of silence, of which one may lie before an outage; so those of live
+ * servers are all there after a shorter one.
+ */
+const HEARTBEATS_TO_LAPSE = 2;
 /** Peers that are asked at a time whether there is a newer configuration. */
 const ASKED_PEERS = 2;
 
@@ -66,7 +73,7 @@
 interface FleetDocument {
   readonly revision: number;
   readonly entries: readonly ServerEntry[];
-  /** By id of a server whose entry is missing after a store outage: for how long. */
+  /** By id of a server whose entry is missing after a store outage: how long the store has been back. */
   readonly missingMilliseconds?: Readonly<Record<string, number>>;
 }
 
@@ -81,8 +88,12 @@
 export class StoreFollower {
   readonly #options: StoreFollowerOptions;
 
+  /** When the store last answered; or never, if a call has failed since. */
   #lastContactAt = Number.NEGATIVE_INFINITY;
 
+  /** When the store last answered. */
+  #answeredAt = Number.NEGATIVE_INFINITY;
+
   /** Whether the last call to the store failed. */
   #hasFailed = false;
 
@@ -236,12 +247,16 @@
 
   /**
    * Notes a response of the store. The first one after an outage tells the fleet, since entries of live
-   * servers may be missing for a moment while a store comes back.
+   * servers may have lapsed in it, and be missing for a moment.
    */
   #recordContact(): void {
-    if (this.#hasFailed) this.#options.fleet.storeUnavailableAt = performance.now();
+    const { fleet, serverHeartbeatMilliseconds } = this.#options;
+    const now = performance.now();
+    const lapseMilliseconds = HEARTBEATS_TO_LAPSE * serverHeartbeatMilliseconds;
+    if (this.#hasFailed && now - this.#answeredAt >= lapseMilliseconds) fleet.storeBackAt = now;
     this.#hasFailed = false;
-    this.#lastContactAt = performance.now();
+    this.#lastContactAt = now;
+    this.#answeredAt = now;
   }
 
   #recordFailure(): void {
--- a/src/entry/entry-settings.ts
+++ b/src/entry/entry-settings.ts
@@ -26,6 +26,8 @@
     readonly addresses: Address;
   };
   readonly storeAddress: Address;
+  /** How often backend servers renew their entries in the store. */
+  readonly serverHeartbeatMilliseconds: number;
   /** The time after its acknowledgement at which a configuration must be in force everywhere. */
   readonly changeBoundMilliseconds: number;
   /** The time from the stop signal until the platform kills the process. */
--- a/src/fleet/backend-fleet.test.ts
+++ b/src/fleet/backend-fleet.test.ts
@@ -54,3 +54,21 @@
     [1, 0, undefined],
   );
 });
+
+test('leaving: an entry that is missing when the store is back is waited for, counted from its return', () => {
+  const clock = { now: 100_000 };
+  const fleet = new BackendFleet({ log: createSilentLogger(), now: () => clock.now });
+  const entry = createEntry('server', 1);
+  const countServers = (): number => fleet.listForService('service').length;
+  fleet.put(entry, 1);
+  fleet.storeBackAt = clock.now;
+  clock.now += 1500;
+  fleet.remove('server', 2);
+  assert.equal(countServers(), 1);
+  fleet.put(entry, 3);
+  clock.now += 300;
+  fleet.remove('server', 4);
+  assert.equal(countServers(), 1);
+  clock.now += 100;
+  assert.equal(countServers(), 0);
+});
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -57,7 +57,7 @@
   refusingSince: number | undefined;
   /** Number of requests refused since it last accepted one. */
   consecutiveRefusals: number;
-  /** When its entry disappeared from the store, while the entry may still come back. */
+  /** While its entry is missing, but may come back: when the store was back, on the monotonic clock. */
   missingSince: number | undefined;
 }
 
@@ -83,9 +83,7 @@
   consecutiveRefusals: 0,
 } satisfies Partial<FleetServer>;
 
-/**
- * While the store recovers from an outage, entries of running servers may be missing for this long.
- */
+/** After the store is back from an outage, entries of running servers may be missing for this long. */
 const MISSING_ENTRY_GRACE_MILLISECONDS = 1900;
 
 /** Ended processes that are remembered; far more than may run one request. */
@@ -126,8 +124,8 @@
   /** Revision of the store that the servers reflect. */
   revision = 0;
 
-  /** When the store was last known to be unavailable, in milliseconds on the monotonic clock. */
-  storeUnavailableAt = Number.NEGATIVE_INFINITY;
+  /** When the store was back from an outage in which entries may have lapsed, on the monotonic clock. */
+  storeBackAt = Number.NEGATIVE_INFINITY;
 
   /** Keys of processes that are shown to have ended, also when they are no longer registered. */
   readonly #endedProcesses = new LruMap<string, true>(MAXIMUM_ENDED_PROCESSES);
@@ -288,7 +286,7 @@
     this.#removeOrMarkMissing(id);
   }
 
-  /** By id of a server whose entry is missing after a store outage: for how many milliseconds. */
+  /** By id of a server whose entry is missing after a store outage: how long the store has been back. */
   get missingMilliseconds(): Record<string, number> {
     const missing: Record<string, number> = {};
     this.servers.forEach(({ entry, missingSince }) => {
@@ -300,7 +298,7 @@
   /**
    * Marks servers as missing that a peer reported so; they are removed when their time is up here.
    *
-   * @param missingMilliseconds - For how long each has been missing, by id.
+   * @param missingMilliseconds - By id, how long the store has been back without the entry.
    */
   markMissing(missingMilliseconds: Readonly<Record<string, number>>): void {
     Object.entries(missingMilliseconds).forEach(([id, milliseconds]) => {
@@ -360,9 +358,8 @@
   #removeOrMarkMissing(id: string): void {
     const known = this.#servers.get(id);
     if (!known) return;
-    const wasStoreUnavailable =
-      this.#now() - this.storeUnavailableAt < MISSING_ENTRY_GRACE_MILLISECONDS;
-    if (!wasStoreUnavailable || known.entry.isLeaving) {
+    const mayComeBack = this.#now() - this.storeBackAt < MISSING_ENTRY_GRACE_MILLISECONDS;
+    if (!mayComeBack || known.entry.isLeaving) {
       this.#servers.delete(id);
       this.#log.info('Backend server removed: its registry entry is gone.', {
         id,
@@ -370,7 +367,7 @@
       });
       return;
     }
-    known.missingSince ??= this.#now();
+    known.missingSince ??= this.storeBackAt;
   }
 
   #removeExpiredMissing(): void {
