--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -26,6 +26,8 @@
 export interface ServerFaults {
   /** Accepts every request, but never answers. */
   neverAnswers: boolean;
+  /** Sends nothing while it is set, and goes on with what it runs afterwards. */
+  isSilent: boolean;
   /** Refuses every request that it would run, with status 503, and marks it as not executed. */
   refusesAll: boolean;
   /** Breaks each stream off in the middle of the event that follows this many complete events. */
@@ -94,11 +96,13 @@
 
 const DEFAULT_EVENTS = 8;
 const DEFAULT_PAUSE_MILLISECONDS = 20;
+const SILENCE_POLL_MILLISECONDS = 5;
 
 /** A stand-in backend server that registers itself in the stand-in store. */
 export class PlatformServer {
   readonly faults: ServerFaults = {
     neverAnswers: false,
+    isSilent: false,
     refusesAll: false,
     breaksStreamAfterEvents: Number.POSITIVE_INFINITY,
     closesWithoutAnswer: false,
@@ -237,6 +241,7 @@
       });
       return;
     }
+    await this.#waitWhileSilent();
     if (isProbe && refusesAll && refusesProbes) {
       response.writeHead(503, { 'not-executed': '1', 'instance-id': this.#options.id }).end();
     } else if (path === '/health')
@@ -253,6 +258,10 @@
     } else await this.#handleRun(request);
   }
 
+  async #waitWhileSilent(): Promise<void> {
+    while (this.faults.isSilent) await sleep(SILENCE_POLL_MILLISECONDS);
+  }
+
   #askForPause(response: http.ServerResponse): void {
     const { namedPause } = this.faults;
     if (namedPause === undefined) return;
@@ -416,6 +425,7 @@
       return;
     }
     for (let id = lastEventId + 1; id <= events; id += 1) {
+      await this.#waitWhileSilent();
       if (response.destroyed) return;
       if (id - lastEventId > this.faults.closesBetweenEvents) {
         await this.#closeInOrder(response);
