Keep a silent stream open until another attempt has begun to answer

What callers saw: the connection closed in the middle of a stream that its engines were running, beside changes of the configuration; no answer and no refusal (LOST).

Cause: a decision that ends work in hand was taken on a belief, before anything took its place. An engine that sent no event for 200 ms and no report within 250 ms more (or that a peer had ejected, after 140 ms) was ejected; if the stream couldn't be rerouted around it, its attempt was aborted, and only then another chain was looked for. With all engines full, or no retry left, the caller's connection was destroyed.

Why this works: src/entry/exchange-suspicion.ts decides in one place. An exchange is ended only if its server is shown to have ended. Otherwise another attempt is made beside it, if one is allowed, seems to have room and has a retry of the budget; it goes on after the caller's last event and takes over with its first byte. An event of the suspected stream cancels it, a refusal of it leaves the suspected stream open, and the question is asked again after 0.3 to 1.2 s. The same holds for a late first event, a reroute whose answer is late, and an instance that is cut from all servers (there a peer makes the other attempt). One engine is not sent the request twice at a time.

An engine that really hangs is still left as soon as another chain answers; deadlines and the limit on servers for a request stay.

--- a/src/entry/peer-relay.ts
+++ b/src/entry/peer-relay.ts
@@ -106,6 +106,11 @@
     this.#options = options;
   }
 
+  /** Whether some peer can take a request now. */
+  get hasPeer(): boolean {
+    return this.#choose(new Set()) !== undefined;
+  }
+
   /**
    * Gives up the requests that are open at a peer.
    *
@@ -127,12 +132,7 @@
     const excluded = new Set<string>();
     let last: PeerAnswer = { kind: 'none' };
     while (excluded.size < MAXIMUM_PEERS_TRIED && !request.signal.aborted) {
-      const peer = choosePeer({
-        peers: this.#options.listPeers(),
-        excluded,
-        configurationVersion: this.#options.configurationVersion(),
-        countOpen: (instance) => this.#open.get(instance)?.size ?? 0,
-      });
+      const peer = this.#choose(excluded);
       if (!peer) break;
       excluded.add(peer.instance);
       const answer = await this.#send(peer, request, progress);
@@ -146,6 +146,15 @@
     return mayHaveRunBefore(progress) && isRefusal(last) ? { kind: 'none' } : last;
   }
 
+  #choose(excluded: ReadonlySet<string>): PeerRecord | undefined {
+    return choosePeer({
+      peers: this.#options.listPeers(),
+      excluded,
+      configurationVersion: this.#options.configurationVersion(),
+      countOpen: (instance) => this.#open.get(instance)?.size ?? 0,
+    });
+  }
+
   async #send(
     peer: PeerRecord,
     request: EntryRequest,
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -4,7 +4,7 @@
  */
 import { sleep } from '../common/clock.js';
 import { getErrorMessage } from '../common/http-client.js';
-import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
+import { getHeldLayers } from '../fleet/backend-fleet.js';
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { admitRequest } from './admission.js';
@@ -14,10 +14,19 @@
 import { isIdempotent, type EntryRequest } from './entry-request.js';
 import type { PeerAnswer } from './peer-relay.js';
 import type { EngineProfile } from './serving-configuration.js';
-import type { WatchedStream } from './stall-detector.js';
+import { decideOnSuspicion, type SuspicionDecision } from './exchange-suspicion.js';
+import { StreamAttempt, type StreamAttemptResult } from './stream-attempt.js';
 import { StreamEnding } from './stream-ending.js';
 import { StreamExchange, type AttemptResult } from './stream-exchange.js';
-import { rerouteStream } from './stream-reroute.js';
+import {
+  discard,
+  startEngineReplacement,
+  startPeerReplacement,
+  type Begun,
+  type BegunStream,
+  type FailedReplacement,
+  type StreamReplacement,
+} from './stream-replacement.js';
 import { StreamRuns } from './stream-runs.js';
 
 const MAXIMUM_CHAIN_WAIT_MILLISECONDS = 1700;
@@ -30,19 +39,8 @@
 const RETRY_AFTER_CUT_SECONDS = 0.2;
 /** A request under which so many engines ended as they began it is not sent to another one. */
 const MAXIMUM_ENDS_AT_BEGIN = 2;
-/**
- * Share of the route's target time after which a first event is late and another chain is tried.
- */
-const FIRST_EVENT_TIMEOUT_SHARE = 0.7;
 const MAXIMUM_LATE_RETRIES = 1;
 
-/** A route without a target time has no timeout for the first event. */
-function getFirstEventTimeout(targetMilliseconds: number): number {
-  return targetMilliseconds > 0
-    ? targetMilliseconds * FIRST_EVENT_TIMEOUT_SHARE
-    : Number.POSITIVE_INFINITY;
-}
-
 /** Relays one streaming request, from its first attempt to its outcome. */
 class StreamRelay {
   readonly #context: EntryContext;
@@ -70,9 +68,6 @@
   /** Whether the request is blocked, and runs to find out whether it should be. */
   #isTrial = false;
 
-  /** Whether a retry of the budget has been taken for an attempt that is being abandoned. */
-  #hasReservedRetry = false;
-
   constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
     this.#context = context;
     this.#request = request;
@@ -98,32 +93,37 @@
     const admission = admitRequest(this.#context, this.#request);
     if (admission === 'refuse') return this.#ending.refuseBlocked();
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
+    let begun: BegunStream | undefined;
     for (;;) {
-      if (serverReach.isCut) return this.#serveWhileCut();
-      const chain = await this.#findChain();
-      if (signal.aborted) return this.#ending.sendTimeout();
+      if (!begun && serverReach.isCut) return this.#serveWhileCut();
+      const chain = begun?.chain ?? (await this.#findChain());
+      if (signal.aborted) return this.#endAborted(begun);
       if (!chain) return serverReach.isCut ? this.#serveWhileCut() : this.#endWithoutChain();
       if (admission === 'try' && !this.#isTrial) crashBlame.startTrial(content);
       this.#isTrial = admission === 'try';
-      const firstEngine = chain.stages[0]?.engine.server.entry;
-      const result = await this.#attempt(chain);
-      if (signal.aborted) return this.#ending.sendTimeout();
+      const result = await this.#attempt(chain, begun);
+      if (signal.aborted)
+        return this.#endAborted(result.kind === 'replaced' ? result.by : undefined);
       if (result.kind === 'completed' || result.kind === 'answered')
         return this.#ending.complete(result.kind);
-      const outcome = await this.#handleFault(result, firstEngine);
+      const successor = result.kind === 'replaced' ? result.by : undefined;
+      if (successor?.kind === 'peer') return this.#relayFromPeer(successor.answer);
+      begun = successor;
+      const firstEngine = chain.stages[0]?.engine.server.entry;
+      const outcome =
+        result.kind === 'replaced' ? undefined : await this.#handleFault(result, firstEngine);
       if (outcome !== undefined) return outcome;
     }
   }
 
+  #endAborted(begun: Begun | undefined): string {
+    if (begun) discard(begun);
+    return this.#ending.sendTimeout();
+  }
+
   /** Lets a peer serve the request, unless this instance is itself the peer of another one. */
   async #serveWhileCut(): Promise<string> {
-    const { peerRelay } = this.#context;
-    const answer: PeerAnswer = this.#request.relayed
-      ? { kind: 'none' }
-      : await peerRelay.relay(this.#request, {
-          processKeys: this.#runs.processKeys,
-          lastEventId: this.#caller.lastEventId,
-        });
+    const answer: PeerAnswer = this.#request.relayed ? { kind: 'none' } : await this.#passOn();
     if (this.#request.signal.aborted) return this.#ending.sendTimeout();
     if (answer.kind === 'none')
       return this.#ending.sendFailure('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
@@ -155,14 +155,14 @@
    * Decides on a retry after a failed attempt; returns the request's outcome when there is none.
    */
   async #handleFault(
-    result: Extract<AttemptResult, { kind: 'notRun' | 'late' | 'broken' }>,
+    result: Extract<AttemptResult, { kind: 'notRun' | 'broken' }>,
     firstEngine: ServerEntry | undefined,
   ): Promise<string | undefined> {
-    const { crashBlame, logs, metrics } = this.#context;
-    const { content, route, metadata } = this.#request;
+    const { crashBlame, retryBudget, logs, metrics } = this.#context;
+    const { content, route, service, metadata } = this.#request;
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
     if (result.kind === 'notRun') this.#refusedAttempts += 1;
-    else if (firstEngine) this.#runs.record(getProcessKey(firstEngine), result.kind === 'broken');
+    else if (firstEngine) this.#runs.record(getProcessKey(firstEngine), true);
     // Whether the first engine still lives decides how many further engines may run the request.
     if (result.kind === 'broken' && firstEngine) await this.#checkForEnd(firstEngine);
     const canRepeat = isIdempotent(route) || this.#runs.total === 0;
@@ -171,7 +171,8 @@
     const isWithinLimits =
       this.#runs.total < MAXIMUM_ATTEMPTS && this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
     const isHarmless = isContentAllowed && this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN;
-    const isRetried = canRepeat && isHarmless && isWithinLimits && this.#tryAcquireRetry();
+    const isRetried =
+      canRepeat && isHarmless && isWithinLimits && retryBudget.tryAcquire(service.name);
     logs('routing').info(isRetried ? 'Retrying request.' : 'Request failed; not retrying.', {
       requestId: metadata.requestId,
       after: result.kind,
@@ -198,28 +199,88 @@
     if (hasEnded && !this.#exchange.wasWritten) this.#endsAtBegin += 1;
   }
 
-  /**
-   * Whether an attempt without an event may be abandoned for another chain. Everything that a retry
-   * needs is secured first, since a late answer is better than none.
-   */
-  #canRetryElsewhere(chosen: EngineChain): boolean {
-    const { crashBlame, retryBudget } = this.#context;
-    const { content, route, service } = this.#request;
-    if (!isIdempotent(route) || crashBlame.isBlocked(content)) return false;
-    if (this.#runs.total + 1 >= MAXIMUM_ATTEMPTS) return false;
-    const firstEngine = chosen.stages[0]?.engine.server.entry;
-    const engineIds = chosen.stages.map(({ engine }) => engine.id);
-    if (!firstEngine || !this.#runs.allowsAnotherAfter(getProcessKey(firstEngine))) return false;
-    if (!this.#chainSelector.avoidIfPossible(engineIds)) return false;
-    this.#hasReservedRetry = retryBudget.tryAcquire(service.name);
-    return this.#hasReservedRetry;
+  /** Decides on the suspicion that some engines of a running attempt have stalled. */
+  #decideOnSuspicion(
+    firstEngine: ServerEntry,
+    suspectedEngineIds: readonly string[],
+  ): SuspicionDecision {
+    const { fleet, retryBudget, serverReach } = this.#context;
+    const processKey = getProcessKey(firstEngine);
+    // One engine must not run the request twice at a time.
+    const engineIdsToAvoid = [...suspectedEngineIds, firstEngine.id];
+    return decideOnSuspicion({
+      hasServerEnded: fleet.hasEnded(processKey),
+      mayRunAgain: this.#mayRunAgainAfter(processKey),
+      hasAlternative: () =>
+        serverReach.isCut
+          ? this.#canPassOn()
+          : this.#chainSelector.avoidIfPossible(engineIdsToAvoid),
+      acquireRetry: () => retryBudget.tryAcquire(this.#request.service.name),
+    });
+  }
+
+  /** Starts another attempt beside the one that runs. */
+  #startReplacement(): StreamReplacement | undefined {
+    if (this.#context.serverReach.isCut) return startPeerReplacement(this.#passOn());
+    const chain = this.#chooseChain();
+    const firstEngine = chain?.stages[0]?.engine.server;
+    if (!chain || !firstEngine) return undefined;
+    this.#context
+      .logs('routing')
+      .info('Chain chosen beside a silent one.', this.#chainSelector.describeForLog(chain));
+    return startEngineReplacement({
+      exchange: this.#exchange,
+      chain,
+      firstEngine,
+      release: this.#chainSelector.reserve(chain),
+      onFailed: (result) => this.#recordFailedReplacement(result, firstEngine.entry),
+    });
+  }
+
+  #recordFailedReplacement(result: FailedReplacement, firstEngine: ServerEntry): void {
+    const { logs } = this.#context;
+    if (result.kind === 'notRun') this.#refusedAttempts += 1;
+    else this.#runs.record(getProcessKey(firstEngine), false);
+    result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
+    logs('routing').info('The attempt beside a silent one failed.', {
+      requestId: this.#request.metadata.requestId,
+      first: firstEngine.id,
+      after: result.kind,
+      message: result.message,
+      runs: this.#runs.countedServers,
+      refusedTries: this.#refusedAttempts,
+    });
+  }
+
+  /** Whether the request may be run once more after an attempt that is under way. */
+  #mayRunAgainAfter(processKey: string): boolean {
+    const { crashBlame } = this.#context;
+    const { content, route } = this.#request;
+    return (
+      isIdempotent(route) &&
+      !crashBlame.isBlocked(content) &&
+      this.#runs.total + 1 < MAXIMUM_ATTEMPTS &&
+      this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS &&
+      this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN &&
+      this.#runs.allowsAnotherAfter(processKey)
+    );
+  }
+
+  #passOn(): Promise<PeerAnswer> {
+    return this.#context.peerRelay.relay(this.#request, {
+      processKeys: this.#runs.processKeys,
+      lastEventId: this.#caller.lastEventId,
+    });
   }
 
-  /** Uses the retry that was reserved before the attempt was abandoned, or one of the budget. */
-  #tryAcquireRetry(): boolean {
-    const { retryBudget } = this.#context;
-    if (!this.#hasReservedRetry) return retryBudget.tryAcquire(this.#request.service.name);
-    this.#hasReservedRetry = false;
+  /** Whether a peer can take the request from an instance that reaches no server. */
+  #canPassOn(): boolean {
+    return !this.#request.relayed && this.#context.peerRelay.hasPeer;
+  }
+
+  #tryCountLateRetry(): boolean {
+    if (this.#lateRetries >= MAXIMUM_LATE_RETRIES) return false;
+    this.#lateRetries += 1;
     return true;
   }
 
@@ -227,13 +288,8 @@
   async #findChain(): Promise<EngineChain | undefined> {
     const until = performance.now() + MAXIMUM_CHAIN_WAIT_MILLISECONDS;
     for (;;) {
-      const chain = this.#chainSelector.choose({ hasStarted: this.#caller.hasStarted });
-      if (chain) {
-        // Counted in the same step as it is chosen, so that no other request takes the same room.
-        const [first] = chain.stages;
-        if (first) this.#context.serverLimits.recordSend(first.engine.id);
-        return chain;
-      }
+      const chain = this.#chooseChain();
+      if (chain) return chain;
       if (!this.#caller.hasStarted || performance.now() > until) return undefined;
       if (this.#context.serverReach.isCut) return undefined;
       if (this.#request.signal.aborted) return undefined;
@@ -241,6 +297,14 @@
     }
   }
 
+  #chooseChain(): EngineChain | undefined {
+    const chain = this.#chainSelector.choose({ hasStarted: this.#caller.hasStarted });
+    // Counted in the same step as it is chosen, so that no other request takes the same room.
+    const [first] = chain?.stages ?? [];
+    if (first) this.#context.serverLimits.recordSend(first.engine.id);
+    return chain;
+  }
+
   #endWithoutChain(): string {
     const { fleet, serverLimits } = this.#context;
     const servers = fleet
@@ -252,90 +316,44 @@
       : this.#ending.sendFailure('no_chain');
   }
 
-  /** Sends the request over a chain, watching for stalls until the attempt ends. */
-  async #attempt(chosen: EngineChain): Promise<AttemptResult> {
-    const { stallDetector, logs } = this.#context;
-    const { metadata, signal } = this.#request;
-    const firstEngine = chosen.stages[0]?.engine.server;
+  /** Sends the request over a chain, unless that has begun already as a replacement. */
+  async #attempt(chain: EngineChain, begun: BegunStream | undefined): Promise<StreamAttemptResult> {
+    const firstEngine = chain.stages[0]?.engine.server;
     if (!firstEngine)
       return { kind: 'notRun', engineIdsToAvoid: [], message: 'The chosen chain has no stages.' };
-    logs('routing').info('Chain chosen.', this.#chainSelector.describeForLog(chosen));
-    const attempt = new AbortController();
-    const abort = (): void => attempt.abort();
-    signal.addEventListener('abort', abort, { once: true });
-    let release = this.#chainSelector.reserve(chosen);
-    let engineIdsToAvoid: readonly string[] | undefined;
-    let isRerouting = false;
-    let isEnded = false;
-    const listServers = (chain: EngineChain): FleetServer[] =>
-      chain.stages.map(({ engine }) => engine.server);
-    const watched: WatchedStream = {
-      requestId: metadata.requestId,
-      chain: listServers(chosen),
-      lastProgressAt: performance.now(),
-      isCallerBlocked: false,
-      hasEvents: false,
-      firstEventTimeoutMilliseconds: getFirstEventTimeout(this.#request.route.targetMilliseconds),
-      retryElsewhere: () => {
-        if (isRerouting || this.#lateRetries >= MAXIMUM_LATE_RETRIES) return;
-        this.#lateRetries += 1;
-        if (!this.#canRetryElsewhere(chosen)) return;
-        engineIdsToAvoid = chosen.stages.map(({ engine }) => engine.id);
-        attempt.abort();
-      },
-      routeAround: (faultyEngineIds) => {
-        if (isRerouting) return;
-        isRerouting = true;
-        faultyEngineIds.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
-        const faultyEngine = this.#context.fleet.find(faultyEngineIds[0] ?? '');
-        if (faultyEngine) this.#exchange.recordStall(faultyEngine.entry);
-        void rerouteStream(this.#context, this.#chainSelector, {
-          requestId: metadata.requestId,
-          chain: chosen,
-          faultyEngineIds,
-          hasStarted: this.#caller.hasStarted,
-          lastEventId: this.#caller.lastEventId,
-        }).then((chain) => {
-          isRerouting = false;
-          if (isEnded) return;
-          if (!chain) {
-            engineIdsToAvoid = faultyEngineIds;
-            attempt.abort();
-            return;
-          }
-          release();
-          release = this.#chainSelector.reserve(chain);
-          watched.chain = listServers(chain);
-          watched.lastProgressAt = performance.now();
-        });
-      },
-    };
-    stallDetector.add(watched);
-    const { entry } = firstEngine;
-    try {
-      return await this.#exchange.relay(chosen, firstEngine, watched, attempt.signal);
-    } catch (error) {
-      if (engineIdsToAvoid && !watched.hasEvents) {
-        return {
-          kind: 'late',
-          engineIdsToAvoid,
-          message: 'No event arrived before the attempt was abandoned.',
-        };
-      }
-      if (engineIdsToAvoid)
-        return {
-          kind: 'broken',
-          engineIdsToAvoid,
-          message: 'The stream stalled and could not be rerouted.',
-        };
-      return this.#exchange.classifyError(entry, error);
-    } finally {
-      isEnded = true;
-      release();
-      stallDetector.remove(watched);
-      signal.removeEventListener('abort', abort);
-      attempt.abort();
-    }
+    const { logs } = this.#context;
+    if (!begun) logs('routing').info('Chain chosen.', this.#chainSelector.describeForLog(chain));
+    const attempt = new StreamAttempt({
+      context: this.#context,
+      request: this.#request,
+      chainSelector: this.#chainSelector,
+      exchange: this.#exchange,
+      caller: this.#caller,
+      chain,
+      firstEngine,
+      begun,
+      decide: (suspectedEngineIds) =>
+        this.#decideOnSuspicion(firstEngine.entry, suspectedEngineIds),
+      startReplacement: () => this.#startReplacement(),
+      mayRetryLate: () => this.#tryCountLateRetry(),
+    });
+    const result = await attempt.run();
+    const successor = await this.#takeSuccessor(attempt, result);
+    if (!successor) return result;
+    this.#runs.record(getProcessKey(firstEngine.entry), attempt.hasEvents);
+    if (result.kind === 'broken') await this.#checkForEnd(firstEngine.entry);
+    return { kind: 'replaced', by: successor };
+  }
+
+  /** Returns what the stream goes on with, if its attempt was replaced, or failed before it was. */
+  async #takeSuccessor(
+    { pendingReplacement }: StreamAttempt,
+    result: StreamAttemptResult,
+  ): Promise<Begun | undefined> {
+    if (result.kind === 'replaced') return result.by;
+    const isNeeded = result.kind === 'broken' && !this.#request.signal.aborted;
+    if (!isNeeded) pendingReplacement?.cancel();
+    return isNeeded ? pendingReplacement?.begun : undefined;
   }
 }
 
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -32,9 +32,9 @@
   /** The longest wait for the first event before the request is retried over another chain. */
   readonly firstEventTimeoutMilliseconds: number;
   /** Ends the attempt and retries over other engines, if such a chain exists. */
-  readonly retryElsewhere: () => void;
-  /** Reroutes the stream around faulty engines, or ends the attempt where that is impossible. */
-  readonly routeAround: (faultyEngineIds: readonly string[]) => void;
+  retryElsewhere(): void;
+  /** Reroutes the stream around suspected engines, or ends the attempt if another can take its place. */
+  routeAround(suspectedEngineIds: readonly string[]): void;
 }
 
 /** Options of {@link StallDetector}. */
@@ -54,7 +54,7 @@
 const SILENCE_THRESHOLD_MILLISECONDS = 200;
 /** A stream over an ejected engine is rerouted sooner, without asking for a report. */
 const EJECTED_SILENCE_THRESHOLD_MILLISECONDS = 140;
-/** While no engine can be asked, a stream is given up after this long. */
+/** While no engine can be asked, a stream is suspected of having stalled after this long. */
 const CUT_SILENCE_THRESHOLD_MILLISECONDS = 300;
 const REPORT_TIMEOUT_MILLISECONDS = 250;
 /** The shortest time between two requests to one engine for a report about stalls. */
--- /dev/null
+++ b/src/entry/stream-attempt.ts
@@ -0,0 +1,256 @@
+/**
+ * One attempt of a streaming request: its exchange over a chain of engines. While engines are suspected of
+ * having stalled, the stream is rerouted around them, or replaced by another attempt that runs beside it. It
+ * stays open until that has begun to answer: whichever of the two answers first goes on.
+ */
+import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { CallerStream } from './caller-stream.js';
+import type { ChainSelector, EngineChain } from './chain-selector.js';
+import type { EntryContext } from './entry-context.js';
+import type { EntryRequest } from './entry-request.js';
+import type { SuspicionDecision } from './exchange-suspicion.js';
+import type { WatchedStream } from './stall-detector.js';
+import type { AttemptResult, RelayedStream, StreamExchange } from './stream-exchange.js';
+import {
+  discard,
+  type Begun,
+  type BegunStream,
+  type StreamReplacement,
+} from './stream-replacement.js';
+import { rerouteStream } from './stream-reroute.js';
+
+/** Options of {@link StreamAttempt}. */
+export interface StreamAttemptOptions {
+  readonly context: EntryContext;
+  readonly request: EntryRequest;
+  readonly chainSelector: ChainSelector;
+  readonly exchange: StreamExchange;
+  readonly caller: CallerStream;
+  readonly chain: EngineChain;
+  /** The engine of the chain's first stage. */
+  readonly firstEngine: FleetServer;
+  /** The exchange, if it has begun as a replacement of an earlier attempt. */
+  readonly begun?: BegunStream | undefined;
+  /** Decides on the suspicion that some engines have stalled. */
+  readonly decide: (suspectedEngineIds: readonly string[]) => SuspicionDecision;
+  /** Starts another attempt, which avoids the suspected engines; undefined if there is none after all. */
+  readonly startReplacement: () => StreamReplacement | undefined;
+  /** Whether the request may look for another chain because its first event is late; counts the call. */
+  readonly mayRetryLate: () => boolean;
+}
+
+/**
+ * Share of the route's target time after which a first event is late and another chain is tried.
+ */
+const FIRST_EVENT_TIMEOUT_SHARE = 0.7;
+/** A stream that stayed open is looked at again after this long, and each time after twice as long. */
+const FIRST_RECHECK_MILLISECONDS = 300;
+const MAXIMUM_RECHECK_MILLISECONDS = 1200;
+
+/** A route without a target time has no timeout for the first event. */
+function getFirstEventTimeout(targetMilliseconds: number): number {
+  return targetMilliseconds > 0
+    ? targetMilliseconds * FIRST_EVENT_TIMEOUT_SHARE
+    : Number.POSITIVE_INFINITY;
+}
+
+function listServers({ stages }: EngineChain): FleetServer[] {
+  return stages.map(({ engine }) => engine.server);
+}
+
+/** The result of an attempt, or what it was replaced by. */
+export type StreamAttemptResult = AttemptResult | { readonly kind: 'replaced'; readonly by: Begun };
+
+export class StreamAttempt implements WatchedStream, RelayedStream {
+  chain: readonly FleetServer[];
+
+  lastProgressAt = performance.now();
+
+  isCallerBlocked = false;
+
+  hasEvents = false;
+
+  readonly firstEventTimeoutMilliseconds: number;
+
+  readonly #options: StreamAttemptOptions;
+
+  readonly #controller: AbortController;
+
+  #release: () => void;
+
+  #replacement: StreamReplacement | undefined;
+
+  #replacedBy: Begun | undefined;
+
+  /** Set when the attempt is ended since its first engine has ended: what was suspected then. */
+  #endedEngineIds: readonly string[] | undefined;
+
+  #isRerouting = false;
+
+  #hasEnded = false;
+
+  #recheckAt = 0;
+
+  #recheckMilliseconds = FIRST_RECHECK_MILLISECONDS;
+
+  readonly #suspectedEngineIds = new Set<string>();
+
+  constructor(options: StreamAttemptOptions) {
+    const { chain, request } = options;
+    this.#options = options;
+    this.chain = listServers(chain);
+    this.firstEventTimeoutMilliseconds = getFirstEventTimeout(request.route.targetMilliseconds);
+    this.#controller = options.begun?.controller ?? new AbortController();
+    this.#release = options.begun?.release ?? options.chainSelector.reserve(chain);
+  }
+
+  get requestId(): string {
+    return this.#options.request.metadata.requestId;
+  }
+
+  /** The replacement that is under way, if the attempt failed before that has begun to answer. */
+  get pendingReplacement(): StreamReplacement | undefined {
+    return this.#replacement;
+  }
+
+  /** Sends the request over the chain, watching for stalls until the attempt ends. */
+  async run(): Promise<StreamAttemptResult> {
+    const { context, request } = this.#options;
+    const abort = (): void => this.#controller.abort();
+    request.signal.addEventListener('abort', abort, { once: true });
+    context.stallDetector.add(this);
+    try {
+      const result = await this.#relay();
+      if (this.#replacedBy) discard(this.#replacedBy);
+      return result;
+    } catch (error) {
+      return this.#classifyError(error);
+    } finally {
+      this.#hasEnded = true;
+      this.#release();
+      context.stallDetector.remove(this);
+      request.signal.removeEventListener('abort', abort);
+      this.#controller.abort();
+    }
+  }
+
+  async #relay(): Promise<AttemptResult> {
+    const { exchange, chain, firstEngine, begun } = this.#options;
+    const opened =
+      begun?.stream ?? (await exchange.open(chain, firstEngine, this.#controller.signal));
+    return opened.kind === 'notRun' ? opened : exchange.relay(opened, firstEngine, this);
+  }
+
+  recordProgress(): void {
+    this.lastProgressAt = performance.now();
+    this.#replacement?.cancel();
+    this.#replacement = undefined;
+  }
+
+  /** Tries another chain beside this one, since the first event is late. */
+  retryElsewhere(): void {
+    const { chain, mayRetryLate } = this.#options;
+    if (this.#isRerouting || this.#replacement || !mayRetryLate()) return;
+    this.#actOnSuspicion(chain.stages.map(({ engine }) => engine.id));
+  }
+
+  /**
+   * Reroutes the stream around engines that are suspected. Does nothing while a reroute or a
+   * replacement is under way, or soon after one that was impossible.
+   *
+   * @param suspectedEngineIds - The engines; empty if the first engine didn't name one that is known.
+   */
+  routeAround(suspectedEngineIds: readonly string[]): void {
+    if (this.#isRerouting || this.#replacement || performance.now() < this.#recheckAt) return;
+    this.#isRerouting = true;
+    void this.#reroute(suspectedEngineIds).finally(() => {
+      this.#isRerouting = false;
+    });
+  }
+
+  async #reroute(suspectedEngineIds: readonly string[]): Promise<void> {
+    const { context, chainSelector, chain, caller } = this.#options;
+    const suspectedAt = performance.now();
+    suspectedEngineIds.forEach((id) => chainSelector.avoidedEngineIds.add(id));
+    this.#recordStall(suspectedEngineIds[0]);
+    const newChain = await rerouteStream(context, chainSelector, {
+      requestId: this.requestId,
+      chain,
+      faultyEngineIds: suspectedEngineIds,
+      hasStarted: caller.hasStarted,
+      lastEventId: caller.lastEventId,
+    });
+    if (this.#hasEnded) return;
+    if (newChain) this.#useChain(newChain);
+    else if (this.lastProgressAt <= suspectedAt) this.#actOnSuspicion(suspectedEngineIds);
+  }
+
+  #useChain(chain: EngineChain): void {
+    this.#release();
+    this.#release = this.#options.chainSelector.reserve(chain);
+    this.chain = listServers(chain);
+    this.lastProgressAt = performance.now();
+    this.#recheckMilliseconds = FIRST_RECHECK_MILLISECONDS;
+  }
+
+  #actOnSuspicion(suspectedEngineIds: readonly string[]): void {
+    const { context, decide, caller } = this.#options;
+    const decision = decide(suspectedEngineIds);
+    context.logs('routing').info('Decided on a silent exchange.', {
+      requestId: this.requestId,
+      decision: decision.kind,
+      lacking: decision.kind === 'wait' ? decision.lacking : undefined,
+      suspectedEngineIds,
+      silenceMilliseconds: Math.round(performance.now() - this.lastProgressAt),
+      lastEventId: caller.lastEventId,
+    });
+    context.metrics.countEvent(
+      decision.kind === 'wait' ? `silent_wait_${decision.lacking}` : `silent_${decision.kind}`,
+    );
+    if (decision.kind === 'end') {
+      this.#endedEngineIds = suspectedEngineIds;
+      this.#controller.abort();
+    } else if (decision.kind === 'tryBeside') void this.#replace();
+    else this.#delayRecheck();
+  }
+
+  /** Tries another attempt beside this one, which ends once the other has begun to answer. */
+  async #replace(): Promise<void> {
+    const replacement = this.#options.startReplacement();
+    this.#replacement = replacement;
+    const begun = await replacement?.begun;
+    // Ended meanwhile, the replacement is its successor; cancelled, there is none.
+    if (this.#hasEnded || (replacement && this.#replacement !== replacement)) return;
+    this.#replacement = undefined;
+    if (begun) {
+      this.#replacedBy = begun;
+      this.#controller.abort();
+    } else this.#delayRecheck();
+  }
+
+  #delayRecheck(): void {
+    this.#recheckAt = performance.now() + this.#recheckMilliseconds;
+    this.#recheckMilliseconds = Math.min(
+      MAXIMUM_RECHECK_MILLISECONDS,
+      2 * this.#recheckMilliseconds,
+    );
+  }
+
+  #recordStall(engineId: string | undefined): void {
+    if (engineId === undefined || this.#suspectedEngineIds.has(engineId)) return;
+    this.#suspectedEngineIds.add(engineId);
+    const engine = this.#options.context.fleet.find(engineId);
+    if (engine) this.#options.exchange.recordStall(engine.entry);
+  }
+
+  #classifyError(error: unknown): StreamAttemptResult {
+    const { exchange, firstEngine } = this.#options;
+    if (this.#replacedBy) return { kind: 'replaced', by: this.#replacedBy };
+    if (this.#endedEngineIds === undefined) return exchange.classifyError(firstEngine.entry, error);
+    return {
+      kind: 'broken',
+      engineIdsToAvoid: this.#endedEngineIds,
+      message: 'The first engine ended while the stream was silent.',
+    };
+  }
+}
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -19,9 +19,9 @@
 import type { EntryRequest } from './entry-request.js';
 import { appendHeaders, getEndToEndHeaders } from './entry-response.js';
 import { EventSplitter } from './event-splitter.js';
+import { PeekableChunks } from './peekable-chunks.js';
 import { sendRelayedRequest } from './relay-request.js';
 import { assertOwnResponse } from './response-origin.js';
-import type { WatchedStream } from './stall-detector.js';
 
 /** The result of one attempt. */
 export type AttemptResult =
@@ -34,19 +34,30 @@
       readonly engineIdsToAvoid: readonly string[];
       readonly message: string;
     }
-  /** The attempt was abandoned before its first event arrived; the request may have run. */
-  | {
-      readonly kind: 'late';
-      readonly engineIdsToAvoid: readonly string[];
-      readonly message: string;
-    }
-  /** The stream failed or stalled; the request may have run. */
+  /** The stream failed; the request may have run. */
   | {
       readonly kind: 'broken';
       readonly engineIdsToAvoid: readonly string[];
       readonly message: string;
     };
 
+/** A response whose engine has accepted the request. */
+export interface AcceptedStream {
+  readonly kind: 'accepted';
+  readonly message: IncomingMessage;
+  readonly status: number;
+  readonly chunks: PeekableChunks;
+}
+
+/** The stream that an exchange relays, as far as the exchange reports on it. */
+export interface RelayedStream {
+  readonly chain: readonly FleetServer[];
+  isCallerBlocked: boolean;
+  hasEvents: boolean;
+  /** Notes that a piece of the stream arrived or was read by the caller. */
+  recordProgress(): void;
+}
+
 /** Options of {@link StreamExchange}. */
 export interface StreamExchangeOptions {
   readonly context: EntryContext;
@@ -86,7 +97,10 @@
   }
 
   /** Finds out what a failed exchange with the first engine means for further attempts. */
-  classifyError(firstEngine: ServerEntry, error: unknown): AttemptResult {
+  classifyError(
+    firstEngine: ServerEntry,
+    error: unknown,
+  ): Extract<AttemptResult, { kind: 'notRun' | 'broken' }> {
     const { outlierEjection, endCheck } = this.#options.context;
     const engineIdsToAvoid = [firstEngine.id];
     const message = getErrorMessage(error);
@@ -103,20 +117,19 @@
   }
 
   /**
-   * Sends the request to the chain's first engine and relays its events to the caller.
+   * Sends the request to the chain's first engine and waits for the head of its response.
    *
-   * @throws Error when the response fails, is incomplete or is not the engine's own.
+   * @throws Error when the response fails or is not the engine's own.
    */
-  async relay(
+  async open(
     chain: EngineChain,
     firstEngine: FleetServer,
-    watched: WatchedStream,
     signal: AbortSignal,
-  ): Promise<AttemptResult> {
-    const { outlierEjection, fleet, crashBlame } = this.#options.context;
-    const { metadata, content } = this.#options.request;
+  ): Promise<AcceptedStream | Extract<AttemptResult, { kind: 'notRun' }>> {
+    const { fleet } = this.#options.context;
+    const { metadata } = this.#options.request;
     const {
-      message: engineResponse,
+      message,
       status,
       metadata: responseMetadata,
     } = await sendRelayedRequest(this.#options.context, this.#options.request, {
@@ -139,24 +152,39 @@
       };
     }
     assertOwnResponse(metadata, responseMetadata);
+    return { kind: 'accepted', message, status, chunks: new PeekableChunks(readChunks(message)) };
+  }
+
+  /**
+   * Relays the events of an accepted stream to the caller.
+   *
+   * @throws Error when the response fails or is incomplete.
+   */
+  async relay(
+    { message: engineResponse, status, chunks }: AcceptedStream,
+    firstEngine: FleetServer,
+    stream: RelayedStream,
+  ): Promise<AttemptResult> {
+    const { outlierEjection, crashBlame } = this.#options.context;
+    const { content } = this.#options.request;
     if (status >= 300) return this.#relayFailure(engineResponse, status);
     let beganAt: number | undefined;
     const splitter = new EventSplitter(this.#options.caller.lastEventId);
-    for await (const chunk of readChunks(engineResponse)) {
+    for await (const chunk of chunks) {
       const events = splitter.push(chunk);
-      watched.lastProgressAt = performance.now();
+      stream.recordProgress();
       // A piece of the stream has passed all its engines.
-      watched.chain.forEach(({ entry }) => outlierEjection.recordLife(entry.id));
+      stream.chain.forEach(({ entry }) => outlierEjection.recordLife(entry.id));
       if (events.bytes.length > 0) {
-        if (beganAt === undefined) watched.chain.forEach(recordAcceptance);
+        if (beganAt === undefined) stream.chain.forEach(recordAcceptance);
         beganAt ??= performance.now();
         if (performance.now() - beganAt >= WRITTEN_AFTER_MILLISECONDS) this.#recordWritten(beganAt);
-        watched.hasEvents = true;
+        stream.hasEvents = true;
         this.#startResponse(engineResponse, status);
-        watched.isCallerBlocked = true;
+        stream.isCallerBlocked = true;
         await this.#options.caller.write(events.bytes, events.lastEventId);
-        watched.isCallerBlocked = false;
-        watched.lastProgressAt = performance.now();
+        stream.isCallerBlocked = false;
+        stream.recordProgress();
       }
     }
     await this.#assertWhole(engineResponse, splitter, firstEngine.entry);
--- a/src/entry/stream-reroute.ts
+++ b/src/entry/stream-reroute.ts
@@ -32,7 +32,7 @@
  * @param context - What the instance shares between requests.
  * @param selector - Chooses the new chain, and remembers which engines to avoid.
  * @param stream - The stream.
- * @returns The new chain, or undefined when the stream cannot be rerouted and its attempt has to end.
+ * @returns The new chain, or undefined when the stream is not known to have been rerouted.
  */
 export async function rerouteStream(
   context: EntryContext,
