Split the coverage plan by step

Hard to read: coverage-plan.ts held six concepts in 462 lines: the planner's view of an engine, arithmetic on ranges, the placement from scratch, the repair (a dynamic program of 60 lines), its cost, and the choice among plans.

Now one module each: planned-engine, layer-ranges, initial-placement, coverage-repair, layer-change-cost, least-cached-range, group-plan (a data centre, or all of them), and coverage-plan, which tries the plans in turn.

--- a/src/layers/coverage-guard.ts
+++ b/src/layers/coverage-guard.ts
@@ -3,7 +3,7 @@
  * moves several ranges at once, whose orders are carried out at different times.
  */
 import type { LayerRange } from '../fleet/server-entry.js';
-import { findUncoveredRanges } from './coverage-plan.js';
+import { findUncoveredRanges } from './layer-ranges.js';
 
 /** An engine and the layers that it holds now. */
 export interface LayerHolder {
--- a/src/layers/coverage-plan.test.ts
+++ b/src/layers/coverage-plan.test.ts
@@ -4,8 +4,10 @@
 import { ENGINE_PROFILE as PROFILE } from '../../tools/engine-profile.js';
 import { createRandom } from '../../tools/random.js';
 import type { LayerRange } from '../fleet/server-entry.js';
-import { findUncoveredRanges, planCoverage, type PlannedEngine } from './coverage-plan.js';
+import { planCoverage } from './coverage-plan.js';
 import { cacheCapacityTokenLayers, maximumLayerCount } from './engine-estimates.js';
+import { findUncoveredRanges } from './layer-ranges.js';
+import type { PlannedEngine } from './planned-engine.js';
 
 const KINDS = [...Array(3).fill('large'), ...Array(3).fill('middle'), ...Array(5).fill('small')];
 
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -17,8 +17,10 @@
 import { isEngineLost } from './engine-loss.js';
 import { maximumLayerCount } from './engine-estimates.js';
 import { wouldUncoverLayers, type LayerHolder } from './coverage-guard.js';
-import { findUncoveredRanges, planCoverage, type PlannedEngine } from './coverage-plan.js';
+import { planCoverage } from './coverage-plan.js';
+import { findUncoveredRanges } from './layer-ranges.js';
 import { PeakDemand } from './peak-demand.js';
+import type { PlannedEngine } from './planned-engine.js';
 import type { LeaseState, PlannerLease } from './planner-lease.js';
 
 /** Options of {@link runPlanner}. */
--- a/tools/mixed-builds/platform-check.ts
+++ b/tools/mixed-builds/platform-check.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { sleep } from '../../src/common/clock.js';
-import { findUncoveredRanges } from '../../src/layers/coverage-plan.js';
+import { findUncoveredRanges } from '../../src/layers/layer-ranges.js';
 import {
   PLATFORM_PROGRAM,
   PlatformGroup,
--- a/tools/serving-group.ts
+++ b/tools/serving-group.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import type { TestContext } from 'node:test';
 import type { LayerRange } from '../src/fleet/server-entry.js';
-import { findUncoveredRanges } from '../src/layers/coverage-plan.js';
+import { findUncoveredRanges } from '../src/layers/layer-ranges.js';
 import {
   PlatformGroup,
   sendRequest,
