Split the records of prompt parts by concept

Hard to read: one class of 460 lines kept the ends of engines, decided which parts are blocked, timed the trials and built what peers are told; 20 constants stood far from their use.

Now engine-ends keeps the ends and what was written since, blocked-part-trials decides about trials, reported-part-records holds the reported form and its bounds, and prompt-part-records joins them.

--- a/src/entry/crash-blame.ts
+++ b/src/entry/crash-blame.ts
@@ -6,7 +6,8 @@
 import { LruMap } from '../common/lru-map.js';
 import type { RequestContent } from './blocked-parts.js';
 import type { CrashRecords, ReportedCrashes } from './crash-records.js';
-import type { PromptPartRecords, ReportedPartRecords } from './prompt-part-records.js';
+import type { PromptPartRecords } from './prompt-part-records.js';
+import type { ReportedPartRecords } from './reported-part-records.js';
 
 /** Options of {@link CrashBlame}. */
 export interface CrashBlameOptions {
