Split the construction of an entry instance by concern

Hard to read: a constructor of 190 lines made 25 components whose callbacks refer to each other, and the class also acted on peers' records and on the loss of the links to servers.

Now server-components makes what observes backend servers, peer-observations acts on records of peers, and entry-components makes the peers, the store follower, the lease and the request context, one method each. The members that entry-daemon uses stay; STALL_CHECK_INTERVAL_MILLISECONDS moves to server-components.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -2,49 +2,34 @@
  * The components of an entry instance, and what they tell each other: records of peers go to whatever acts
  * on them, changes that peers should act on lead to a new record at once.
  */
-import { probeConnection } from '../common/connection-probe.js';
 import { ActiveConfiguration } from '../entry/active-configuration.js';
 import { ConfigurationCheck } from '../entry/configuration-check.js';
-import { CrashBlame } from '../entry/crash-blame.js';
-import { CrashRecords } from '../entry/crash-records.js';
-import { PromptPartRecords } from '../entry/prompt-part-records.js';
-import { EngineReports } from '../entry/engine-reports.js';
+import type { EngineReports } from '../entry/engine-reports.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import { EntryMetrics } from '../entry/entry-metrics.js';
 import { type EntryServer } from '../entry/entry-server.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
 import { PeerRelay } from '../entry/peer-relay.js';
-import { RELAY_HEADER } from '../entry/relayed-request.js';
 import { RefusalPacing } from '../entry/refusal-pacing.js';
+import { RELAY_HEADER } from '../entry/relayed-request.js';
 import { RetryBudget } from '../entry/retry-budget.js';
-import { StallDetector } from '../entry/stall-detector.js';
-import { BackendFleet } from '../fleet/backend-fleet.js';
-import { CallTimes } from '../fleet/call-times.js';
-import { EndCheck } from '../fleet/end-check.js';
-import {
-  applyPeerObservations,
-  collectServerObservations,
-  RemoteLoads,
-  sumDataCentreLoads,
-} from '../fleet/server-observations.js';
-import { OutlierEjection } from '../fleet/outlier-ejection.js';
-import { ServerReach } from '../fleet/server-reach.js';
-import { ServerLimits } from '../fleet/server-limits.js';
-import { StatementRecorder } from '../fleet/server-statements.js';
-import { Gossip } from '../gossip/gossip.js';
-import type { PeerRecord, ServerLoads } from '../gossip/peer-record.js';
+import type { BackendFleet } from '../fleet/backend-fleet.js';
+import type { OutlierEjection } from '../fleet/outlier-ejection.js';
+import { collectServerObservations } from '../fleet/server-observations.js';
+import { Gossip, type GossipOptions } from '../gossip/gossip.js';
 import { PeerTable } from '../gossip/peer-table.js';
 import { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import { PlannerLease } from '../layers/planner-lease.js';
 import type { LoggerFactory } from '../telemetry/log.js';
-import { createStatusDocuments } from './status-documents.js';
 import type { EntryPlatform } from './entry-platform.js';
-import { isHolderGone, isPlanner } from './planner-role.js';
-import { listPeerEjections } from '../gossip/peer-ejections.js';
-import { CONNECTION_PATH, createPeerInquiry, describeConnection } from './peer-inquiry.js';
 import { InstanceRegistration } from './instance-registration.js';
 import { OwnRecord, type RecordState } from './own-record.js';
-import { ServerHealth } from './server-health.js';
+import { CONNECTION_PATH, describeConnection } from './peer-inquiry.js';
+import { PeerObservations } from './peer-observations.js';
+import { isHolderGone, isPlanner } from './planner-role.js';
+import { ServerComponents } from './server-components.js';
+import type { ServerHealth } from './server-health.js';
+import { createStatusDocuments } from './status-documents.js';
 import { isFollowedByPeers } from './store-follower-role.js';
 import { StoreFollower } from './store-follower.js';
 
@@ -60,13 +45,7 @@
   readonly server: () => EntryServer | undefined;
 }
 
-/** The shortest time between two updates of the servers from the peers' records. */
-const OBSERVATION_INTERVAL_MILLISECONDS = 100;
-/** Time between two checks of streams for stalls. */
-export const STALL_CHECK_INTERVAL_MILLISECONDS = 70;
-/** A cut may reset connections this long before one can't be made. */
-const CUT_NOTICE_MILLISECONDS = 500;
-
+/** The components of one entry instance. */
 export class EntryComponents {
   readonly #options: EntryComponentsOptions;
 
@@ -77,68 +56,121 @@
 
   readonly configurationCheck: ConfigurationCheck;
 
-  readonly fleet: BackendFleet;
-
-  readonly outlierEjection: OutlierEjection;
-
-  readonly serverReach: ServerReach;
-
   readonly peers: PeerTable;
 
   readonly peerRelay: PeerRelay;
 
+  readonly lease: PlannerLease;
+
   readonly storeFollower: StoreFollower;
 
   readonly gossip: Gossip;
 
   readonly context: EntryContext;
 
-  readonly engineReports: EngineReports;
+  readonly registration: InstanceRegistration;
 
-  readonly serverHealth: ServerHealth;
+  readonly ownRecord: OwnRecord;
 
-  readonly lease: PlannerLease;
+  readonly #servers: ServerComponents;
 
-  readonly registration: InstanceRegistration;
+  readonly #peerObservations: PeerObservations;
+
+  constructor(options: EntryComponentsOptions) {
+    this.#options = options;
+    const { settings } = options;
+    this.configuration = this.#createConfiguration();
+    this.peers = this.#createPeerTable();
+    this.#servers = this.#createServerComponents();
+    this.peerRelay = this.#createPeerRelay();
+    this.lease = this.#createLease();
+    this.storeFollower = this.#createStoreFollower();
+    this.configurationCheck = this.#createConfigurationCheck();
+    this.#peerObservations = new PeerObservations({
+      dataCentre: settings.dataCentre,
+      servers: this.#servers,
+      peers: this.peers,
+      storeFollower: this.storeFollower,
+    });
+    this.gossip = this.#createGossip();
+    this.context = this.#createContext();
+    this.registration = this.#createRegistration();
+    this.ownRecord = new OwnRecord({
+      settings,
+      incarnation: this.incarnation,
+      describeState: () => this.#describeState(),
+    });
+  }
 
-  readonly remoteLoads = new RemoteLoads();
+  get fleet(): BackendFleet {
+    return this.#servers.fleet;
+  }
 
-  /** Loads by all instances of this data centre, summed at each heartbeat. */
-  #dataCentreLoads: ServerLoads = {};
+  get outlierEjection(): OutlierEjection {
+    return this.#servers.outlierEjection;
+  }
 
-  #observationsAppliedAt = Number.NEGATIVE_INFINITY;
+  get engineReports(): EngineReports {
+    return this.#servers.engineReports;
+  }
 
-  readonly ownRecord: OwnRecord;
+  get serverHealth(): ServerHealth {
+    return this.#servers.serverHealth;
+  }
 
-  constructor(options: EntryComponentsOptions) {
-    this.#options = options;
-    const { settings, platform, logs, signal } = options;
-    this.configuration = new ActiveConfiguration({
+  /** Whether requests can be served: the configuration and the backend servers are known. */
+  get isReady(): boolean {
+    return (
+      !this.#options.isStopping() &&
+      this.configuration.current !== undefined &&
+      this.storeFollower.hasFleet
+    );
+  }
+
+  /** Rebuilds the record and sends it to peers without waiting for the next heartbeat. */
+  gossipImmediately(): void {
+    this.ownRecord.refresh();
+    void this.gossip.runRound(true);
+  }
+
+  /** Makes a new record, and sums the loads of this data centre. */
+  refreshRecord(): void {
+    this.ownRecord.refresh();
+    this.#peerObservations.sumLoads(this.ownRecord.current);
+  }
+
+  /** Whether the holder of the planner lease is gone. */
+  isHolderGone(holder: string): boolean {
+    const [instance = ''] = holder.split('/');
+    return isHolderGone(holder, this.#options.settings.instance, this.peers.findAlive(instance));
+  }
+
+  /** Whether no instance has recently received a request to a service. */
+  isServiceIdle(service: string): boolean {
+    const [own] = this.context.retryBudget.counts[service] ?? [0];
+    const [others] = this.peers.sumRetries(service);
+    return own + others === 0;
+  }
+
+  #createConfiguration(): ActiveConfiguration {
+    const { settings, logs } = this.#options;
+    return new ActiveConfiguration({
       log: logs('configuration'),
       changeBoundMilliseconds: settings.changeBoundMilliseconds,
     });
-    this.fleet = new BackendFleet({
-      log: logs('backend'),
-      onEnded: (processKey) => this.context.crashBlame.recordEndedServer(processKey),
-      onRestarted: (id) => {
-        this.outlierEjection.forget(id);
-        this.context.callTimes.forget(id);
-        this.context.serverLimits.forget(id);
-      },
-    });
-    this.outlierEjection = new OutlierEjection({
-      log: logs('backend'),
-      onEjected: () => this.gossipImmediately(),
-      isCut: () => this.serverReach.isCut,
-    });
-    this.serverReach = new ServerReach({
-      listServers: () => this.fleet.servers.map(({ entry }) => entry),
-      probe: ({ address }) => probeConnection(address),
-      onChange: (isCut) => this.#applyReach(isCut),
-      log: logs('backend'),
-      signal,
+  }
+
+  #createConfigurationCheck(): ConfigurationCheck {
+    return new ConfigurationCheck({
+      configuration: this.configuration,
+      sources: () => this.storeFollower.configurationSources,
+      log: this.#options.logs('configuration'),
     });
-    this.peers = new PeerTable({
+  }
+
+  #createPeerTable(): PeerTable {
+    const { settings, logs } = this.#options;
+    return new PeerTable({
       instance: settings.instance,
       dataCentre: settings.dataCentre,
       log: logs('peer'),
@@ -148,129 +180,149 @@
         void this.peerRelay.abandon(instance);
       },
     });
-    this.peerRelay = new PeerRelay({
+  }
+
+  #createPeerRelay(): PeerRelay {
+    const { settings, platform, logs } = this.#options;
+    return new PeerRelay({
       instance: settings.instance,
       listPeers: () => this.peers.aliveRecords,
       configurationVersion: () => this.configuration.current?.version ?? -1,
       protocol: platform.protocol,
       log: logs('routing'),
     });
-    this.lease = new PlannerLease({
+  }
+
+  #createServerComponents(): ServerComponents {
+    const { settings, platform, logs, signal } = this.#options;
+    return new ServerComponents({
+      instance: settings.instance,
+      protocol: platform.protocol,
+      configuration: this.configuration,
+      peers: this.peers,
+      fetch: (peer, path, timeout) => this.gossip.fetchDocument(peer, path, timeout),
+      onNews: () => this.gossipImmediately(),
+      logs,
+      signal,
+    });
+  }
+
+  /** Creates the lease; this process holds it under a name that differs after a restart. */
+  #createLease(): PlannerLease {
+    const { settings, platform, logs } = this.#options;
+    return new PlannerLease({
       store: platform.store,
-      holder: this.#leaseHolder,
+      holder: `${settings.instance}/${this.incarnation}`,
       log: logs('placement'),
     });
-    this.storeFollower = new StoreFollower({
+  }
+
+  #createStoreFollower(): StoreFollower {
+    const { settings, platform, logs, signal } = this.#options;
+    const { instance, dataCentre, changeBoundMilliseconds, serverHeartbeatMilliseconds } = settings;
+    return new StoreFollower({
       platform,
       configuration: this.configuration,
-      dataCentre: settings.dataCentre,
+      dataCentre,
       fleet: this.fleet,
-      changeBoundMilliseconds: settings.changeBoundMilliseconds,
-      serverHeartbeatMilliseconds: settings.serverHeartbeatMilliseconds,
+      changeBoundMilliseconds,
+      serverHeartbeatMilliseconds,
       listPeers: () => this.peers.aliveRecords,
       fetch: (peer, path) => this.gossip.fetchDocument(peer, path),
-      isFollowedByPeers: () =>
-        isFollowedByPeers(settings.instance, settings.dataCentre, this.peers.aliveRecords),
+      isFollowedByPeers: () => isFollowedByPeers(instance, dataCentre, this.peers.aliveRecords),
       onNews: () => this.#pushNews(),
       isIdle: () =>
         Object.values(this.context.retryBudget.counts).every(([requests]) => requests === 0),
       logs,
       signal,
     });
-    this.configurationCheck = new ConfigurationCheck({
-      configuration: this.configuration,
-      sources: () => this.storeFollower.configurationSources,
-      log: logs('configuration'),
-    });
-    this.gossip = new Gossip({
+  }
+
+  #createGossip(): Gossip {
+    const { settings, logs, signal } = this.#options;
+    return new Gossip({
       address: settings.listen.peers,
       dataCentre: settings.dataCentre,
       seeds: settings.seeds,
       table: this.peers,
       ownRecord: () => this.ownRecord.current,
-      dataCentreLoads: () => this.#dataCentreLoads,
-      onRecord: (record) => this.#acceptRecord(record),
-      onRecords: () => this.#applyPeerObservations(),
-      documents: {
-        ...this.storeFollower.documents,
-        [CONNECTION_PATH]: (query) => describeConnection(this.fleet, query),
-        ...createStatusDocuments({
-          settings,
-          configuration: this.configuration,
-          fleet: this.fleet,
-          outlierEjection: this.outlierEjection,
-          lease: this.lease,
-          getOwnRecord: () => this.ownRecord.current,
-          listPeerRecords: () => this.peers.aliveRecords,
-          countOpenRequests: () => options.server()?.openRequests() ?? 0,
-        }),
-      },
-      relay: {
-        header: RELAY_HEADER,
-        serve: (incoming, response) => {
-          const server = options.server();
-          if (server) server.serveRelayed(incoming, response);
-          else response.destroy();
-        },
-      },
+      dataCentreLoads: () => this.#peerObservations.dataCentreLoads,
+      onRecord: (record) => this.#peerObservations.accept(record),
+      onRecords: () => this.#peerObservations.apply(),
+      documents: this.#createDocuments(),
+      relay: this.#createRelayEndpoint(),
       log: logs('peer'),
       signal,
     });
-    const endCheck = new EndCheck({
-      fleet: this.fleet,
-      serverReach: this.serverReach,
-      askPeer: createPeerInquiry({
-        listPeers: () => this.peers.aliveRecords,
-        fetch: (peer, path, timeout) => this.gossip.fetchDocument(peer, path, timeout),
+  }
+
+  /** Creates the documents that peers and operators may read. */
+  #createDocuments(): GossipOptions['documents'] {
+    const { settings, server } = this.#options;
+    return {
+      ...this.storeFollower.documents,
+      [CONNECTION_PATH]: (query) => describeConnection(this.fleet, query),
+      ...createStatusDocuments({
+        settings,
+        configuration: this.configuration,
+        fleet: this.fleet,
+        outlierEjection: this.outlierEjection,
+        lease: this.lease,
+        getOwnRecord: () => this.ownRecord.current,
+        listPeerRecords: () => this.peers.aliveRecords,
+        countOpenRequests: () => server()?.openRequests() ?? 0,
       }),
-      log: logs('backend'),
-      signal,
-    });
-    const serverLimits = new ServerLimits({
-      instance: settings.instance,
-      listPeers: () => this.peers.allRecords.map(({ instance }) => instance),
-      log: logs('backend'),
-    });
-    const statements = new StatementRecorder({
-      fleet: this.fleet,
-      serverLimits,
-      log: logs('routing'),
-    });
-    this.engineReports = new EngineReports({ protocol: platform.protocol, statements });
-    this.context = {
+    };
+  }
+
+  /** Serves callers' requests that peers pass on. */
+  #createRelayEndpoint(): GossipOptions['relay'] {
+    return {
+      header: RELAY_HEADER,
+      serve: (incoming, response) => {
+        const server = this.#options.server();
+        if (server) server.serveRelayed(incoming, response);
+        else response.destroy();
+      },
+    };
+  }
+
+  #createContext(): EntryContext {
+    const { settings, platform, logs } = this.#options;
+    const { fleet, outlierEjection, callTimes, endCheck, crashBlame } = this.#servers;
+    const { serverLimits, statements, serverReach, stallDetector } = this.#servers;
+    return {
       dataCentre: settings.dataCentre,
       protocol: platform.protocol,
-      fleet: this.fleet,
-      outlierEjection: this.outlierEjection,
-      callTimes: new CallTimes(),
+      fleet,
+      outlierEjection,
+      callTimes,
       endCheck,
-      crashBlame: this.#createCrashBlame(),
+      crashBlame,
       serverLimits,
       statements,
-      serverReach: this.serverReach,
+      serverReach,
       peerRelay: this.peerRelay,
       refusalPacing: new RefusalPacing(),
-      retryBudget: new RetryBudget({
-        settings: settings.retryBudget,
-        peerCount: () => this.peers.allRecords.length,
-        peerCountsOf: (service) => this.peers.sumRetries(service),
-      }),
-      linkLoad: new DataCentreLinkLoad({
-        instanceCount: () => this.peers.aliveCount + 1,
-      }),
-      stallDetector: new StallDetector({
-        reports: this.engineReports,
-        fleet: this.fleet,
-        outlierEjection: this.outlierEjection,
-        endCheck,
-        serverReach: this.serverReach,
-        log: logs('routing'),
-        checkIntervalMilliseconds: STALL_CHECK_INTERVAL_MILLISECONDS,
-      }),
+      retryBudget: this.#createRetryBudget(),
+      linkLoad: new DataCentreLinkLoad({ instanceCount: () => this.peers.aliveCount + 1 }),
+      stallDetector,
       metrics: new EntryMetrics(),
       logs,
     };
-    this.registration = new InstanceRegistration({
+  }
+
+  #createRetryBudget(): RetryBudget {
+    return new RetryBudget({
+      settings: this.#options.settings.retryBudget,
+      peerCount: () => this.peers.allRecords.length,
+      peerCountsOf: (service) => this.peers.sumRetries(service),
+    });
+  }
+
+  #createRegistration(): InstanceRegistration {
+    const { settings, platform, logs, signal } = this.#options;
+    return new InstanceRegistration({
       settings,
       store: platform.store,
       crashBlame: this.context.crashBlame,
@@ -279,66 +331,6 @@
       log: logs('peer'),
       signal,
     });
-    this.serverHealth = new ServerHealth({
-      fleet: this.fleet,
-      outlierEjection: this.outlierEjection,
-      endCheck,
-      serverLimits,
-      statements,
-      protocol: platform.protocol,
-      callTimes: this.context.callTimes,
-      configuration: this.configuration,
-    });
-    this.ownRecord = new OwnRecord({
-      settings,
-      incarnation: this.incarnation,
-      describeState: () => this.#describeState(),
-    });
-  }
-
-  #createCrashBlame(): CrashBlame {
-    const { logs } = this.#options;
-    const promptParts = new PromptPartRecords({
-      countInstances: () => this.peers.aliveCount + 1,
-      onNews: () => this.gossipImmediately(),
-      log: logs('routing'),
-    });
-    const contents = new CrashRecords({
-      isExplained: (processKey) => promptParts.explains(processKey),
-      log: logs('routing'),
-    });
-    return new CrashBlame({ contents, promptParts });
-  }
-
-  /** Whether requests can be served: the configuration and the backend servers are known. */
-  get isReady(): boolean {
-    return (
-      !this.#options.isStopping() &&
-      this.configuration.current !== undefined &&
-      this.storeFollower.hasFleet
-    );
-  }
-
-  /** Acts on the loss of the links to all servers, and on their return. */
-  #applyReach(isCut: boolean): void {
-    const { failingSince } = this.serverReach;
-    if (isCut) this.outlierEjection.withdrawSince(failingSince - CUT_NOTICE_MILLISECONDS);
-    this.gossipImmediately();
-  }
-
-  /** Rebuilds the record and sends it to peers without waiting for the next heartbeat. */
-  gossipImmediately(): void {
-    this.ownRecord.refresh();
-    void this.gossip.runRound(true);
-  }
-
-  /** Makes a new record, and sums the loads of this data centre. */
-  refreshRecord(): void {
-    this.ownRecord.refresh();
-    this.#dataCentreLoads = sumDataCentreLoads(
-      [this.ownRecord.current, ...this.peers.aliveRecords],
-      this.#options.settings.dataCentre,
-    );
   }
 
   /** Tells peers of this data centre that this instance has a newer configuration or server list. */
@@ -347,63 +339,25 @@
     void this.gossip.pushRecord();
   }
 
-  /** The name under which this process holds the planner lease; it differs after a restart. */
-  get #leaseHolder(): string {
-    return `${this.#options.settings.instance}/${this.incarnation}`;
-  }
-
-  /** Whether the holder of the planner lease is gone. */
-  isHolderGone(holder: string): boolean {
-    const [instance = ''] = holder.split('/');
-    return isHolderGone(holder, this.#options.settings.instance, this.peers.findAlive(instance));
-  }
-
-  /** Whether no instance has recently received a request to a service. */
-  isServiceIdle(service: string): boolean {
-    const [own] = this.context.retryBudget.counts[service] ?? [0];
-    const [others] = this.peers.sumRetries(service);
-    return own + others === 0;
-  }
-
   #describeState(): RecordState {
+    const { fleet, outlierEjection, serverReach, crashBlame, serverLimits } = this.#servers;
     return {
       urgent: {
         isReady: this.isReady,
         isStopping: this.#options.isStopping(),
         configurationVersion: this.configuration.current?.version ?? -1,
         isStoreReachable: this.storeFollower.isStoreReachable,
-        isCutFromServers: this.serverReach.isCut,
-        suspects: this.outlierEjection.ownEjections,
-        ejections: this.outlierEjection.ownEjectionCauses,
+        isCutFromServers: serverReach.isCut,
+        suspects: outlierEjection.ownEjections,
+        ejections: outlierEjection.ownEjectionCauses,
         plannerTerm: this.lease.isHolder ? this.lease.term : 0,
-        ...this.context.crashBlame.contents.reported,
-        promptParts: this.context.crashBlame.promptParts.reported,
+        ...crashBlame.contents.reported,
+        promptParts: crashBlame.promptParts.reported,
       },
-      fleetRevision: this.fleet.revision,
-      ...collectServerObservations(this.fleet),
+      fleetRevision: fleet.revision,
+      ...collectServerObservations(fleet),
       retries: this.context.retryBudget.counts,
-      limits: this.context.serverLimits.reported,
+      limits: serverLimits.reported,
     };
   }
-
-  /**
-   * Takes over what the peers observed of the servers, unless that was done a moment ago: the work
-   * grows with the number of peers, and so does the number of records that arrive.
-   */
-  #applyPeerObservations(): void {
-    const now = performance.now();
-    if (now - this.#observationsAppliedAt < OBSERVATION_INTERVAL_MILLISECONDS) return;
-    this.#observationsAppliedAt = now;
-    applyPeerObservations(this.fleet, this.peers.aliveRecords, this.remoteLoads.current);
-  }
-
-  #acceptRecord(record: PeerRecord): void {
-    this.outlierEjection.replacePeerEjections(record.instance, listPeerEjections(record));
-    this.context.crashBlame.contents.merge(record);
-    if (record.promptParts && record.clock !== undefined)
-      this.context.crashBlame.promptParts.merge(record.promptParts, record.clock);
-    this.context.serverLimits.merge(record.limits ?? {});
-    this.remoteLoads.accept(record);
-    this.storeFollower.catchUpWithPeer(record);
-  }
 }
--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -9,10 +9,11 @@
 import { getHeartbeatInterval } from '../gossip/record-interval.js';
 import { runPlanner } from '../layers/planner-task.js';
 import type { LoggerFactory } from '../telemetry/log.js';
-import { EntryComponents, STALL_CHECK_INTERVAL_MILLISECONDS } from './entry-components.js';
+import { EntryComponents } from './entry-components.js';
 import type { CallerAddresses, EntryPlatform } from './entry-platform.js';
 import { listCallerAddresses } from './caller-addresses.js';
 import { isPlanner } from './planner-role.js';
+import { STALL_CHECK_INTERVAL_MILLISECONDS } from './server-components.js';
 
 /** Options of {@link startEntryDaemon}. */
 export interface EntryDaemonOptions {
