Move in-flight counts and unfinished ends out of the generation

Hard to read: generation.ts also told how much of a request each stage counts as in flight, and built the outcomes of generations that can't go on; the retry time of a broken stream was that of the choice of chains.

Now stage-occupancy counts requests on stages, generation-ending builds the ends, and the broken stream's retry time (20 ms as before) has a name of its own.

--- a/src/pipeline/generation.ts
+++ b/src/pipeline/generation.ts
@@ -12,7 +12,6 @@
 import { sleep } from '../common/clock.js';
 import { CrashGuard } from '../routing/crash-guard.js';
 import type { LinkLatencies } from '../routing/link-latencies.js';
-import { createRefusal, createRejection, createUnknownOutcome } from '../routing/outcome.js';
 import { chooseEngineChain, type EngineChain } from '../routing/engine-chain-choice.js';
 import { hashPromptPrefixes } from '../routing/text-hash.js';
 import type { PrefixCacheIndex } from '../routing/prefix-cache-index.js';
@@ -20,9 +19,11 @@
 import type { Logger } from '../telemetry/log.js';
 import { EngineStreamError, streamFromEngine, type StreamFailureKind } from './engine-stream.js';
 import { areAllResponsive, diagnoseFailure } from './fault-diagnosis.js';
+import { createContentRejection, createUnfinishedEnd } from './generation-ending.js';
 import type { GeneratedToken, GenerationEnd, GenerationRequest } from './generation-request.js';
 import { chooseKvSource, type KvHolder } from './kv-source.js';
 import { checkReceipts } from './receipts.js';
+import { changeInFlight, computeStageShares } from './stage-occupancy.js';
 import { recordStageTimes } from './stage-times.js';
 
 /** The state and settings that all generations of this instance share. */
@@ -60,7 +61,6 @@
 const CHAIN_RETRY_MILLISECONDS = 20;
 /** How long a stream that has already sent tokens waits for a chain to continue on. */
 const RESUME_WAIT_MILLISECONDS = 10_000;
-const NO_BACKEND_RETRY_MILLISECONDS = 1000;
 
 /** One run of a generation, over as many attempts as it needs. */
 class Generation {
@@ -120,8 +120,8 @@
     this.#attempt += 1;
     this.#acceptedAttempts += 1;
     const { stages } = chain;
-    const shares = computeStageShares(stages);
-    changeInFlight(stages, shares, 1, isSuspect);
+    const inFlight = { stages, shares: computeStageShares(stages), isSuspect };
+    changeInFlight(inFlight, 1);
     const stop = new AbortController();
     const abort = (): void => stop.abort();
     this.#request.signal.addEventListener('abort', abort, { once: true });
@@ -134,7 +134,7 @@
     } finally {
       stop.abort();
       this.#request.signal.removeEventListener('abort', abort);
-      changeInFlight(stages, shares, -1, isSuspect);
+      changeInFlight(inFlight, -1);
     }
   }
 
@@ -242,7 +242,7 @@
 
   async #waitForChain(isSuspect: boolean): Promise<EngineChain | undefined> {
     const { signal, startBy } = this.#request;
-    const hasSentTokens = this.#tokens.length > this.#request.producedTokens.length;
+    const hasSentTokens = this.#hasSentTokens;
     const deadline = hasSentTokens ? performance.now() + RESUME_WAIT_MILLISECONDS : startBy;
     while (!signal.aborted) {
       const chain =
@@ -339,55 +339,15 @@
 
   /** Ends the generation with the outcome that fits what has run and been sent so far. */
   #endUnfinished(message: string): GenerationEnd {
-    if (this.#tokens.length > this.#request.producedTokens.length) {
-      return {
-        kind: 'failed',
-        outcome: createUnknownOutcome('stream_broken', message, CHAIN_RETRY_MILLISECONDS),
-      };
-    }
-    if (this.#acceptedAttempts > 0) {
-      return {
-        kind: 'failed',
-        outcome: createUnknownOutcome('answer_lost', message, NO_BACKEND_RETRY_MILLISECONDS),
-      };
-    }
-    return {
-      kind: 'refused',
-      refusal: createRefusal('no_backend', message, NO_BACKEND_RETRY_MILLISECONDS),
-    };
+    return createUnfinishedEnd(message, {
+      hasSentTokens: this.#hasSentTokens,
+      mayHaveRun: this.#acceptedAttempts > 0,
+    });
   }
-}
-
-function createContentRejection(): GenerationEnd {
-  const message = 'Backend servers died each time that this content ran.';
-  return { kind: 'failed', outcome: createRejection('request_crashes_servers', 422, message) };
-}
-
-/**
- * Computes how much of a request each stage counts as in flight. The first stage is occupied for the
- * whole time of each token, a later one only for its own share of that time.
- */
-function computeStageShares(stages: readonly BackendServer[]): number[] {
-  const stepMilliseconds = stages.map(
-    (server) => (server.engine?.stepMilliseconds ?? 1) * server.slowdownFactor,
-  );
-  const totalMilliseconds = stepMilliseconds.reduce((sum, step) => sum + step, 0);
-  return stepMilliseconds.map((step, index) => (index === 0 ? 1 : step / totalMilliseconds));
-}
 
-/** Adds a request to the in-flight counts of its stages (1) or removes it (-1). */
-function changeInFlight(
-  stages: readonly BackendServer[],
-  shares: readonly number[],
-  change: 1 | -1,
-  isSuspect: boolean,
-): void {
-  stages.forEach((server, index) => {
-    const share = shares[index] ?? 1;
-    server.inFlight += change * share;
-    if (change > 0) server.recordSentRequest(performance.now(), share);
-    if (isSuspect) server.suspectsInFlight += change;
-  });
+  get #hasSentTokens(): boolean {
+    return this.#tokens.length > this.#request.producedTokens.length;
+  }
 }
 
 /**
