--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -31,7 +31,7 @@
   readonly stop: () => Promise<void>;
 }
 
-const PACE_CHECK_INTERVAL_MILLISECONDS = 500;
+const SLOWDOWN_CHECK_INTERVAL_MILLISECONDS = 500;
 const HEALTH_CHECK_INTERVAL_MILLISECONDS = 200;
 const ADDRESS_LIFETIME_SECONDS = 1;
 /** Stopping ends this long before the platform kills the process, so that it exits in order. */
@@ -142,7 +142,7 @@
     void this.#runPeriodically(STALL_CHECK_INTERVAL_MILLISECONDS, () =>
       this.#components.context.stallDetector.checkStreams(),
     );
-    void this.#runPeriodically(PACE_CHECK_INTERVAL_MILLISECONDS, () =>
+    void this.#runPeriodically(SLOWDOWN_CHECK_INTERVAL_MILLISECONDS, () =>
       this.#components.context.stallDetector.refreshSlowdownFactors(),
     );
     void this.#runPeriodically(HEALTH_CHECK_INTERVAL_MILLISECONDS, () =>
