Don't take a refusal that names another request for one of this request

Seen by callers: 503 "not run, try again" for a booking whose server may run it, or the booking at a second server, after a faulty server wrote an earlier refusal once more.

Cause: whether a response says "not executed" was looked at before whether it belongs to the request. Server statements (pause, limit, leave) in it were recorded too.

Change: sendRelayedRequest, which both relays use, drops "not executed" from a response that names another request; the check of the origin then makes it "may have run", and the recorder's condition leaves its statements out. relay-call and stream-exchange don't change. A refusal without an id is believed as before: a server that can't read a request refuses it so.

Ruled out: an earlier request's answer on the same connection. Requests to servers and requests passed on to peers each open a connection of their own (agent: false), so only the server itself can write it.

--- a/src/entry/relay-request.ts
+++ b/src/entry/relay-request.ts
@@ -7,6 +7,7 @@
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
 import type { ResponseMetadata, StageAddress } from './protocol-adapter.js';
+import { disregardForeignRefusal } from './response-origin.js';
 
 /** Options of {@link sendRelayedRequest}. */
 export interface RelayedRequestOptions {
@@ -72,7 +73,8 @@
  * @param context - What the instance shares between requests.
  * @param request - The caller's request.
  * @param options - Where it goes, and how.
- * @returns The response; whether it is the server's own has not been checked.
+ * @returns The response. It is not executed only if it doesn't name another request; whether another
+ *   response is the server's own has not been checked.
  * @throws HttpRequestError whose phase tells whether any byte may have reached the backend server.
  */
 export async function sendRelayedRequest(
@@ -103,7 +105,10 @@
   const response = {
     message,
     status,
-    metadata: protocol.parseResponseHeaders(message.headers, status),
+    metadata: disregardForeignRefusal(
+      metadata,
+      protocol.parseResponseHeaders(message.headers, status),
+    ),
   };
   const isOwn =
     response.metadata.requestId === metadata.requestId || response.metadata.isNotExecuted;
--- a/src/entry/response-origin.ts
+++ b/src/entry/response-origin.ts
@@ -22,3 +22,20 @@
     throw new ForeignResponseError('The response is not signed by the backend server.');
   if (response.isEncoded) throw new ForeignResponseError('The response has a content encoding.');
 }
+
+/**
+ * Keeps a refusal from counting as one of the request when it names another request: a faulty server may
+ * write an earlier refusal once more, while it runs the request. A server that can't read a request refuses
+ * it without an id.
+ *
+ * @param request - The request's metadata.
+ * @param response - What the response's headers state.
+ * @returns What the response states of the request.
+ */
+export function disregardForeignRefusal(
+  request: RequestMetadata,
+  response: ResponseMetadata,
+): ResponseMetadata {
+  const isForeign = response.requestId !== undefined && response.requestId !== request.requestId;
+  return isForeign ? { ...response, isNotExecuted: false } : response;
+}
