Go on with a begun stream only over a response of the same kind

Seen by callers: a stream broke off after events, the next engine answered 200 with the text of an error, and the text stood in the stream, which then ended as complete; an empty 200 that is no event stream, or a 204, ended the stream as complete before its last event.

Cause: only the status class and the form of the lines were checked. "error: failed" has the form of an event field, and no text at all has the form of the end of a stream.

Change: when events have gone out, a response with another status or media type than the one with which the stream began counts as a failure of the engine. The same holds for a peer's answer. An empty event stream still ends a stream: its first engine may have broken off right after the last event.

--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -21,7 +21,7 @@
 import { EventSplitter } from './event-splitter.js';
 import { PeekableChunks } from './peekable-chunks.js';
 import { sendRelayedRequest } from './relay-request.js';
-import { assertOwnResponse } from './response-origin.js';
+import { assertOwnResponse, ForeignResponseError } from './response-origin.js';
 
 /** The result of one attempt. */
 export type AttemptResult =
@@ -70,6 +70,12 @@
  */
 const WRITTEN_AFTER_MILLISECONDS = 300;
 
+/** Returns the media type of a content type, without its parameters; empty if there is none. */
+function parseMediaType(contentType: number | string | readonly string[] | undefined): string {
+  const [mediaType = ''] = String(contentType ?? '').split(';');
+  return mediaType.trim().toLowerCase();
+}
+
 export class StreamExchange {
   readonly #options: StreamExchangeOptions;
 
@@ -152,6 +158,7 @@
       };
     }
     assertOwnResponse(metadata, responseMetadata);
+    if (status < 300) this.#assertContinues(message, status);
     return { kind: 'accepted', message, status, chunks: new PeekableChunks(readChunks(message)) };
   }
 
@@ -202,6 +209,7 @@
    */
   async relayFromPeer(peerResponse: IncomingMessage, status: number): Promise<AttemptResult> {
     if (status >= 300) return this.#relayFailure(peerResponse, status);
+    this.#assertContinues(peerResponse, status);
     const { caller } = this.#options;
     const splitter = new EventSplitter(caller.lastEventId);
     for await (const chunk of readChunks(peerResponse)) {
@@ -217,6 +225,24 @@
     return { kind: 'completed' };
   }
 
+  /**
+   * Checks that a response with which a begun stream goes on is of the kind that it began with: the text of
+   * an error may look like an event, and an empty text like the end of the stream.
+   *
+   * @throws ForeignResponseError when its status or its media type is another one.
+   */
+  #assertContinues({ headers }: IncomingMessage, status: number): void {
+    const { caller, request } = this.#options;
+    if (!caller.hasStarted) return;
+    const { response } = request;
+    const began = parseMediaType(response.getHeader('content-type'));
+    const mediaType = parseMediaType(headers['content-type']);
+    if (status !== response.statusCode || mediaType !== began)
+      throw new ForeignResponseError(
+        `The stream can't go on with a response of status ${status} and media type "${mediaType}".`,
+      );
+  }
+
   /**
    * Checks that a stream has ended and was not cut off. A stream that its connection delimits looks the same
    * when its engine ends between two events, so that the engine is asked then.
