--- a/tools/scripted-group.ts
+++ b/tools/scripted-group.ts
@@ -16,10 +16,12 @@
   /** Whether the scripted servers are engines, each of which holds every layer. */
   readonly isEngine: boolean;
   readonly instances?: number;
+  /** The number of scripted servers; 2 by default. */
+  readonly servers?: number;
 }
 
 /**
- * Starts a group in which two scripted servers take the place of all engines, or of all plain servers.
+ * Starts a group in which scripted servers take the place of all engines, or of all plain servers.
  *
  * @param context - The test; everything is stopped when it ends.
  * @param options - Whose place they take, and the number of instances.
@@ -27,10 +29,10 @@
  */
 export async function startScriptedGroup(
   context: TestContext,
-  { isEngine, instances = 1 }: ScriptedGroupOptions,
+  { isEngine, instances = 1, servers = 2 }: ScriptedGroupOptions,
 ): Promise<ScriptedGroup> {
   const group = await startGroup(context, { plainServers: 1, instances });
-  const scripted = await startScriptedServers(context, ['scripted-0', 'scripted-1']);
+  const scripted = await startScriptedServers(context, servers);
   const replaced = group.servers.filter(({ kind }) => (kind !== undefined) === isEngine);
   replaced.forEach(({ id }) => group.store.remove('servers', id));
   scripted.servers.forEach(({ id, port }) => {
--- a/tools/stand-ins/scripted-server.ts
+++ b/tools/stand-ins/scripted-server.ts
@@ -90,12 +90,12 @@
  * Starts servers on free ports; they are closed when the test ends.
  *
  * @param context - The test.
- * @param ids - The ids of the servers.
+ * @param count - The number of servers.
  * @returns The servers, whose script the test sets.
  */
 export async function startScriptedServers(
   context: TestContext,
-  ids: readonly string[],
+  count: number,
 ): Promise<ScriptedServers> {
   const servers: { id: string; port: number }[] = [];
   const all: ScriptedServers = {
@@ -103,7 +103,8 @@
     script: () => ({ text: '', end: 'close' }),
     requestIds: [],
   };
-  for (const id of ids) {
+  for (let index = 0; index < count; index += 1) {
+    const id = `scripted-${index}`;
     const port = await listen(context, (socket) => {
       socket.once('data', (data) => answerRequest(socket, id, data.toString('latin1'), all));
     });
