Read a planner lease field by field, and keep its fields that aren't known

What could happen: while two builds run side by side, a lease whose `term` or `token` has another form, or that lacks `token`, counted as free: an instance took it from its live holder and began its term again at 1, so that both planned. And each takeover and renewal by an older build removed the fields that a newer one had written. Cause: a lease that doesn't match the schema was replaced by an empty one, and writes consisted of the three known fields. Fix: each field is read by itself; `holder` alone decides whether the lease is free, and `term` goes on from what can be read. Writes begin with the lease as it was read. What isn't readable is logged. A lease without a readable holder is still taken, so that nonsense doesn't stop planning. Evidence: planner-lease-compatibility.test.ts; before the change three of its four tests failed (fields gone; 'held' instead of 'lost'; term 1 instead of 8), the fourth pins what was so already. Now 4 of 4, and 9 of 9 of planner-role.test.ts.

--- a/src/layers/planner-lease.ts
+++ b/src/layers/planner-lease.ts
@@ -24,13 +24,24 @@
   readonly now?: () => number;
 }
 
-const LeaseValue = z.object({ holder: z.string(), token: z.string(), term: z.number() });
+/** Keeps fields that it doesn't know, which a newer build may have written. */
+const LeaseValue = z.looseObject({ holder: z.string(), token: z.string(), term: z.number() });
 type LeaseValue = z.infer<typeof LeaseValue>;
 
+/** Reads each field by itself, so that one of another format doesn't make a holder's lease free. */
+const ReadableLease = z
+  .looseObject({
+    holder: z.string().catch(''),
+    token: z.string().catch(''),
+    term: z.number().catch(0),
+  })
+  .catch({ holder: '', token: '', term: 0 });
+
 export const LEASE_KIND = 'leases';
 export const LEASE_NAME = 'planner';
 /** Orders may be sent for this long after the start of a renewal. */
 const VALIDITY_MILLISECONDS = 1500;
+const MAXIMUM_MESSAGE_CHARACTERS = 200;
 
 export class PlannerLease {
   readonly #options: PlannerLeaseOptions;
@@ -41,6 +52,9 @@
 
   #term = 0;
 
+  /** The lease as it was read, with what other builds wrote. */
+  #found: Record<string, unknown> = {};
+
   #validUntil = Number.NEGATIVE_INFINITY;
 
   constructor(options: PlannerLeaseOptions) {
@@ -82,6 +96,7 @@
       if (found !== 'held') return found;
     }
     const value: LeaseValue = {
+      ...this.#found,
       holder: this.#options.holder,
       token: randomUUID(),
       term: this.#term,
@@ -122,12 +137,13 @@
     if (result.kind === 'absent') {
       this.#revision = 0;
       this.#term = 1;
+      this.#found = {};
       return 'held';
     }
-    const lease = LeaseValue.safeParse(result.object.value);
-    const held = lease.success ? lease.data : { holder: '', token: '', term: 0 };
+    const held = this.#parse(result.object);
     if (held.holder !== holder && !isHolderGone(held.holder)) return 'lost';
     this.#revision = result.object.revision;
+    this.#found = held;
     this.#term = held.holder === holder ? held.term : held.term + 1;
     log.info('Taking the planner lease.', { before: held.holder, term: this.#term });
     return 'held';
@@ -143,7 +159,15 @@
   async #read(): Promise<(StoredObject & { readonly value: LeaseValue }) | undefined> {
     const result = await this.#options.store.read(LEASE_KIND, LEASE_NAME);
     if (result.kind !== 'found') return undefined;
-    const lease = LeaseValue.safeParse(result.object.value);
-    return lease.success ? { ...result.object, value: lease.data } : undefined;
+    return { ...result.object, value: this.#parse(result.object) };
+  }
+
+  #parse({ value }: StoredObject): LeaseValue {
+    const { error } = LeaseValue.safeParse(value);
+    if (error)
+      this.#options.log.warn('Planner lease has another format; only parts of it are read.', {
+        message: error.message.slice(0, MAXIMUM_MESSAGE_CHARACTERS),
+      });
+    return ReadableLease.parse(value);
   }
 }
