Keep fields of a peer's record that aren't known when passing it on

What could happen: an instance of an older build passed a newer one's record on without the fields it doesn't know. The next instance of the newer build took that copy and, as the counter is the same, not the whole one: the fields came and went from record to record while builds are mixed. Cause: the schema removed unknown fields. Fix: the schema keeps them, in the record and in `promptParts`; the type still has only the known ones. The placeholder of a registered instance still takes just its three fields. Evidence: peer-record-compatibility.test.ts; its property failed before and passes now; src/gossip and src/daemon tests all pass.

--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -82,7 +82,11 @@
 }
 
 /** The fields under which an instance registers in the store. */
-const RegisteredInstance = PeerRecord.pick({ dataCentre: true, callers: true, peers: true });
+const RegisteredInstance = PeerRecord.pick({
+  dataCentre: true,
+  callers: true,
+  peers: true,
+}).strip();
 export type RegisteredInstance = z.infer<typeof RegisteredInstance>;
 
 /**
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -7,7 +7,13 @@
 const ServerLoads = z.record(z.string(), z.tuple([z.number(), z.number()]));
 export type ServerLoads = z.infer<typeof ServerLoads>;
 
-export const PeerRecord = z.object({
+const PromptParts = z.object({
+  ends: z.record(z.string(), z.tuple([z.number(), z.array(z.array(z.string()))])),
+  written: z.record(z.string(), z.number()),
+  tried: z.record(z.string(), z.number()),
+});
+
+const KnownFields = z.object({
   instance: z.string(),
   dataCentre: z.string(),
   /** Start time of the process in wall-clock milliseconds; a restart yields a higher value. */
@@ -72,14 +78,13 @@
    * and the shared parts of the prompt. By part: when an engine wrote on it, and when a request with it was
    * last tried, if it is blocked. Times are on the clock of `clock`. Absent in records of older builds.
    */
-  promptParts: z
-    .object({
-      ends: z.record(z.string(), z.tuple([z.number(), z.array(z.array(z.string()))])),
-      written: z.record(z.string(), z.number()),
-      tried: z.record(z.string(), z.number()),
-    })
-    .optional(),
+  promptParts: PromptParts.optional(),
   /** The instance's monotonic clock when it made the record, in milliseconds. Absent in older builds. */
   clock: z.number().optional(),
 });
-export type PeerRecord = z.infer<typeof PeerRecord>;
+export type PeerRecord = z.infer<typeof KnownFields>;
+
+/** Keeps fields that it doesn't know: instances of a newer build get records through older ones. */
+export const PeerRecord = KnownFields.extend({
+  promptParts: PromptParts.loose().optional(),
+}).loose();
