Read registrations entry by entry, and keep their fields that aren't known

What could happen: one crash entry of another form in an instance's object made a starting instance ignore all that this object blocks, without a log line, so that a request known to end servers ended more. A registration that could not be read was ignored without a line too. Each write of blocks removed the fields of a newer build from the object. Cause: the blocks were parsed as a whole, failures were not reported, and a write consisted of this build's fields. Fix: blocks are read with parseTolerantly; what isn't read is logged with the instance's name; a write begins with the object as last seen, also within `blocks`, after a conflict with that of the conflict.

--- a/src/daemon/instance-registration.ts
+++ b/src/daemon/instance-registration.ts
@@ -10,6 +10,7 @@
 import { CRASH_RETENTION_MILLISECONDS } from '../entry/crash-records.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
 import { PeerRecord } from '../gossip/peer-record.js';
+import { parseTolerantly } from '../gossip/tolerant-parse.js';
 import type { ObjectStore, StoredObject } from '../store/object-store.js';
 import type { Logger } from '../telemetry/log.js';
 import { createPlaceholderRecord } from './own-record.js';
@@ -37,7 +38,9 @@
   promptParts: PeerRecord.shape.promptParts.unwrap(),
   clock: z.number(),
 });
-const RegisteredBlocks = z.object({ blocks: KeptBlocks });
+const RegisteredBlocks = z.object({ blocks: z.unknown() });
+/** The fields of an object, known or not. */
+const ObjectFields = z.record(z.string(), z.unknown()).catch({});
 
 const INSTANCE_KIND = 'instances';
 const RETRY_MILLISECONDS = 500;
@@ -59,6 +62,9 @@
 
   #revision: number | undefined;
 
+  /** This instance's object as it was last seen, perhaps written by another build. */
+  #storedValue: unknown;
+
   #isWithdrawn = false;
 
   /** What this instance's object blocks. */
@@ -79,9 +85,10 @@
         listed.objects.forEach((object) => {
           const record = createPlaceholderRecord(object);
           if (record) onPeer(record);
+          else log.warn('Registration does not match the schema; ignored.', { name: object.name });
           this.#restoreBlocks(object);
         });
-        this.#revision = listed.objects.find(({ name }) => name === settings.instance)?.revision;
+        this.#noteStored(listed.objects.find(({ name }) => name === settings.instance));
         log.info('Registered in the store.', { known: listed.objects.length });
         return;
       }
@@ -109,17 +116,18 @@
     ]);
     if (this.#revision === undefined || keys === this.#keptKeys) return;
     const kept = { ...blocks, writtenAt: this.#wallClock(), clock: Math.round(performance.now()) };
+    const value = this.#createValue(kept);
     const result = await store.replace(INSTANCE_KIND, settings.instance, {
-      value: { ...this.#ownValue, blocks: kept },
+      value,
       revision: this.#revision,
     });
     if (result.kind === 'written') {
       this.#keptKeys = keys;
-      this.#revision = result.object.revision;
+      this.#noteStored({ ...result.object, value });
       log.info('Blocked requests kept in the store.', { blocks });
       return;
     }
-    if (result.kind === 'conflict') this.#revision = result.current?.revision;
+    if (result.kind === 'conflict') this.#noteStored(result.current);
     log.warn('Could not keep blocked requests in the store; retrying.', { result: result.kind });
   }
 
@@ -134,13 +142,33 @@
     return { dataCentre, callers: listen.callers, peers: listen.peers };
   }
 
+  #noteStored(object: StoredObject | undefined): void {
+    this.#revision = object?.revision;
+    this.#storedValue = object?.value;
+  }
+
+  /** Creates the object's next value; what other builds wrote and this one doesn't know stays. */
+  #createValue(kept: Readonly<Record<string, unknown>>): Record<string, unknown> {
+    const stored = ObjectFields.parse(this.#storedValue);
+    const storedBlocks = ObjectFields.parse(stored.blocks);
+    const blocks = { ...storedBlocks, crashesWhileWritten: undefined, ...kept };
+    return { ...stored, ...this.#ownValue, blocks };
+  }
+
   #restoreBlocks({ name, value }: StoredObject): void {
     const { crashBlame, log, settings } = this.#options;
-    const found = RegisteredBlocks.safeParse(value);
-    if (!found.success) return;
-    const { writtenAt, clock, promptParts, ...reportedCrashes } = found.data.blocks;
+    const blocks = RegisteredBlocks.safeParse(value).data?.blocks;
+    if (blocks === undefined) return;
+    const { value: found, message } = parseTolerantly(KeptBlocks, blocks);
+    if (message !== undefined)
+      log.warn('Blocked requests in the store do not match the schema; what does is used.', {
+        keeper: name,
+        message,
+      });
+    if (!found) return;
+    const { writtenAt, clock, promptParts, ...reportedCrashes } = found;
     const ageMilliseconds = Math.max(0, this.#wallClock() - writtenAt);
-    if (name === settings.instance) this.#keptKeys = describeKeys(found.data.blocks);
+    if (name === settings.instance) this.#keptKeys = describeKeys(found);
     if (ageMilliseconds < CRASH_RETENTION_MILLISECONDS) crashBlame.contents.merge(reportedCrashes);
     crashBlame.promptParts.merge(promptParts, clock + ageMilliseconds);
     log.info('Blocked requests read from the store.', { keeper: name, ageMilliseconds });
