Take no list of servers from a peer without reading it by a schema

What could happen: a peer of another build whose `/fleet` has no `entries`, or one entry of another form, ended this process by an unhandled rejection (`Cannot read properties of undefined (reading 'map')`), at every instance that fetched it; or an entry without an address entered the fleet. Cause: the document was taken for a FleetDocument without a check. Fix: decodeFleetDocument reads the document and each entry by itself; what can't be read is left out and logged, and a list without a revision or entries is ignored. Unknown fields of entries stay in them, as peers fetch the list from each other.

--- a/src/daemon/store-follower.test.ts
+++ b/src/daemon/store-follower.test.ts
@@ -125,3 +125,27 @@
   await waitForRevision(fleet, 20);
   assert.equal(countNews(), newsBefore + 1);
 });
+
+// A list without entries, or with one of another form, ended the process by an unhandled rejection.
+test('store follower: a list of another build costs only what cannot be read of it', async (context) => {
+  const options: { isFollowedByPeers: () => boolean; peerDocument: unknown } = {
+    isFollowedByPeers: () => true,
+    peerDocument: { revision: 20 },
+  };
+  const { fleet, follower } = await startFollower(context, options);
+  for (const peerDocument of [{ revision: 20 }, { revision: '20', entries: [] }, [], 3, null]) {
+    options.peerDocument = peerDocument;
+    follower.catchUpWithPeer(createPeerRecord('other', NEWER_RECORD));
+    await sleep(5);
+    assert.equal(fleet.revision, 10, JSON.stringify(peerDocument));
+  }
+  const other = { ...createEntry('c'), format: 2, address: 'here' };
+  const entries = [null, other, { ...createEntry('b'), format: 2, layers: { from: 0, to: 4 } }];
+  options.peerDocument = { revision: 20, entries, missingMilliseconds: { b: 'late' } };
+  follower.catchUpWithPeer(createPeerRecord('other', NEWER_RECORD));
+  await waitForRevision(fleet, 20);
+  assert.deepEqual(
+    fleet.servers.filter(({ entry }) => entry.id !== 'a').map(({ entry }) => entry.layers),
+    [{ from: 0, to: 4 }],
+  );
+});
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -8,12 +8,12 @@
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import type { ConfigurationSource } from '../entry/configuration-check.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
-import type { ServerEntry } from '../fleet/server-entry.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import { followObjects } from '../store/follow-objects.js';
 import type { StoredObject } from '../store/object-store.js';
 import type { LoggerFactory } from '../telemetry/log.js';
 import type { EntryPlatform } from './entry-platform.js';
+import { decodeFleetDocument } from './fleet-document.js';
 
 /** Options of {@link StoreFollower}. */
 export interface StoreFollowerOptions {
@@ -68,14 +68,7 @@
 const HEARTBEATS_TO_LAPSE = 2;
 /** Peers that are asked at a time whether there is a newer configuration. */
 const ASKED_PEERS = 2;
-
-/** An instance's list of backend servers, as peers fetch it. */
-interface FleetDocument {
-  readonly revision: number;
-  readonly entries: readonly ServerEntry[];
-  /** By id of a server whose entry is missing after a store outage: how long the store has been back. */
-  readonly missingMilliseconds?: Readonly<Record<string, number>>;
-}
+const MAXIMUM_LOGGED_ENTRIES = 5;
 
 /** What an instance knows of the newest configuration, as it tells peers that ask. */
 const ConfigurationState = z.object({
@@ -370,14 +363,22 @@
 
   /** Takes over a peer's list of backend servers, unless this instance's list is as new. */
   async #fetchFleet(record: PeerRecord): Promise<void> {
-    const { fleet, fetch, onNews } = this.#options;
+    const { fleet, fetch, onNews, logs } = this.#options;
     if (this.#isFetchingFleet) return;
     this.#isFetchingFleet = true;
     try {
       const value = await fetch(record.peers, FLEET_PATH);
-      if (typeof value !== 'object' || value === null) return;
-      const { revision, entries, missingMilliseconds = {} } = value as FleetDocument;
-      if (revision <= fleet.revision) return;
+      if (value === undefined) return;
+      const peer = record.instance;
+      const document = decodeFleetDocument(value);
+      if (!document) logs('backend').warn('Servers from a peer cannot be read; ignored.', { peer });
+      if (!document || document.revision <= fleet.revision) return;
+      const { revision, entries, missingMilliseconds, messages } = document;
+      if (messages.length > 0)
+        logs('backend').warn('Some servers from a peer cannot be read; ignored.', {
+          peer,
+          messages: messages.slice(0, MAXIMUM_LOGGED_ENTRIES),
+        });
       fleet.replaceAll(entries, revision);
       fleet.markMissing(missingMilliseconds);
       this.#hasFleet = true;
