Read what another build sends in an exchange of records part by part

What could happen: beside a build whose record has another type in one field, the exchange failed as a whole: an answer's other records were lost with it, and a sender got no answer at all (its connection was closed).

Cause: gossip parsed an answer as one list, and a request with the whole record in its schema.

Why this works: each record is read by the decoder by itself; of the request only what the answer needs is required. The test in gossip-compatibility.test.ts failed before ("fetch failed", the connection was closed).

--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -10,7 +10,8 @@
 import { sleep } from '../common/clock.js';
 import { fetchResponse, getErrorMessage } from '../common/http-client.js';
 import type { Logger } from '../telemetry/log.js';
-import { PeerRecord, type ServerLoads } from './peer-record.js';
+import type { PeerRecord, ServerLoads } from './peer-record.js';
+import { PeerRecordDecoder } from './peer-record-decoder.js';
 import { COMPRESSED_ENCODING, decodeDocument, encodeDocument } from './document-encoding.js';
 import type { PeerTable } from './peer-table.js';
 import { getHeartbeatInterval, getRemoteRecordInterval } from './record-interval.js';
@@ -44,10 +45,8 @@
   readonly signal: AbortSignal;
 }
 
-const PeerRecords = PeerRecord.array();
-
 /** Incarnation and counter of the newest record that an instance has, by instance name. */
-const Digest = z.record(z.string(), z.tuple([z.number(), z.number()]));
+const Digest = z.record(z.string(), z.tuple([z.number(), z.number()]).catch([0, 0]));
 type Digest = z.infer<typeof Digest>;
 
 /**
@@ -59,9 +58,10 @@
 
 /** The sender's own record and its digest. The response holds the records that the sender lacks. */
 const ExchangeRequest = z.object({
-  own: PeerRecord,
-  known: Digest,
-  scope: DigestScope.default('all'),
+  /** Read as a record by itself, so that one of another format still gets an answer. */
+  own: z.looseObject({ instance: z.string(), dataCentre: z.string() }),
+  known: Digest.catch({}),
+  scope: DigestScope.default('all').catch('all'),
 });
 
 /** A peer to exchange records with. */
@@ -92,6 +92,8 @@
 export class Gossip {
   readonly #options: GossipOptions;
 
+  readonly #decoder: PeerRecordDecoder;
+
   readonly #agent = new http.Agent({ keepAlive: true });
 
   #server: http.Server | undefined;
@@ -100,6 +102,7 @@
 
   constructor(options: GossipOptions) {
     this.#options = options;
+    this.#decoder = new PeerRecordDecoder(options.log);
   }
 
   /** Starts the HTTP server that answers peers; rejects if the address cannot be bound. */
@@ -303,15 +306,8 @@
   }
 
   #mergeRecords(value: unknown): void {
-    const { table, onRecord, onRecords, log } = this.#options;
-    const result = PeerRecords.safeParse(value);
-    if (!result.success) {
-      log.warn('Records from a peer do not match the schema; ignored.', {
-        message: result.error.message.slice(0, 200),
-      });
-      return;
-    }
-    const accepted = result.data.filter((record) => table.accept(record));
+    const { table, onRecord, onRecords } = this.#options;
+    const accepted = this.#decoder.decodeAll(value).filter((record) => table.accept(record));
     accepted.forEach(onRecord);
     if (accepted.length > 0) onRecords();
   }
