--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -28,6 +28,14 @@
   readonly pinnedStage?: ChainStage<EngineCandidate>;
 }
 
+/** Options of {@link ChainSelector}. */
+export interface ChainSelectorOptions {
+  /** Current time on the monotonic clock, in milliseconds. */
+  readonly now?: () => number;
+  /** Returns a number from 0 (inclusive) to 1 (exclusive). */
+  readonly random?: () => number;
+}
+
 /** An engine that may become a stage of a chain, with its state in the fleet. */
 export interface EngineCandidate extends ChainCandidate {
   readonly server: FleetServer;
@@ -80,12 +88,19 @@
 
   readonly #canStartAt: (entry: ServerEntry) => boolean;
 
+  readonly #now: () => number;
+
+  readonly #random: () => number;
+
   constructor(
     context: EntryContext,
     request: EntryRequest,
     profile: EngineProfile,
     canStartAt: (entry: ServerEntry) => boolean,
+    { now = () => performance.now(), random = Math.random }: ChainSelectorOptions = {},
   ) {
+    this.#now = now;
+    this.#random = random;
     this.#context = context;
     this.#canStartAt = canStartAt;
     this.#request = request;
@@ -118,7 +133,7 @@
   ): EngineChain | undefined {
     const { fleet, outlierEjection, dataCentre, linkLoad, logs } = this.#context;
     const candidates: EngineCandidate[] = [];
-    const now = performance.now();
+    const now = this.#now();
     fleet.listForService(this.#request.service.name).forEach((server) => {
       const { id, kind } = server.entry;
       const layers = getHeldLayers(server);
@@ -152,10 +167,10 @@
         ...(pinnedStage ? { pinnedStage } : { canStartAt: (id: string) => this.#canStartAtId(id) }),
         linkUtilisation: (from, to) => linkLoad.estimateUtilisation(from, to),
         canUseBusyLinks,
-        costNoise: () => 1 + COST_NOISE_SHARE * (2 * Math.random() - 1),
+        costNoise: () => 1 + COST_NOISE_SHARE * (2 * this.#random() - 1),
         startPenaltyMilliseconds: (startDataCentre) =>
           (startDataCentre === dataCentre ? 0 : REMOTE_START_PENALTY_MILLISECONDS) +
-          Math.random() * START_JITTER_MILLISECONDS,
+          this.#random() * START_JITTER_MILLISECONDS,
       },
       {
         firstEventMilliseconds: this.#request.route.targetMilliseconds,
