Bind a replacement to its request, its peer and a time limit

A replacement went on at its engine after the caller had left, if the first attempt had broken off by then; a chain's reservation stayed when an event of the first attempt came in the same step as the other's first byte; a peer that made the other attempt wasn't told of the engine under way, so that the request could have run on one server too many; a replacement at an engine that hangs kept others from being tried.

Now it ends with the request's signal, after 2 s without a byte, and is discarded with its reservation where nobody takes it; the engine under way and a lost peer count as runs. Tests in stream-replacement.test.ts; written with the change (the signal and the peer's count didn't exist before).

--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -123,7 +123,9 @@
 
   /** Lets a peer serve the request, unless this instance is itself the peer of another one. */
   async #serveWhileCut(): Promise<string> {
-    const answer: PeerAnswer = this.#request.relayed ? { kind: 'none' } : await this.#passOn();
+    const answer: PeerAnswer = this.#request.relayed
+      ? { kind: 'none' }
+      : await this.#passOn(this.#runs.processKeys);
     if (this.#request.signal.aborted) return this.#ending.sendTimeout();
     if (answer.kind === 'none')
       return this.#ending.sendFailure('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
@@ -219,9 +221,16 @@
     });
   }
 
-  /** Starts another attempt beside the one that runs. */
-  #startReplacement(): StreamReplacement | undefined {
-    if (this.#context.serverReach.isCut) return startPeerReplacement(this.#passOn());
+  /**
+   * Starts another attempt beside the one that runs.
+   *
+   * @param processKey - The process of the first engine of that one.
+   */
+  #startReplacement(processKey: string): StreamReplacement | undefined {
+    if (this.#context.serverReach.isCut)
+      return startPeerReplacement(this.#passOn([...this.#runs.processKeys, processKey]), (peer) =>
+        this.#runs.record(peer, false),
+      );
     const chain = this.#chooseChain();
     const firstEngine = chain?.stages[0]?.engine.server;
     if (!chain || !firstEngine) return undefined;
@@ -233,6 +242,7 @@
       chain,
       firstEngine,
       release: this.#chainSelector.reserve(chain),
+      signal: this.#request.signal,
       onFailed: (result) => this.#recordFailedReplacement(result, firstEngine.entry),
     });
   }
@@ -266,9 +276,10 @@
     );
   }
 
-  #passOn(): Promise<PeerAnswer> {
+  /** @param processKeys - Processes of servers that may have run the request. */
+  #passOn(processKeys: readonly string[]): Promise<PeerAnswer> {
     return this.#context.peerRelay.relay(this.#request, {
-      processKeys: this.#runs.processKeys,
+      processKeys,
       lastEventId: this.#caller.lastEventId,
     });
   }
@@ -334,14 +345,14 @@
       begun,
       decide: (suspectedEngineIds) =>
         this.#decideOnSuspicion(firstEngine.entry, suspectedEngineIds),
-      startReplacement: () => this.#startReplacement(),
+      startReplacement: () => this.#startReplacement(getProcessKey(firstEngine.entry)),
       mayRetryLate: () => this.#tryCountLateRetry(),
     });
     const result = await attempt.run();
     const successor = await this.#takeSuccessor(attempt, result);
     if (!successor) return result;
     this.#runs.record(getProcessKey(firstEngine.entry), attempt.hasEvents);
-    if (result.kind === 'broken') await this.#checkForEnd(firstEngine.entry);
+    if (result.kind === 'broken') void this.#checkForEnd(firstEngine.entry);
     return { kind: 'replaced', by: successor };
   }
 
@@ -351,9 +362,12 @@
     result: StreamAttemptResult,
   ): Promise<Begun | undefined> {
     if (result.kind === 'replaced') return result.by;
+    if (!pendingReplacement) return undefined;
     const isNeeded = result.kind === 'broken' && !this.#request.signal.aborted;
-    if (!isNeeded) pendingReplacement?.cancel();
-    return isNeeded ? pendingReplacement?.begun : undefined;
+    if (isNeeded) return pendingReplacement.begun;
+    pendingReplacement.cancel();
+    void pendingReplacement.begun.then((begun) => begun && discard(begun));
+    return undefined;
   }
 }
 
--- a/src/entry/stream-attempt.ts
+++ b/src/entry/stream-attempt.ts
@@ -219,8 +219,10 @@
     const replacement = this.#options.startReplacement();
     this.#replacement = replacement;
     const begun = await replacement?.begun;
-    // Ended meanwhile, the replacement is its successor; cancelled, there is none.
-    if (this.#hasEnded || (replacement && this.#replacement !== replacement)) return;
+    const isCancelled = this.#replacement !== replacement;
+    if (isCancelled && begun) discard(begun);
+    // Once this attempt has ended, whoever ran it takes the replacement.
+    if (isCancelled || this.#hasEnded) return;
     this.#replacement = undefined;
     if (begun) {
       this.#replacedBy = begun;
--- /dev/null
+++ b/src/entry/stream-replacement.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { EngineChain } from './chain-selector.js';
+import type { PeerAnswer } from './peer-relay.js';
+import type { StreamExchange } from './stream-exchange.js';
+import {
+  startEngineReplacement,
+  startPeerReplacement,
+  type FailedReplacement,
+} from './stream-replacement.js';
+
+/** Starts a replacement at an engine that accepts it and then sends nothing until it is aborted. */
+function startSilentReplacement(signal: AbortSignal) {
+  let releases = 0;
+  const failures: FailedReplacement[] = [];
+  const exchange = {
+    open: (_chain: unknown, _engine: unknown, attemptSignal: AbortSignal) =>
+      Promise.resolve({
+        kind: 'accepted',
+        status: 200,
+        chunks: {
+          hasBegun: () =>
+            new Promise((_, reject) => {
+              if (attemptSignal.aborted) reject(new Error('aborted'));
+              attemptSignal.addEventListener('abort', () => reject(new Error('aborted')));
+            }),
+        },
+      }),
+    classifyError: () => ({ kind: 'broken', engineIdsToAvoid: ['b'], message: 'aborted' }),
+  } as unknown as StreamExchange;
+  const replacement = startEngineReplacement({
+    exchange,
+    chain: { stages: [] } as unknown as EngineChain,
+    firstEngine: { entry: { id: 'b' } } as unknown as FleetServer,
+    release: () => {
+      releases += 1;
+    },
+    signal,
+    onFailed: (result) => failures.push(result),
+  });
+  return { replacement, failures, countReleases: () => releases };
+}
+
+test('stream replacement: one that is cancelled releases its chain once and avoids no engine', async () => {
+  const { replacement, failures, countReleases } = startSilentReplacement(
+    new AbortController().signal,
+  );
+  replacement.cancel();
+  assert.equal(await replacement.begun, undefined);
+  assert.equal(countReleases(), 1);
+  assert.deepEqual(
+    failures.map(({ engineIdsToAvoid }) => engineIdsToAvoid),
+    [[]],
+  );
+});
+
+// It went on at its engine after the caller had left.
+test('stream replacement: it ends with its request', async () => {
+  const request = new AbortController();
+  const { replacement, countReleases } = startSilentReplacement(request.signal);
+  request.abort();
+  assert.equal(await replacement.begun, undefined);
+  assert.equal(countReleases(), 1);
+});
+
+test('stream replacement: a peer that may have run the stream without an answer is counted', async () => {
+  const lost: string[] = [];
+  const answer: Promise<PeerAnswer> = Promise.resolve({ kind: 'lost', peer: 'p', message: '' });
+  assert.equal(await startPeerReplacement(answer, (peer) => lost.push(peer)).begun, undefined);
+  assert.deepEqual(lost, ['p']);
+});
--- a/src/entry/stream-replacement.ts
+++ b/src/entry/stream-replacement.ts
@@ -2,6 +2,7 @@
  * Another attempt of a stream beside one whose engines are suspected of having stalled. It takes over once it
  * has begun to answer; until then the suspected one stays open, and an event of it cancels the replacement.
  */
+import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import type { EngineChain } from './chain-selector.js';
 import type { PeerAnswer } from './peer-relay.js';
@@ -58,10 +59,15 @@
   readonly firstEngine: FleetServer;
   /** Releases the chain's reservation. */
   readonly release: () => void;
+  /** Ends it as well; the signal of the request. */
+  readonly signal: AbortSignal;
   /** Called when it failed or was cancelled. */
   readonly onFailed: (result: FailedReplacement) => void;
 }
 
+/** A replacement that has not begun after this long is given up, so that another one can be tried. */
+const BEGIN_TIMEOUT_MILLISECONDS = 2000;
+
 async function beginAtEngine(
   { exchange, chain, firstEngine }: EngineReplacementOptions,
   signal: AbortSignal,
@@ -84,16 +90,19 @@
  * @returns The replacement, under way.
  */
 export function startEngineReplacement(options: EngineReplacementOptions): StreamReplacement {
-  const { chain, firstEngine, release, onFailed } = options;
+  const { chain, firstEngine, release, signal, onFailed } = options;
   const controller = new AbortController();
+  const isAborted = (): boolean => controller.signal.aborted || signal.aborted;
   const begin = async (): Promise<BegunStream | undefined> => {
-    const result = await beginAtEngine(options, controller.signal);
-    if (result.kind === 'accepted' && !controller.signal.aborted)
+    const cancelTimer = startPatientTimer(BEGIN_TIMEOUT_MILLISECONDS, () => controller.abort());
+    const result = await beginAtEngine(options, AbortSignal.any([controller.signal, signal]));
+    cancelTimer();
+    if (result.kind === 'accepted' && !isAborted())
       return { kind: 'engine', chain, firstEngine, stream: result, controller, release };
     controller.abort();
     release();
     onFailed(
-      result.kind === 'accepted'
+      result.kind === 'accepted' || isAborted()
         ? { kind: 'broken', engineIdsToAvoid: [], message: 'The replacement was cancelled.' }
         : result,
     );
@@ -103,18 +112,22 @@
 }
 
 /**
- * Passes a stream on to a peer, to go on after the last event that the caller has.
+ * Waits for a peer that a stream is passed on to, to go on after the last event that the caller has.
  *
  * @param answer - The peer's answer.
+ * @param onLost - Called with the peer's name if the stream may have run there without an answer.
  * @returns The replacement, under way.
  */
-export function startPeerReplacement(answer: Promise<PeerAnswer>): StreamReplacement {
+export function startPeerReplacement(
+  answer: Promise<PeerAnswer>,
+  onLost: (peer: string) => void,
+): StreamReplacement {
   let isCancelled = false;
   const begin = async (): Promise<BegunPeerStream | undefined> => {
     const result = await answer;
-    if (result.kind !== 'served') return undefined;
-    if (!isCancelled) return { kind: 'peer', answer: result };
-    result.message.destroy();
+    if (result.kind === 'served' && !isCancelled) return { kind: 'peer', answer: result };
+    if (result.kind === 'served') result.message.destroy();
+    if (result.kind === 'served' || result.kind === 'lost') onLost(result.peer);
     return undefined;
   };
   return {
