--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -177,7 +177,7 @@
       // A dead instance cannot withdraw its ejections, so they are dropped with it.
       onPeerLost: (instance) => {
         this.outlierEjection.replacePeerEjections(instance, []);
-        void this.peerRelay.abandon(instance);
+        this.peerRelay.abandon(instance);
       },
     });
   }
--- a/src/entry/peer-relay.test.ts
+++ b/src/entry/peer-relay.test.ts
@@ -5,7 +5,6 @@
 import { test, type TestContext } from 'node:test';
 import { createPeerRecord } from '../../tools/peer-record.js';
 import { createProtocolAdapter } from '../../platform/protocol-adapter.js';
-import { sleep } from '../common/clock.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import type { EntryRequest } from './entry-request.js';
 import { PeerRelay, type PeerAnswer } from './peer-relay.js';
@@ -31,18 +30,18 @@
   return { record, countReceived: () => received };
 }
 
-function createRelay(peers: readonly ReturnType<typeof createPeerRecord>[]): PeerRelay {
-  return new PeerRelay({
+async function relayThrough(
+  peers: readonly ReturnType<typeof createPeerRecord>[],
+  processKeys: readonly string[],
+): Promise<PeerAnswer> {
+  const relay = new PeerRelay({
     instance: 'cut',
     listPeers: () => peers,
     configurationVersion: () => 1,
     protocol: createProtocolAdapter(),
     log: createSilentLogger(),
   });
-}
-
-function createRequest(): EntryRequest {
-  return {
+  const request = {
     incoming: { rawHeaders: ['Host', 'site.example'], method: 'POST' },
     response: new EventEmitter(),
     metadata: { requestId: 'request' },
@@ -51,13 +50,7 @@
     deadline: performance.now() + 1000,
     signal: new AbortController().signal,
   } as unknown as EntryRequest;
-}
-
-async function relayThrough(
-  peers: readonly ReturnType<typeof createPeerRecord>[],
-  processKeys: readonly string[],
-): Promise<PeerAnswer> {
-  return createRelay(peers).relay(createRequest(), { processKeys, lastEventId: undefined });
+  return relay.relay(request, { processKeys, lastEventId: undefined });
 }
 
 // A server may have run the request before; the peer that refuses it only speaks of itself.
@@ -84,43 +77,3 @@
   });
   assert.equal((await relayThrough([absent], [])).kind, 'none');
 });
-
-/** Starts a peer that takes requests and answers none by itself. */
-async function startSilentPeer(context: TestContext) {
-  const responses: http.ServerResponse[] = [];
-  const server = http.createServer((request, response) => {
-    request.resume();
-    responses.push(response);
-  });
-  context.after(() => {
-    server.close();
-    server.closeAllConnections();
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  const record = createPeerRecord('silent', {
-    acceptsRequests: true,
-    peers: { host: '127.0.0.1', port },
-  });
-  const relay = createRelay([record]);
-  const answer = relay.relay(createRequest(), { processKeys: [], lastEventId: undefined });
-  while (responses.length === 0) await sleep(5);
-  return { server, responses, relay, answer };
-}
-
-// Its records stayed out while it served the request.
-test('peer relay: a request is not given up at a peer that is silent but still accepts connections', async (context) => {
-  const { responses, relay, answer } = await startSilentPeer(context);
-  await relay.abandon('silent');
-  responses[0]?.writeHead(200, { 'request-id': 'request', 'response-signature': 'server' }).end();
-  assert.equal((await answer).kind, 'served');
-});
-
-test('peer relay: a request is given up at a silent peer that accepts no connections any more', async (context) => {
-  const { server, relay, answer } = await startSilentPeer(context);
-  server.close();
-  await relay.abandon('silent');
-  assert.equal((await answer).kind, 'lost');
-});
--- a/src/entry/peer-relay.ts
+++ b/src/entry/peer-relay.ts
@@ -1,8 +1,6 @@
 /** Passes requests on to a peer while this instance reaches no backend server. */
 import type { IncomingMessage } from 'node:http';
 import { z } from 'zod';
-import type { Address } from '../common/address.js';
-import { probeConnection } from '../common/connection-probe.js';
 import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import type { Logger } from '../telemetry/log.js';
@@ -49,12 +47,6 @@
 
 const MAXIMUM_PEERS_TRIED = 3;
 
-/** The requests that are open at a peer. */
-interface OpenRequests {
-  readonly address: Address;
-  readonly controllers: Set<AbortController>;
-}
-
 /** Codes with which a peer refuses what another peer may be able to serve. */
 const DECLINING_CODES: ReadonlySet<string> = new Set([
   'bad_relay',
@@ -107,8 +99,8 @@
 export class PeerRelay {
   readonly #options: PeerRelayOptions;
 
-  /** What is open at a peer, by its instance name. */
-  readonly #open = new Map<string, OpenRequests>();
+  /** Requests that are open at a peer, by its instance name. */
+  readonly #open = new Map<string, Set<AbortController>>();
 
   constructor(options: PeerRelayOptions) {
     this.#options = options;
@@ -120,21 +112,12 @@
   }
 
   /**
-   * Gives up the requests that are open at a peer, unless it still accepts connections: a peer whose records
-   * stay out may go on serving.
+   * Gives up the requests that are open at a peer.
    *
    * @param instance - The peer, which is considered dead.
    */
-  async abandon(instance: string): Promise<void> {
-    const open = this.#open.get(instance);
-    if (!open || open.controllers.size === 0) return;
-    const finding = await probeConnection(open.address);
-    this.#options.log.info('Looked for a silent peer that serves requests.', {
-      peer: instance,
-      finding,
-      open: open.controllers.size,
-    });
-    if (finding !== 'held') open.controllers.forEach((controller) => controller.abort());
+  abandon(instance: string): void {
+    this.#open.get(instance)?.forEach((controller) => controller.abort());
   }
 
   /**
@@ -168,7 +151,7 @@
       peers: this.#options.listPeers(),
       excluded,
       configurationVersion: this.#options.configurationVersion(),
-      countOpen: (instance) => this.#open.get(instance)?.controllers.size ?? 0,
+      countOpen: (instance) => this.#open.get(instance)?.size ?? 0,
     });
   }
 
@@ -195,7 +178,7 @@
         target: path,
         headers: buildHeaders(request, relayed),
         body,
-        signal: this.#openAt(peer, request),
+        signal: this.#openAt(peer.instance, request),
       });
       const status = message.statusCode ?? 0;
       if (protocol.parseResponseHeaders(message.headers, status).isSigned)
@@ -217,13 +200,12 @@
   }
 
   /** Counts a request as open at a peer until its response to the caller is done. */
-  #openAt({ instance, peers }: PeerRecord, { response, signal }: EntryRequest): AbortSignal {
+  #openAt(peer: string, { response, signal }: EntryRequest): AbortSignal {
     const controller = new AbortController();
-    const open = this.#open.get(instance) ?? { address: peers, controllers: new Set() };
-    this.#open.set(instance, { ...open, address: peers });
-    open.controllers.add(controller);
+    const open = this.#open.get(peer) ?? new Set();
+    this.#open.set(peer, open.add(controller));
     response.once('close', () => {
-      open.controllers.delete(controller);
+      open.delete(controller);
       controller.abort();
     });
     return AbortSignal.any([signal, controller.signal]);
