Mend what the review of the other attempt beside a silent one found

By reading, each with its sequence of events (an independent review of the change): - an attempt that was cancelled while it connected ejected its engine, though it was sound; - one that was under way was cancelled where the first attempt turned out not to have run, and the caller could be told "not run" while it ran: it now takes over in that case too; - a failure that a peer passed on ended a running stream; a peer that was cancelled went on; - a stream of which only the end was missing was never taken for complete; - cancelled and refused attempts beside a silent one used up those that a real failure needs; - an end under such an attempt wasn't counted as an end at begin; - calls under way when the instance is cut from all servers were no longer passed on to a peer; - the limit of 2 s ended the only attempt that was left: it holds only while the first one is open.

stream-replacement.test.ts covers the blame and the peer's failure; both failed before (the engine was blamed; the failure took over).

--- a/src/entry/call-ending.ts
+++ b/src/entry/call-ending.ts
@@ -19,6 +19,22 @@
   readonly body: Buffer;
 }
 
+/**
+ * Reads the answer that a peer got for a call.
+ *
+ * @param answer - The answer, whose body has not been read.
+ * @returns The answer, read completely.
+ * @throws HttpRequestError when it breaks off.
+ */
+export async function readPeerAnswer({
+  message,
+  status,
+}: Extract<PeerAnswer, { kind: 'served' }>): Promise<BufferedResponse> {
+  const body = await readAnswer(message);
+  if (!message.complete) throw new HttpRequestError('answering', 'The peer broke the answer off.');
+  return { status, headers: getEndToEndHeaders(message), body };
+}
+
 /** Options of {@link CallEnding}. */
 export interface CallEndingOptions {
   readonly context: EntryContext;
@@ -49,22 +65,15 @@
    *
    * @param answer - The answer, whose body has not been read.
    */
-  async completeFromPeer({
-    peer,
-    message,
-    status,
-  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string> {
+  async completeFromPeer(answer: Extract<PeerAnswer, { kind: 'served' }>): Promise<string> {
     const { context, request } = this.#options;
     try {
-      const body = await readAnswer(message);
-      if (!message.complete)
-        throw new HttpRequestError('answering', 'The peer broke the answer off.');
-      return this.complete({ status, headers: getEndToEndHeaders(message), body });
+      return this.complete(await readPeerAnswer(answer));
     } catch (error) {
       if (request.signal.aborted) return this.sendTimeout();
       context.logs('routing').info('The answer of the peer broke off.', {
         requestId: request.metadata.requestId,
-        peer,
+        peer: answer.peer,
         message: getErrorMessage(error),
       });
       return this.sendUnknownOutcome();
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -2,13 +2,14 @@
  * Serves a call to a plain (non-streaming) service. A call that is not idempotent runs at most
  * once; an idempotent one may be retried on further backend servers.
  */
+import { getErrorMessage } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { admitRequest } from './admission.js';
-import { CallEnding, type BufferedResponse } from './call-ending.js';
+import { CallEnding, readPeerAnswer, type BufferedResponse } from './call-ending.js';
 import { CallExchange, FIRST_SERVER_FAILURE, type CallResult } from './call-exchange.js';
 import type { EntryContext } from './entry-context.js';
 import { isIdempotent, type EntryRequest } from './entry-request.js';
@@ -161,13 +162,17 @@
   #attempt(first: FleetServer): Promise<CallResult> {
     const open = new Set<AbortController>();
     return new Promise((resolve) => {
-      const start = (server: FleetServer): AbortController => {
+      // Without a server, a peer is asked.
+      const start = (server: FleetServer | undefined): AbortController => {
         const controller = new AbortController();
         open.add(controller);
-        this.#triedServerIds.add(server.entry.id);
-        void this.#exchange.send(server, controller.signal).then((result) => {
+        if (server) this.#triedServerIds.add(server.entry.id);
+        const sent = server
+          ? this.#exchange.send(server, controller.signal)
+          : this.#sendToPeer(first.entry, controller.signal);
+        void sent.then((result) => {
           open.delete(controller);
-          this.#recordResult(server.entry, result);
+          this.#recordResult(server?.entry, result);
           if (!isGood(result) && open.size > 0) return;
           cancelTimer();
           // A server that was beaten by one that was asked later is slow; the later one is not.
@@ -181,12 +186,41 @@
     });
   }
 
-  #recordResult(entry: ServerEntry, result: CallResult): void {
+  /**
+   * Passes the call on to a peer while it is open at a server.
+   *
+   * @returns The answer of a server that the peer used; a peer's own word is no answer.
+   */
+  async #sendToPeer(first: ServerEntry, signal: AbortSignal): Promise<CallResult> {
+    const answer = await this.#passOn([...this.#processKeys, getProcessKey(first)], signal);
+    if (answer.kind === 'none') return { kind: 'notRun', message: 'No peer took the call.' };
+    if (answer.kind === 'ended') return { kind: 'unknown', message: answer.response.message };
+    if (answer.kind === 'lost') return { kind: 'unknown', message: answer.message };
+    try {
+      return { kind: 'answered', response: await readPeerAnswer(answer) };
+    } catch (error) {
+      return { kind: 'unknown', message: getErrorMessage(error) };
+    }
+  }
+
+  #passOn(
+    processKeys: readonly string[],
+    signal: AbortSignal = this.#request.signal,
+  ): Promise<PeerAnswer> {
+    const { metadata } = this.#request;
+    const request = { ...this.#request, signal: AbortSignal.any([this.#request.signal, signal]) };
+    return this.#context.peerRelay.relay(request, {
+      processKeys,
+      lastEventId: metadata.lastEventId,
+    });
+  }
+
+  #recordResult(entry: ServerEntry | undefined, result: CallResult): void {
     if (result.kind === 'answered' && !isGood(result)) this.#lastFailure = result.response;
     if (result.kind === 'notRun') this.#refusedAttempts += 1;
     else {
       this.#possibleRuns += 1;
-      this.#processKeys.add(getProcessKey(entry));
+      if (entry) this.#processKeys.add(getProcessKey(entry));
     }
   }
 
@@ -199,7 +233,7 @@
   #watchForLateness(
     first: FleetServer,
     open: ReadonlySet<unknown>,
-    start: (server: FleetServer) => void,
+    start: (server: FleetServer | undefined) => void,
   ): () => void {
     if (!isIdempotent(this.#request.route)) return () => undefined;
     const expectedMilliseconds = this.#context.callTimes.expectedMilliseconds(first.entry.id);
@@ -208,8 +242,8 @@
       cancel = startPatientTimer(milliseconds, () => {
         const isAlone = open.size === 1;
         const mayTry = isAlone && this.#decideOnLateness(first.entry).kind === 'tryBeside';
-        const other = mayTry ? this.#chooseServer() : undefined;
-        if (other) start(other);
+        const other = mayTry && !this.#context.serverReach.isCut ? this.#chooseServer() : undefined;
+        if (mayTry) start(other);
         watch(2 * milliseconds);
       });
     };
@@ -218,8 +252,8 @@
   }
 
   #decideOnLateness({ id }: ServerEntry): SuspicionDecision {
-    const { crashBlame, retryBudget, serverReach, logs } = this.#context;
-    const { content, route, service, metadata } = this.#request;
+    const { crashBlame, retryBudget, serverReach, peerRelay, logs } = this.#context;
+    const { content, route, service, metadata, relayed } = this.#request;
     const decision = decideOnSuspicion({
       // An end breaks the connection, and so the attempt, by itself.
       hasServerEnded: false,
@@ -227,7 +261,8 @@
         !crashBlame.isBlocked(content) &&
         this.#possibleRuns + 1 < route.maximumAttempts &&
         this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS,
-      hasAlternative: () => !serverReach.isCut && this.#chooseServer() !== undefined,
+      hasAlternative: () =>
+        serverReach.isCut ? !relayed && peerRelay.hasPeer : this.#chooseServer() !== undefined,
       acquireRetry: () => retryBudget.tryAcquire(service.name),
     });
     logs('routing').info('Decided on a late call.', {
@@ -241,13 +276,9 @@
 
   /** Lets a peer serve the call, unless this instance is itself the peer of another one. */
   async #serveWhileCut(): Promise<string> {
-    const { peerRelay } = this.#context;
     const answer: PeerAnswer = this.#request.relayed
       ? { kind: 'none' }
-      : await peerRelay.relay(this.#request, {
-          processKeys: [...this.#processKeys],
-          lastEventId: this.#request.metadata.lastEventId,
-        });
+      : await this.#passOn([...this.#processKeys]);
     if (this.#request.signal.aborted) return this.#ending.sendTimeout();
     if (answer.kind === 'none') return this.#endWithoutPeer();
     if (answer.kind === 'ended') return this.#ending.sendPeerResponse(answer.response);
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -62,6 +62,12 @@
 
   #refusedAttempts = 0;
 
+  /** Attempts beside a silent one that engines refused; they take nothing from the limit on the others. */
+  #refusedReplacements = 0;
+
+  /** Attempts beside a silent one that were cancelled since it went on. */
+  #cancelledRuns = 0;
+
   /** Engines that ended as they began the request. */
   #endsAtBegin = 0;
 
@@ -116,6 +122,11 @@
     }
   }
 
+  /** Attempts that may have run and were not cancelled for the sake of another one. */
+  get #countedAttempts(): number {
+    return this.#runs.total - this.#cancelledRuns;
+  }
+
   #endAborted(begun: Begun | undefined): string {
     if (begun) discard(begun);
     return this.#ending.sendTimeout();
@@ -171,7 +182,7 @@
     const isContentAllowed =
       !crashBlame.isBlocked(content) || (this.#isTrial && this.#runs.total === 0);
     const isWithinLimits =
-      this.#runs.total < MAXIMUM_ATTEMPTS && this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
+      this.#countedAttempts < MAXIMUM_ATTEMPTS && this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
     const isHarmless = isContentAllowed && this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN;
     const isRetried =
       canRepeat && isHarmless && isWithinLimits && retryBudget.tryAcquire(service.name);
@@ -228,8 +239,9 @@
    */
   #startReplacement(processKey: string): StreamReplacement | undefined {
     if (this.#context.serverReach.isCut)
-      return startPeerReplacement(this.#passOn([...this.#runs.processKeys, processKey]), (peer) =>
-        this.#runs.record(peer, false),
+      return startPeerReplacement(
+        (signal) => this.#passOn([...this.#runs.processKeys, processKey], signal),
+        (peer) => this.#runs.record(peer, false),
       );
     const chain = this.#chooseChain();
     const firstEngine = chain?.stages[0]?.engine.server;
@@ -243,14 +255,21 @@
       firstEngine,
       release: this.#chainSelector.reserve(chain),
       signal: this.#request.signal,
+      onCancelled: () => {
+        this.#cancelledRuns += 1;
+        this.#runs.record(getProcessKey(firstEngine.entry), false);
+      },
       onFailed: (result) => this.#recordFailedReplacement(result, firstEngine.entry),
     });
   }
 
   #recordFailedReplacement(result: FailedReplacement, firstEngine: ServerEntry): void {
     const { logs } = this.#context;
-    if (result.kind === 'notRun') this.#refusedAttempts += 1;
-    else this.#runs.record(getProcessKey(firstEngine), false);
+    if (result.kind === 'notRun') this.#refusedReplacements += 1;
+    else {
+      this.#runs.record(getProcessKey(firstEngine), false);
+      void this.#checkForEnd(firstEngine);
+    }
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
     logs('routing').info('The attempt beside a silent one failed.', {
       requestId: this.#request.metadata.requestId,
@@ -258,7 +277,7 @@
       after: result.kind,
       message: result.message,
       runs: this.#runs.countedServers,
-      refusedTries: this.#refusedAttempts,
+      refusedTries: this.#refusedReplacements,
     });
   }
 
@@ -269,16 +288,20 @@
     return (
       isIdempotent(route) &&
       !crashBlame.isBlocked(content) &&
-      this.#runs.total + 1 < MAXIMUM_ATTEMPTS &&
-      this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS &&
+      this.#countedAttempts + 1 < MAXIMUM_ATTEMPTS &&
+      this.#refusedReplacements <= MAXIMUM_REFUSED_ATTEMPTS &&
       this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN &&
       this.#runs.allowsAnotherAfter(processKey)
     );
   }
 
   /** @param processKeys - Processes of servers that may have run the request. */
-  #passOn(processKeys: readonly string[]): Promise<PeerAnswer> {
-    return this.#context.peerRelay.relay(this.#request, {
+  #passOn(
+    processKeys: readonly string[],
+    signal: AbortSignal = this.#request.signal,
+  ): Promise<PeerAnswer> {
+    const request = { ...this.#request, signal: AbortSignal.any([this.#request.signal, signal]) };
+    return this.#context.peerRelay.relay(request, {
       processKeys,
       lastEventId: this.#caller.lastEventId,
     });
@@ -351,7 +374,8 @@
     const result = await attempt.run();
     const successor = await this.#takeSuccessor(attempt, result);
     if (!successor) return result;
-    this.#runs.record(getProcessKey(firstEngine.entry), attempt.hasEvents);
+    if (result.kind !== 'notRun')
+      this.#runs.record(getProcessKey(firstEngine.entry), attempt.hasEvents);
     if (result.kind === 'broken') void this.#checkForEnd(firstEngine.entry);
     return { kind: 'replaced', by: successor };
   }
@@ -363,7 +387,8 @@
   ): Promise<Begun | undefined> {
     if (result.kind === 'replaced') return result.by;
     if (!pendingReplacement) return undefined;
-    const isNeeded = result.kind === 'broken' && !this.#request.signal.aborted;
+    const hasFailed = result.kind === 'broken' || result.kind === 'notRun';
+    const isNeeded = hasFailed && !this.#request.signal.aborted;
     if (isNeeded) return pendingReplacement.begun;
     pendingReplacement.cancel();
     void pendingReplacement.begun.then((begun) => begun && discard(begun));
--- a/src/entry/stream-attempt.ts
+++ b/src/entry/stream-attempt.ts
@@ -3,6 +3,7 @@
  * having stalled, the stream is rerouted around them, or replaced by another attempt that runs beside it. It
  * stays open until that has begun to answer: whichever of the two answers first goes on.
  */
+import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import type { CallerStream } from './caller-stream.js';
 import type { ChainSelector, EngineChain } from './chain-selector.js';
@@ -46,6 +47,8 @@
 /** A stream that stayed open is looked at again after this long, and each time after twice as long. */
 const FIRST_RECHECK_MILLISECONDS = 300;
 const MAXIMUM_RECHECK_MILLISECONDS = 1200;
+/** A replacement that has not begun after this long beside an open attempt is given up. */
+const REPLACEMENT_TIMEOUT_MILLISECONDS = 2000;
 
 /** A route without a target time has no timeout for the first event. */
 function getFirstEventTimeout(targetMilliseconds: number): number {
@@ -194,7 +197,8 @@
   }
 
   #actOnSuspicion(suspectedEngineIds: readonly string[]): void {
-    const { context, decide, caller } = this.#options;
+    const { context, decide, caller, request } = this.#options;
+    if (request.signal.aborted) return;
     const decision = decide(suspectedEngineIds);
     context.logs('routing').info('Decided on a silent exchange.', {
       requestId: this.requestId,
@@ -218,7 +222,12 @@
   async #replace(): Promise<void> {
     const replacement = this.#options.startReplacement();
     this.#replacement = replacement;
+    // So that another one can be tried while this attempt is still open.
+    const cancelTimer = startPatientTimer(REPLACEMENT_TIMEOUT_MILLISECONDS, () => {
+      if (!this.#hasEnded) replacement?.cancel();
+    });
     const begun = await replacement?.begun;
+    cancelTimer();
     const isCancelled = this.#replacement !== replacement;
     if (isCancelled && begun) discard(begun);
     // Once this attempt has ended, whoever ran it takes the replacement.
--- a/src/entry/stream-replacement.test.ts
+++ b/src/entry/stream-replacement.test.ts
@@ -13,6 +13,7 @@
 /** Starts a replacement at an engine that accepts it and then sends nothing until it is aborted. */
 function startSilentReplacement(signal: AbortSignal) {
   let releases = 0;
+  let cancellations = 0;
   const failures: FailedReplacement[] = [];
   const exchange = {
     open: (_chain: unknown, _engine: unknown, attemptSignal: AbortSignal) =>
@@ -27,7 +28,7 @@
             }),
         },
       }),
-    classifyError: () => ({ kind: 'broken', engineIdsToAvoid: ['b'], message: 'aborted' }),
+    classifyError: () => assert.fail('The engine is blamed.'),
   } as unknown as StreamExchange;
   const replacement = startEngineReplacement({
     exchange,
@@ -37,22 +38,29 @@
       releases += 1;
     },
     signal,
+    onCancelled: () => {
+      cancellations += 1;
+    },
     onFailed: (result) => failures.push(result),
   });
-  return { replacement, failures, countReleases: () => releases };
+  return {
+    replacement,
+    failures,
+    countReleases: () => releases,
+    countCancellations: () => cancellations,
+  };
 }
 
-test('stream replacement: one that is cancelled releases its chain once and avoids no engine', async () => {
-  const { replacement, failures, countReleases } = startSilentReplacement(
+// A sound engine was ejected when the instance cancelled its connection.
+test('stream replacement: one that is cancelled releases its chain once and blames no engine', async () => {
+  const { replacement, failures, countReleases, countCancellations } = startSilentReplacement(
     new AbortController().signal,
   );
   replacement.cancel();
   assert.equal(await replacement.begun, undefined);
   assert.equal(countReleases(), 1);
-  assert.deepEqual(
-    failures.map(({ engineIdsToAvoid }) => engineIdsToAvoid),
-    [[]],
-  );
+  assert.equal(countCancellations(), 1);
+  assert.deepEqual(failures, []);
 });
 
 // It went on at its engine after the caller had left.
@@ -66,7 +74,22 @@
 
 test('stream replacement: a peer that may have run the stream without an answer is counted', async () => {
   const lost: string[] = [];
-  const answer: Promise<PeerAnswer> = Promise.resolve({ kind: 'lost', peer: 'p', message: '' });
-  assert.equal(await startPeerReplacement(answer, (peer) => lost.push(peer)).begun, undefined);
+  const answer: PeerAnswer = { kind: 'lost', peer: 'p', message: '' };
+  const replacement = startPeerReplacement(
+    () => Promise.resolve(answer),
+    (peer) => lost.push(peer),
+  );
+  assert.equal(await replacement.begun, undefined);
   assert.deepEqual(lost, ['p']);
 });
+
+// A running stream was ended for the failure that a peer had been answered with.
+test('stream replacement: the failure that a peer passes on does not take over', async () => {
+  const message = { destroy: () => undefined };
+  const answer = { kind: 'served', peer: 'p', status: 500, message } as unknown as PeerAnswer;
+  const replacement = startPeerReplacement(
+    () => Promise.resolve(answer),
+    () => undefined,
+  );
+  assert.equal(await replacement.begun, undefined);
+});
--- a/src/entry/stream-replacement.ts
+++ b/src/entry/stream-replacement.ts
@@ -1,8 +1,7 @@
 /**
  * Another attempt of a stream beside one whose engines are suspected of having stalled. It takes over once it
- * has begun to answer; until then the suspected one stays open, and an event of it cancels the replacement.
+ * has begun to answer; until then the suspected one stays open, and anything that it sends cancels the replacement.
  */
-import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import type { EngineChain } from './chain-selector.js';
 import type { PeerAnswer } from './peer-relay.js';
@@ -61,12 +60,17 @@
   readonly release: () => void;
   /** Ends it as well; the signal of the request. */
   readonly signal: AbortSignal;
-  /** Called when it failed or was cancelled. */
+  /** Called when it was cancelled; it may have run. */
+  readonly onCancelled: () => void;
+  /** Called when it failed. */
   readonly onFailed: (result: FailedReplacement) => void;
 }
 
-/** A replacement that has not begun after this long is given up, so that another one can be tried. */
-const BEGIN_TIMEOUT_MILLISECONDS = 2000;
+const CANCELLED: FailedReplacement = {
+  kind: 'broken',
+  engineIdsToAvoid: [],
+  message: 'The replacement was cancelled.',
+};
 
 async function beginAtEngine(
   { exchange, chain, firstEngine }: EngineReplacementOptions,
@@ -75,11 +79,15 @@
   try {
     const opened = await exchange.open(chain, firstEngine, signal);
     if (opened.kind === 'notRun') return opened;
-    if (opened.status < 300 && (await opened.chunks.hasBegun())) return opened;
-    const message = `The replacement was answered with status ${opened.status} and no event.`;
-    return { kind: 'broken', engineIdsToAvoid: [firstEngine.entry.id], message };
+    const message = `The replacement was answered with status ${opened.status}.`;
+    if (opened.status >= 300)
+      return { kind: 'broken', engineIdsToAvoid: [firstEngine.entry.id], message };
+    // A body that ends here may be the rest of a stream of which only the end was missing.
+    await opened.chunks.hasBegun();
+    return opened;
   } catch (error) {
-    return exchange.classifyError(firstEngine.entry, error);
+    // An exchange that this instance ends itself says nothing of the engine.
+    return signal.aborted ? CANCELLED : exchange.classifyError(firstEngine.entry, error);
   }
 }
 
@@ -90,50 +98,41 @@
  * @returns The replacement, under way.
  */
 export function startEngineReplacement(options: EngineReplacementOptions): StreamReplacement {
-  const { chain, firstEngine, release, signal, onFailed } = options;
+  const { chain, firstEngine, release, signal, onCancelled, onFailed } = options;
   const controller = new AbortController();
   const isAborted = (): boolean => controller.signal.aborted || signal.aborted;
   const begin = async (): Promise<BegunStream | undefined> => {
-    const cancelTimer = startPatientTimer(BEGIN_TIMEOUT_MILLISECONDS, () => controller.abort());
     const result = await beginAtEngine(options, AbortSignal.any([controller.signal, signal]));
-    cancelTimer();
     if (result.kind === 'accepted' && !isAborted())
       return { kind: 'engine', chain, firstEngine, stream: result, controller, release };
     controller.abort();
     release();
-    onFailed(
-      result.kind === 'accepted' || isAborted()
-        ? { kind: 'broken', engineIdsToAvoid: [], message: 'The replacement was cancelled.' }
-        : result,
-    );
+    if (isAborted() || result.kind === 'accepted') onCancelled();
+    else onFailed(result);
     return undefined;
   };
   return { begun: begin(), cancel: () => controller.abort() };
 }
 
 /**
- * Waits for a peer that a stream is passed on to, to go on after the last event that the caller has.
+ * Passes a stream on to a peer, to go on after the last event that the caller has.
  *
- * @param answer - The peer's answer.
+ * @param passOn - Passes it on; the signal ends the exchange.
  * @param onLost - Called with the peer's name if the stream may have run there without an answer.
  * @returns The replacement, under way.
  */
 export function startPeerReplacement(
-  answer: Promise<PeerAnswer>,
+  passOn: (signal: AbortSignal) => Promise<PeerAnswer>,
   onLost: (peer: string) => void,
 ): StreamReplacement {
-  let isCancelled = false;
+  const controller = new AbortController();
   const begin = async (): Promise<BegunPeerStream | undefined> => {
-    const result = await answer;
-    if (result.kind === 'served' && !isCancelled) return { kind: 'peer', answer: result };
-    if (result.kind === 'served') result.message.destroy();
-    if (result.kind === 'served' || result.kind === 'lost') onLost(result.peer);
+    const answer = await passOn(controller.signal);
+    const isUsable = answer.kind === 'served' && answer.status < 300;
+    if (isUsable && !controller.signal.aborted) return { kind: 'peer', answer };
+    if (answer.kind === 'served') answer.message.destroy();
+    if (answer.kind === 'served' || answer.kind === 'lost') onLost(answer.peer);
     return undefined;
   };
-  return {
-    begun: begin(),
-    cancel: () => {
-      isCancelled = true;
-    },
-  };
+  return { begun: begin(), cancel: () => controller.abort() };
 }
