--- a/src/entry/exchange-suspicion.ts
+++ b/src/entry/exchange-suspicion.ts
@@ -11,7 +11,7 @@
   readonly hasServerEnded: boolean;
   /** Whether the request's kind, content and earlier attempts allow another one. */
   readonly mayRunAgain: boolean;
-  /** Whether something other than what is suspected seems to have room for the request. */
+  /** Whether something other than what is suspected seems to have room; the request then avoids the suspected. */
   readonly hasAlternative: () => boolean;
   /** Takes a retry of the budget for another attempt; false if none is left. */
   readonly acquireRetry: () => boolean;
--- a/src/entry/peekable-chunks.ts
+++ b/src/entry/peekable-chunks.ts
@@ -1,4 +1,4 @@
-/** A response body that can be waited for before it is read. */
+/** A response body that can be waited for before it is read, once. */
 export class PeekableChunks implements AsyncIterable<Buffer> {
   readonly #chunks: AsyncIterator<Buffer>;
 
--- a/src/entry/stall-detector.ts
+++ b/src/entry/stall-detector.ts
@@ -29,11 +29,11 @@
   isCallerBlocked: boolean;
   /** Whether any event has arrived. */
   hasEvents: boolean;
-  /** The longest wait for the first event before the request is retried over another chain. */
+  /** The longest wait for the first event before another chain is tried beside the first. */
   readonly firstEventTimeoutMilliseconds: number;
-  /** Ends the attempt and retries over other engines, if such a chain exists. */
+  /** Tries other engines beside those of the stream, whose first event is late. */
   retryElsewhere(): void;
-  /** Reroutes the stream around suspected engines, or ends the attempt if another can take its place. */
+  /** Reroutes the stream around suspected engines, or tries others beside them. */
   routeAround(suspectedEngineIds: readonly string[]): void;
 }
 
--- a/src/entry/stream-attempt.ts
+++ b/src/entry/stream-attempt.ts
@@ -36,7 +36,7 @@
   readonly decide: (suspectedEngineIds: readonly string[]) => SuspicionDecision;
   /** Starts another attempt, which avoids the suspected engines; undefined if there is none after all. */
   readonly startReplacement: () => StreamReplacement | undefined;
-  /** Whether the request may look for another chain because its first event is late; counts the call. */
+  /** Whether another chain may be tried because the first event is late; counts the call. */
   readonly mayRetryLate: () => boolean;
 }
 
@@ -86,7 +86,7 @@
   #replacedBy: Begun | undefined;
 
   /** Set when the attempt is ended since its first engine has ended: what was suspected then. */
-  #endedEngineIds: readonly string[] | undefined;
+  #suspectedAtEnd: readonly string[] | undefined;
 
   #isRerouting = false;
 
@@ -212,7 +212,7 @@
       decision.kind === 'wait' ? `silent_wait_${decision.lacking}` : `silent_${decision.kind}`,
     );
     if (decision.kind === 'end') {
-      this.#endedEngineIds = suspectedEngineIds;
+      this.#suspectedAtEnd = suspectedEngineIds;
       this.#controller.abort();
     } else if (decision.kind === 'tryBeside') void this.#replace();
     else this.#delayRecheck();
@@ -257,10 +257,10 @@
   #classifyError(error: unknown): StreamAttemptResult {
     const { exchange, firstEngine } = this.#options;
     if (this.#replacedBy) return { kind: 'replaced', by: this.#replacedBy };
-    if (this.#endedEngineIds === undefined) return exchange.classifyError(firstEngine.entry, error);
+    if (this.#suspectedAtEnd === undefined) return exchange.classifyError(firstEngine.entry, error);
     return {
       kind: 'broken',
-      engineIdsToAvoid: this.#endedEngineIds,
+      engineIdsToAvoid: this.#suspectedAtEnd,
       message: 'The first engine ended while the stream was silent.',
     };
   }
