Take the time at which a stream began from its first bytes, also of a replacement

What callers saw (in a test): a stream whose engines ended one after the other was broken off although an engine was left.

Cause: a replacement's first bytes wait until it takes over. The time from which it counts as having been written for 300 ms began only then, so that its engine's end counted as an end at the beginning; two of those block a request.

Ruled out: the retry budget and the limit on attempts (the log line of the failure has 2 attempts, 1 end at begin, and no retry).

--- a/src/entry/peekable-chunks.ts
+++ b/src/entry/peekable-chunks.ts
@@ -4,11 +4,18 @@
 
   #first: IteratorResult<Buffer> | undefined;
 
+  #beganAt: number | undefined;
+
   /** @param chunks - The body as it arrives. */
   constructor(chunks: AsyncIterable<Buffer>) {
     this.#chunks = chunks[Symbol.asyncIterator]();
   }
 
+  /** When the first chunk arrived, on the monotonic clock; undefined before. */
+  get beganAt(): number | undefined {
+    return this.#beganAt;
+  }
+
   /**
    * Waits until the body has begun.
    *
@@ -17,11 +24,13 @@
    */
   async hasBegun(): Promise<boolean> {
     this.#first ??= await this.#chunks.next();
+    this.#beganAt ??= performance.now();
     return this.#first.done !== true;
   }
 
   async *[Symbol.asyncIterator](): AsyncGenerator<Buffer> {
     let result = this.#first ?? (await this.#chunks.next());
+    this.#beganAt ??= performance.now();
     while (result.done !== true) {
       yield result.value;
       result = await this.#chunks.next();
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -184,7 +184,7 @@
       stream.chain.forEach(({ entry }) => outlierEjection.recordLife(entry.id));
       if (events.bytes.length > 0) {
         if (beganAt === undefined) stream.chain.forEach(recordAcceptance);
-        beganAt ??= performance.now();
+        beganAt ??= chunks.beganAt ?? performance.now();
         if (performance.now() - beganAt >= WRITTEN_AFTER_MILLISECONDS) this.#recordWritten(beganAt);
         stream.hasEvents = true;
         this.#startResponse(engineResponse, status);
