--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -6,12 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { findFreePorts } from '../../tools/ports.js';
 import { send } from '../common/client.js';
-import {
-  CASEBOOK,
-  CONTACT_MILLISECONDS,
-  createConfiguration,
-  DRAIN_MILLISECONDS,
-} from '../common/deployment.js';
+import { CASEBOOK, CONTACT_MILLISECONDS, DRAIN_MILLISECONDS } from '../common/deployment.js';
 import { Replica, type Run } from '../common/replica.js';
 import { runCase, type CaseContext, type Verdict } from '../common/run-case.js';
 
@@ -178,7 +173,6 @@
   folder: '4',
   options: {
     zones: ZONES,
-    configuration: createConfiguration(3, [CASEBOOK]),
     storePortOf: (storePort) => proxy.listen(storePort),
   },
   run,
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -1,132 +1,136 @@
 /**
- * An engine crashes and is back at its address under a new id, while its old entry has not lapsed. An
- * instance that starts then takes the new engine for ended. Answers of engines are lost: requests run on
- * more engines than `max-attempts` allows.
+ * The store goes away for a moment and comes back from a copy some seconds old; what replicas wrote is
+ * written again. When all machines are in touch again, a replica reports that it leaves. Requests still reach it.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { findFreePorts } from '../../tools/ports.js';
 import { send } from '../common/client.js';
-import { createConfiguration, Deployment, DRAFTER } from '../common/deployment.js';
-import { Replica, type ReplicaOptions } from '../common/replica.js';
+import { CASEBOOK, CONTACT_MILLISECONDS, DRAIN_MILLISECONDS } from '../common/deployment.js';
+import { DrillStore } from '../common/drill-store.js';
+import { Replica, type Run } from '../common/replica.js';
 import { runCase, type CaseContext, type Verdict } from '../common/run-case.js';
 
 const ZONES = ['lj-a', 'lj-b', 'kr-c'];
-const ENGINES = 5;
-/** An entry is removed after three heartbeats of silence. */
-const LAPSE_MILLISECONDS = 3600;
-const DOWN_MILLISECONDS = 2000;
-/** `answer_lost`: the users' days have it with share 0.6 and x 0.4 for 4 s, or x 0.3 for 6 s. */
-const LOSING_ENGINES = 3;
-const LOST_SHARE = 0.4;
-const EPISODES = 3;
-const EPISODE_MILLISECONDS = 4000;
-const PAUSE_MILLISECONDS = 6000;
-const REQUEST_INTERVAL_MILLISECONDS = 25;
-const DEADLINE_MILLISECONDS = 20_000;
-const MAXIMUM_ATTEMPTS = 2;
-/** The rule allows so many requests. */
-const ALLOWED = 3;
+const FIRST_REPLICAS = 3;
+const ADDED_REPLICAS = 2;
+/** Added replicas are cold for a while, and their entries tell how much longer. */
+const COLD_MILLISECONDS = [3000, 2000, 1000, 0];
+const COLD_STEP_MILLISECONDS = 1000;
+const AWAY_MILLISECONDS = 1000;
+/** Replicas write their entries again within a heartbeat of the store's return. */
+const REWRITTEN_AFTER_MILLISECONDS = 600;
+/** From the store's return to the report that a replica leaves: the store is stable, all are in touch. */
+const UNTIL_DRAIN_MILLISECONDS = CONTACT_MILLISECONDS + 2000;
+const AFTER_DRAIN_MILLISECONDS = 12_000;
+const REQUEST_INTERVAL_MILLISECONDS = 20;
+const DEADLINE_MILLISECONDS = 2500;
+
+const store = new DrillStore();
 
 async function run({ deployment, record, hasTrouble, atEnd }: CaseContext): Promise<Verdict> {
-  const ports = await findFreePorts(ENGINES);
-  const runs = new Map<string, Set<string>>();
-  const createEngine = (id: string, port: number, zone: string): Replica => {
-    const options: ReplicaOptions = {
-      id,
-      service: DRAFTER.name,
-      port,
-      zone,
-      kind: 'a100s',
-      store: deployment.store,
-      slots: 134,
-      workMilliseconds: 20,
-      onRun: ({ requestId, replicaId }) =>
-        runs.set(requestId, (runs.get(requestId) ?? new Set()).add(replicaId)),
-    };
-    return new Replica(options);
-  };
-  // Each start has a new id; here the later id sorts first, as one of two random ids does.
-  const ids = ['i-7f3a91c2', 'i-8d0c1a55', 'i-91be7703', 'i-a46f20d8', 'i-c5e9b614'];
-  const engines = ids.map((id, index) => createEngine(id, ports[index] ?? 0, 'lj-a'));
-  for (const engine of engines) {
-    await engine.start();
-    atEnd(() => engine.crash());
-  }
+  const ports = await findFreePorts(FIRST_REPLICAS + ADDED_REPLICAS);
+  const runs: Run[] = [];
+  const replicas = ports.map(
+    (port, index) =>
+      new Replica({
+        id: `i-${index}`,
+        service: CASEBOOK.name,
+        port,
+        zone: ZONES[index % ZONES.length] ?? '',
+        store,
+        slots: 6,
+        workMilliseconds: 30,
+        onRun: (started) => runs.push(started),
+      }),
+  );
+  replicas.forEach((replica) => atEnd(() => replica.crash()));
+  for (const replica of replicas.slice(0, FIRST_REPLICAS)) await replica.start();
   await deployment.startInstances();
-  await sleep(1500);
 
-  const [crashing] = engines;
-  if (!crashing) throw new Error('There is no engine to crash.');
-  let newest = crashing;
-  // As a control, the losses may come without the crash.
-  if (hasTrouble && process.env.TROUBLE !== 'losses') {
-    await crashing.crash();
-    record.add(`${crashing.id} crashes`);
-    setTimeout(() => {
-      deployment.store.remove('servers', crashing.id);
-      record.add(`the entry of ${crashing.id} has lapsed`);
-    }, LAPSE_MILLISECONDS);
-    await sleep(DOWN_MILLISECONDS);
-    const returned = createEngine('i-2b66f0e7', ports[0] ?? 0, 'lj-a');
-    newest = returned;
-    await returned.start();
-    atEnd(() => returned.crash());
-    record.add(`${returned.id} starts at its address`);
-  }
-  const added = await deployment.addInstance('lj-a');
-  await Deployment.waitUntilReady(added);
-  record.add(`${added.name} has started`);
-  await sleep(3000);
-  const ended = added.log.join('').match(/.*Backend server has ended.*/g) ?? [];
-  ended.forEach((line) => record.add(`${added.name} wrote: ${line}`));
-
-  const serving = [newest, ...engines.slice(1)];
-  let isEpisode = false;
-  serving.slice(0, LOSING_ENGINES).forEach((engine) => {
-    engine.answer = (_, response) => {
-      if (!hasTrouble || !isEpisode || Math.random() >= LOST_SHARE) return false;
-      response.socket?.resetAndDestroy();
-      return true;
-    };
-  });
+  const sentAt = new Map<string, number>();
   const sent: Promise<void>[] = [];
   const byStatus = new Map<number, number>();
-  let count = 0;
-  for (let episode = 0; episode < EPISODES; episode += 1) {
-    isEpisode = true;
-    const until = performance.now() + EPISODE_MILLISECONDS;
-    while (performance.now() < until) {
-      const id = `plan-${count}`;
-      count += 1;
-      sent.push(
-        send(added, {
-          id,
-          method: 'POST',
-          path: `/plan/${id}`,
-          body: id,
-          deadlineMilliseconds: DEADLINE_MILLISECONDS,
-          headers: { model: 'model', 'token-usage': '760,40' },
-        }).then(({ status }) => {
-          byStatus.set(status, (byStatus.get(status) ?? 0) + 1);
-        }),
-      );
+  let isSending = true;
+  const sendAll = async (): Promise<void> => {
+    for (let count = 0; isSending; count += 1) {
+      const instance = deployment.instances[count % deployment.instances.length];
+      const id = `lookup-${count}`;
+      sentAt.set(id, performance.now());
+      if (instance)
+        sent.push(
+          send(instance, {
+            id,
+            method: 'GET',
+            path: `/lookup/${id}`,
+            deadlineMilliseconds: DEADLINE_MILLISECONDS,
+          }).then(({ status }) => {
+            byStatus.set(status, (byStatus.get(status) ?? 0) + 1);
+          }),
+        );
       await sleep(REQUEST_INTERVAL_MILLISECONDS);
     }
-    isEpisode = false;
-    await sleep(PAUSE_MILLISECONDS);
+  };
+  const sending = sendAll();
+  await sleep(3000);
+
+  const copy = store.copy();
+  record.add(`the store makes a copy, revision ${copy.revision}`);
+  const added = replicas.slice(FIRST_REPLICAS);
+  for (const [step, milliseconds] of COLD_MILLISECONDS.entries()) {
+    for (const replica of added) {
+      replica.coldLeftMilliseconds = milliseconds;
+      if (step === 0) await replica.start();
+      else replica.register();
+    }
+    await sleep(COLD_STEP_MILLISECONDS);
   }
+  record.add(`${ADDED_REPLICAS} replicas have been added, revision ${store.revision}`);
+  if (hasTrouble) {
+    store.goAway();
+    record.add('the store goes away');
+    await sleep(AWAY_MILLISECONDS);
+    store.comeBack(copy);
+    record.add(`the store is back from its copy, revision ${store.revision}`);
+  }
+  const backAt = performance.now();
+  await sleep(REWRITTEN_AFTER_MILLISECONDS);
+  replicas.forEach((replica) => replica.register());
+  record.add(`the replicas have written their entries again, revision ${store.revision}`);
+  await sleep(UNTIL_DRAIN_MILLISECONDS - REWRITTEN_AFTER_MILLISECONDS);
+
+  const [leaving] = replicas;
+  if (!leaving) throw new Error('There is no replica to leave.');
+  leaving.drain();
+  const acknowledgedAt = performance.now();
+  record.add(`the store acknowledges that ${leaving.id} is draining, revision ${store.revision}`);
+  await sleep(AFTER_DRAIN_MILLISECONDS);
+  isSending = false;
+  await sending;
   await Promise.all(sent);
-  const over = [...runs].filter(([, at]) => at.size > MAXIMUM_ATTEMPTS);
-  over.forEach(([id, at]) => record.add(`${id}, sent once, ran at ${[...at].join(', ')}`));
+
+  const atLeaving = runs.filter(({ replicaId }) => replicaId === leaving.id);
+  const late = atLeaving.filter(
+    ({ requestId, at }) =>
+      at > acknowledgedAt + DRAIN_MILLISECONDS &&
+      (sentAt.get(requestId) ?? 0) > backAt + CONTACT_MILLISECONDS,
+  );
+  late.forEach(({ requestId, at }) =>
+    record.add(
+      `${requestId} reached ${leaving.id} ${Math.round(at - acknowledgedAt)} ms after the acknowledgement`,
+    ),
+  );
+  const last = Math.max(0, ...atLeaving.map(({ at }) => at - acknowledgedAt));
   record.add(`answers by status: ${JSON.stringify(Object.fromEntries(byStatus))}`);
   return {
-    isBroken: over.length > ALLOWED,
-    summary: `${count} streams, ${over.length} ran on more than ${MAXIMUM_ATTEMPTS} engines, none of which ended`,
+    isBroken: late.length > 0,
+    summary:
+      `${late.length} requests reached the draining replica later than ${DRAIN_MILLISECONDS} ms after ` +
+      `the acknowledgement; the last one at all ${Math.round(last)} ms after it (0: none)`,
   };
 }
 
 await runCase({
   folder: '5',
-  options: { zones: ZONES, configuration: createConfiguration(3, [DRAFTER]) },
+  options: { zones: ZONES, store },
   run,
 });
--- a/review/common/deployment.ts
+++ b/review/common/deployment.ts
@@ -29,23 +29,28 @@
   readonly name: string;
   readonly process: ChildProcess;
   readonly ports: Readonly<Record<'front' | 'ready' | 'control' | 'directory', number>>;
-  readonly settingsFile: string;
-  /** What its processes have written, in pieces. */
-  readonly log: string[];
 }
 
-/** The address of the store as one instance sees it. */
+/** The platform's store, as a case uses it. */
+export interface CaseStore {
+  put(kind: string, name: string, spec: unknown): void;
+  remove(kind: string, name: string): void;
+  listen(port: number): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** What a deployment consists of. */
 export interface DeploymentOptions {
+  /** The store; the project's stand-in by default. */
+  readonly store?: CaseStore;
   /** Zones of the instances, one for each. */
   readonly zones: readonly string[];
   /** Returns the port at which an instance reaches the store; the store's own by default. */
   readonly storePortOf?: (storePort: number) => Promise<number>;
-  /** The first configuration. */
-  readonly configuration: object;
 }
 
-/** Routes as the users' sheet has them: bookings run once, lookups and drafts may be repeated. */
-export const ROUTES = [
+/** Routes as the users' sheet has them: bookings run once, lookups may be repeated. */
+const ROUTES = [
   {
     name: 'van-booking',
     host: HOST,
@@ -68,64 +73,24 @@
     service: 'casebook',
     'max-attempts': 2,
   },
-  {
-    name: 'room-plan',
-    host: HOST,
-    'path-prefix': '/plan/',
-    kind: 'streaming',
-    'timeout-ms': 20_000,
-    'goal-ms': 500,
-    priority: 1,
-    service: 'drafter',
-    'max-attempts': 2,
-    'session-affinity': true,
-    'stream-resume': true,
-    'gap-target-ms': 200,
-  },
 ];
 
 export const CASEBOOK = { name: 'casebook', 'health-path': '/health', 'max-conns': 110 };
 
-/** A model of 8 layers, all of which fit into one card. */
-export const DRAFTER = {
-  name: 'drafter',
-  'health-path': '/health',
-  'max-conns': 978,
-  engine: {
-    slots: 134,
-    'kv-token-bytes': 1000,
-    models: [{ name: 'model', 'load-s': 1 }],
-    step_ms: 0.85,
-    per_seq_ms: 0.003,
-    read_per_s: 252_000,
-    stride: 2,
-    loads_at_once: 6,
-    usual: { prompt: 760, answer: 154 },
-    layers: 8,
-    'layer-mb': 1750,
-    'activation-bytes': 22_900,
-    'pipe-mbps': 7900,
-    kinds: [{ name: 'a100s', 'size-mb': 36_000, pace: 1, 'read-factor': 1 }],
+/** The configuration that is in force throughout. */
+export const CONFIGURATION = {
+  version: 3,
+  routes: ROUTES,
+  services: [CASEBOOK],
+  limits: {
+    'max-header-bytes': 16_384,
+    'max-body-bytes': 4_194_304,
+    'header-timeout-ms': 3000,
+    'idle-timeout-ms': 15_000,
   },
+  tenants: [{ name: 'hule930', 'api-keys': [API_KEY] }],
 };
 
-/** Creates a configuration with the given services, and the routes that lead to them. */
-export function createConfiguration(version: number, services: readonly { name: string }[]) {
-  const names = new Set(services.map(({ name }) => name));
-  return {
-    version,
-    routes: ROUTES.filter(({ service }) => names.has(service)),
-    services,
-    limits: {
-      'max-header-bytes': 16_384,
-      'max-body-bytes': 4_194_304,
-      'header-timeout-ms': 3000,
-      'idle-timeout-ms': 15_000,
-    },
-    tenants: [{ name: 'hule930', 'api-keys': [API_KEY] }],
-  };
-}
-
 function formatSettings(
   name: string,
   zone: string,
@@ -213,8 +178,15 @@
   });
 }
 
+function waitUntilReady({ name, ports }: Instance): Promise<void> {
+  return waitUntil(
+    async () => (await fetchStatus(ports.ready, '/ready')) === 200,
+    `${name} is ready`,
+  );
+}
+
 export class Deployment {
-  readonly store = new PlatformStore();
+  readonly store: CaseStore;
 
   readonly instances: Instance[] = [];
 
@@ -230,6 +202,7 @@
 
   constructor(options: DeploymentOptions) {
     this.#options = options;
+    this.store = options.store ?? new PlatformStore();
   }
 
   /** Starts the store, which holds the configuration. */
@@ -238,18 +211,18 @@
     this.#storePort = storePort;
     this.#command = await readCommand();
     this.#directory = await mkdtemp(path.join(os.tmpdir(), 'review-'));
-    this.store.put('config', 'main', this.#options.configuration);
+    this.store.put('config', 'main', CONFIGURATION);
     await this.store.listen(storePort);
   }
 
   /** Starts all instances and waits until they are ready. */
   async startInstances(): Promise<void> {
-    for (const zone of this.#options.zones) await this.addInstance(zone);
-    await Promise.all(this.instances.map((instance) => Deployment.waitUntilReady(instance)));
+    for (const zone of this.#options.zones) await this.#addInstance(zone);
+    await Promise.all(this.instances.map((instance) => waitUntilReady(instance)));
   }
 
   /** Starts one more instance, without waiting until it is ready. */
-  async addInstance(zone: string): Promise<Instance> {
+  async #addInstance(zone: string): Promise<void> {
     const [front = 0, ready = 0, control = 0, directory = 0] = await findFreePorts(4);
     const ports = { front, ready, control, directory };
     this.#seedPort ||= control;
@@ -258,17 +231,7 @@
     const name = `front-${zone}-${this.instances.length + 1}`;
     const settingsFile = path.join(this.#directory, `${name}.toml`);
     await writeFile(settingsFile, formatSettings(name, zone, ports, storePort, this.#seedPort));
-    const log: string[] = [];
-    const instance = { name, process: this.#launch(settingsFile, log), ports, settingsFile, log };
-    this.instances.push(instance);
-    return instance;
-  }
-
-  static waitUntilReady({ name, ports }: Instance): Promise<void> {
-    return waitUntil(
-      async () => (await fetchStatus(ports.ready, '/ready')) === 200,
-      `${name} is ready`,
-    );
+    this.instances.push({ name, process: this.#launch(settingsFile), ports });
   }
 
   /** Ends every process that was started, and removes the settings. */
@@ -285,15 +248,17 @@
     if (this.#directory !== '') await rm(this.#directory, { recursive: true, force: true });
   }
 
-  #launch(settingsFile: string, log: string[]): ChildProcess {
+  /** Kills every process that is left, without waiting. */
+  kill(): void {
+    this.instances.forEach(({ process: child }) => child.kill('SIGKILL'));
+  }
+
+  #launch(settingsFile: string): ChildProcess {
     const [, ...parameters] = this.#command;
-    const child = spawn(process.execPath, parameters, {
+    return spawn(process.execPath, parameters, {
       cwd: ROOT,
       env: { PATH: process.env.PATH, SESAMEDYKE_NODE_FILE: settingsFile },
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: 'ignore',
     });
-    child.stdout.on('data', (part: Buffer) => log.push(part.toString()));
-    child.stderr.on('data', (part: Buffer) => log.push(part.toString()));
-    return child;
   }
 }
--- a/review/common/replica.ts
+++ b/review/common/replica.ts
@@ -1,10 +1,9 @@
 /**
- * A replica that follows the users' pages: a plain service that answers calls, or an engine that holds all
- * layers and streams events. A case changes single answers through `answer`.
+ * A replica of a plain service that follows the users' pages. A case changes single answers through `answer`.
  */
 import http from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { PlatformStore } from '../../tools/stand-ins/platform-store.js';
+import type { CaseStore } from './deployment.js';
 
 /** A request that a replica began to work on. */
 export interface Run {
@@ -24,19 +23,14 @@
   readonly service: string;
   readonly port: number;
   readonly zone: string;
-  readonly store: PlatformStore;
-  /** The kind of card of an engine; absent for a plain service. */
-  readonly kind?: string;
+  readonly store: CaseStore;
   readonly slots: number;
-  /** How long a call runs, or an engine works before it sends its first event. */
+  /** How long a call runs. */
   readonly workMilliseconds: number;
   readonly onRun: (run: Run) => void;
 }
 
 const ANSWER_BYTES = 800;
-const EVENTS = 20;
-const EVENT_PAUSE_MILLISECONDS = 20;
-const LAYERS = { from: 0, to: 8, version: 1 };
 const QUEUED = 4;
 
 /** The whole body with which a request is answered. */
@@ -44,11 +38,6 @@
   return `answer to ${requestId} `.padEnd(ANSWER_BYTES, '.');
 }
 
-/** The whole stream with which a request is answered. */
-export function createEvent(requestId: string, eventId: number): string {
-  return `id: ${eventId}\ndata: ${requestId} ${eventId}\n\n`;
-}
-
 async function readBody(request: http.IncomingMessage): Promise<string> {
   let body = '';
   request.setEncoding('utf8');
@@ -56,11 +45,6 @@
   return body;
 }
 
-function sendJson(response: http.ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify(body));
-}
-
 export class Replica {
   readonly #options: ReplicaOptions;
 
@@ -68,10 +52,11 @@
 
   #open = 0;
 
-  #orders = 0;
-
   #isLeaving = false;
 
+  /** How much longer it is slow after its start, as its entry tells. */
+  coldLeftMilliseconds = 0;
+
   /** Set by a case; undefined for a sound replica. */
   answer: Answer | undefined;
 
@@ -111,8 +96,7 @@
 
   /** Writes the replica's entry. */
   register(): void {
-    const { id, service, port, zone, kind, slots, store } = this.#options;
-    const engine = kind === undefined ? {} : { kind, layers: LAYERS, phase: 'both' };
+    const { id, service, port, zone, slots, store } = this.#options;
     store.put('servers', id, {
       service,
       address: `127.0.0.1:${port}`,
@@ -120,9 +104,8 @@
       version: 'v1',
       slots,
       state: this.#isLeaving ? 'draining' : 'ready',
-      'cold-left-ms': 0,
+      'cold-left-ms': this.coldLeftMilliseconds,
       seq: 1,
-      ...engine,
     });
   }
 
@@ -136,46 +119,14 @@
     if (this.#isLeaving) response.setHeader('connection', 'close');
     if (request.url === '/health') {
       response.writeHead(this.#isLeaving ? 503 : 200, { 'instance-id': id }).end();
-    } else if (request.url === '/report') sendJson(response, 200, this.#describe());
-    else if (request.url === '/order') Replica.#takeOrder(body, response);
-    else if (typeof requestId !== 'string') refuse(400);
+    } else if (typeof requestId !== 'string') refuse(400);
     else if (expected !== undefined && expected !== id) refuse(421);
     else if (this.#open >= this.#options.slots + QUEUED) refuse(503);
-    else await this.#run(requestId, body, request, response);
-  }
-
-  #describe(): Record<string, unknown> {
-    return {
-      phase: 'both',
-      models: [{ name: 'model', version: 1, adapters: [] }],
-      busy: false,
-      seq: this.#orders,
-      queued: 0,
-      active: this.#open,
-      'kv-used': 0,
-      'kv-total': 100_000,
-      handles: 0,
-      pace: 1,
-      stalled: [],
-      layers: LAYERS,
-      kind: this.#options.kind,
-    };
-  }
-
-  /** Orders that ask for what it holds are done; it has no room for other layers. */
-  static #takeOrder(body: string, response: http.ServerResponse): void {
-    const { op, from, to } = JSON.parse(body) as { op: string; from: number; to: number };
-    if (op === 'repath') sendJson(response, 404, {});
-    else sendJson(response, from === LAYERS.from && to === LAYERS.to ? 200 : 409, {});
+    else await this.#run(requestId, body, response);
   }
 
-  async #run(
-    requestId: string,
-    body: string,
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    const { id, kind, slots, workMilliseconds, onRun } = this.#options;
+  async #run(requestId: string, body: string, response: http.ServerResponse): Promise<void> {
+    const { id, slots, workMilliseconds, onRun } = this.#options;
     const run = { requestId, replicaId: id, body, at: performance.now() };
     this.#open += 1;
     try {
@@ -185,29 +136,10 @@
       response.setHeader('request-id', requestId);
       response.setHeader('response-signature', `s.${id}.${requestId}`);
       response.setHeader('server-load', `${this.#open},0,${slots}`);
-      if (kind === undefined) {
-        const text = createBody(requestId);
-        response.writeHead(200, { 'content-length': text.length }).end(text);
-        return;
-      }
-      const lastEventId = Number(request.headers['last-event-id'] ?? 0);
-      await Replica.#stream(requestId, lastEventId, response);
+      const text = createBody(requestId);
+      response.writeHead(200, { 'content-length': text.length }).end(text);
     } finally {
       this.#open -= 1;
     }
   }
-
-  static async #stream(
-    requestId: string,
-    lastEventId: number,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    response.writeHead(200, { 'content-type': 'text/event-stream' });
-    for (let eventId = lastEventId + 1; eventId <= EVENTS; eventId += 1) {
-      if (response.destroyed) return;
-      response.write(createEvent(requestId, eventId));
-      await sleep(EVENT_PAUSE_MILLISECONDS);
-    }
-    response.end();
-  }
 }
--- a/review/common/run-case.ts
+++ b/review/common/run-case.ts
@@ -1,4 +1,7 @@
-/** Runs one case: exit code 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+/**
+ * Runs one case. The exit code is 10 if the rule was broken and 0 if it held; any other means that the case
+ * couldn't run, also 1, with which Node.js ends on an error that nobody handles. `run.sh` turns it into 1, 0 or 2.
+ */
 import path from 'node:path';
 import { Deployment, ROOT, type DeploymentOptions } from './deployment.js';
 import { CaseRecord } from './record.js';
@@ -26,7 +29,7 @@
   readonly run: (context: CaseContext) => Promise<Verdict>;
 }
 
-const BROKEN_EXIT_CODE = 1;
+const BROKEN_EXIT_CODE = 10;
 const FAILED_EXIT_CODE = 2;
 
 /** Runs a case, writes its record and sets the exit code of the process. */
@@ -36,6 +39,13 @@
   const releases: (() => Promise<void> | void)[] = [];
   const hasTrouble = process.env.TROUBLE !== '0';
   record.add(hasTrouble ? 'with the disruption' : 'without the disruption');
+  // The processes that the case started end with it.
+  (['SIGTERM', 'SIGINT'] as const).forEach((signal) =>
+    process.once(signal, () => {
+      throw new Error(`Ended by ${signal}.`);
+    }),
+  );
+  process.once('exit', () => deployment.kill());
   try {
     await deployment.startStore();
     const atEnd = (release: () => Promise<void> | void): void => {
