--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Exit code 1: the rule was broken; 0: it held; 2: the case couldn't run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-node target/review/review/5/case.js &
+node dist/review/review/5/case.js &
 pid=$!
 trap 'kill "$pid"' TERM INT
 wait "$pid"
--- a/review/common/deployment.ts
+++ b/review/common/deployment.ts
@@ -14,7 +14,7 @@
 import { findFreePorts } from '../../tools/ports.js';
 import { PlatformStore } from '../../tools/stand-ins/platform-store.js';
 
-/** The repository, seen from `target/review/review/common`. */
+/** The repository, seen from `dist/review/review/common`. */
 export const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
 export const HEARTBEAT_MILLISECONDS = 1200;
 export const DRAIN_MILLISECONDS = 2000;
