--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -12,8 +12,9 @@
 
 const ZONES = ['lj-a', 'lj-b', 'kr-c'];
 const FIRST_REPLICAS = 3;
-const ADDED_REPLICAS = 2;
-/** Added replicas are cold for a while, and their entries tell how much longer. */
+/** `scale_out`: a share of 0.3 more servers, or a count of 1 as on the days of the site. */
+const ADDED_REPLICAS = 1;
+/** An added replica is cold for a while, and its entry tells how much longer. */
 const COLD_MILLISECONDS = [3000, 2000, 1000, 0];
 const COLD_STEP_MILLISECONDS = 1000;
 const AWAY_MILLISECONDS = 1000;
@@ -84,7 +85,7 @@
     }
     await sleep(COLD_STEP_MILLISECONDS);
   }
-  record.add(`${ADDED_REPLICAS} replicas have been added, revision ${store.revision}`);
+  record.add(`${ADDED_REPLICAS} replica has been added, revision ${store.revision}`);
   if (hasTrouble) {
     store.goAway();
     record.add('the store goes away');
