--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -8,38 +8,24 @@
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { admitRequest } from './admission.js';
+import { AttemptBeside } from './attempt-beside.js';
 import { CallerStream } from './caller-stream.js';
 import { ChainSelector, type EngineChain } from './chain-selector.js';
 import type { EntryContext } from './entry-context.js';
-import { isIdempotent, type EntryRequest } from './entry-request.js';
+import type { EntryRequest } from './entry-request.js';
 import type { PeerAnswer } from './peer-relay.js';
 import type { EngineProfile } from './serving-configuration.js';
-import { decideOnSuspicion, type SuspicionDecision } from './exchange-suspicion.js';
 import { StreamAttempt, type StreamAttemptResult } from './stream-attempt.js';
 import { StreamEnding } from './stream-ending.js';
 import { StreamExchange, type AttemptResult } from './stream-exchange.js';
-import {
-  discard,
-  startEngineReplacement,
-  startPeerReplacement,
-  type Begun,
-  type BegunStream,
-  type FailedReplacement,
-  type StreamReplacement,
-} from './stream-replacement.js';
+import { StreamLimits } from './stream-limits.js';
+import { discard, type Begun, type BegunStream } from './stream-replacement.js';
 import { StreamRuns } from './stream-runs.js';
 
 const MAXIMUM_CHAIN_WAIT_MILLISECONDS = 1700;
 const CHAIN_POLL_INTERVAL_MILLISECONDS = 60;
-/** Limit on attempts that engines refuse; these do not count towards the route's maximum. */
-const MAXIMUM_REFUSED_ATTEMPTS = 4;
-/** Limit on attempts that may have run, whatever the route allows. */
-const MAXIMUM_ATTEMPTS = 4;
 /** Callers come back to any instance, and others may reach the servers. */
 const RETRY_AFTER_CUT_SECONDS = 0.2;
-/** A request under which so many engines ended as they began it is not sent to another one. */
-const MAXIMUM_ENDS_AT_BEGIN = 2;
-const MAXIMUM_LATE_RETRIES = 1;
 
 /** Relays one streaming request, from its first attempt to its outcome. */
 class StreamRelay {
@@ -49,9 +35,6 @@
 
   readonly #chainSelector: ChainSelector;
 
-  /** How often another chain was looked for because the first event was late. */
-  #lateRetries = 0;
-
   readonly #caller: CallerStream;
 
   readonly #runs: StreamRuns;
@@ -60,19 +43,9 @@
 
   readonly #exchange: StreamExchange;
 
-  #refusedAttempts = 0;
-
-  /** Attempts beside a silent one that engines refused; they take nothing from the limit on the others. */
-  #refusedReplacements = 0;
-
-  /** Attempts beside a silent one that were cancelled since it went on. */
-  #cancelledRuns = 0;
+  readonly #limits: StreamLimits;
 
-  /** Engines that ended as they began the request. */
-  #endsAtBegin = 0;
-
-  /** Whether the request is blocked, and runs to find out whether it should be. */
-  #isTrial = false;
+  readonly #beside: AttemptBeside;
 
   constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
     this.#context = context;
@@ -91,6 +64,18 @@
     this.#caller = new CallerStream(request);
     this.#ending = new StreamEnding({ context, request, caller: this.#caller, runs: this.#runs });
     this.#exchange = new StreamExchange({ context, request, caller: this.#caller });
+    this.#limits = new StreamLimits({ request, runs: this.#runs, crashBlame: context.crashBlame });
+    this.#beside = new AttemptBeside({
+      context,
+      request,
+      chainSelector: this.#chainSelector,
+      exchange: this.#exchange,
+      runs: this.#runs,
+      limits: this.#limits,
+      chooseChain: () => this.#chooseChain(),
+      passOn: (processKeys, signal) => this.#passOn(processKeys, signal),
+      checkForEnd: (engine) => this.#checkForEnd(engine),
+    });
   }
 
   async serve(): Promise<string> {
@@ -105,8 +90,8 @@
       const chain = begun?.chain ?? (await this.#findChain());
       if (signal.aborted) return this.#endAborted(begun);
       if (!chain) return serverReach.isCut ? this.#serveWhileCut() : this.#endWithoutChain();
-      if (admission === 'try' && !this.#isTrial) crashBlame.startTrial(content);
-      this.#isTrial = admission === 'try';
+      if (admission === 'try' && !this.#limits.isTrial) crashBlame.startTrial(content);
+      this.#limits.isTrial = admission === 'try';
       const result = await this.#attempt(chain, begun);
       if (signal.aborted)
         return this.#endAborted(result.kind === 'replaced' ? result.by : undefined);
@@ -122,11 +107,6 @@
     }
   }
 
-  /** Attempts that may have run and were not cancelled for the sake of another one. */
-  get #countedAttempts(): number {
-    return this.#runs.total - this.#cancelledRuns;
-  }
-
   #endAborted(begun: Begun | undefined): string {
     if (begun) discard(begun);
     return this.#ending.sendTimeout();
@@ -171,21 +151,14 @@
     result: Extract<AttemptResult, { kind: 'notRun' | 'broken' }>,
     firstEngine: ServerEntry | undefined,
   ): Promise<string | undefined> {
-    const { crashBlame, retryBudget, logs, metrics } = this.#context;
-    const { content, route, service, metadata } = this.#request;
+    const { retryBudget, logs, metrics } = this.#context;
+    const { service, metadata } = this.#request;
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
-    if (result.kind === 'notRun') this.#refusedAttempts += 1;
+    if (result.kind === 'notRun') this.#limits.recordRefusal();
     else if (firstEngine) this.#runs.record(getProcessKey(firstEngine), true);
     // Whether the first engine still lives decides how many further engines may run the request.
     if (result.kind === 'broken' && firstEngine) await this.#checkForEnd(firstEngine);
-    const canRepeat = isIdempotent(route) || this.#runs.total === 0;
-    const isContentAllowed =
-      !crashBlame.isBlocked(content) || (this.#isTrial && this.#runs.total === 0);
-    const isWithinLimits =
-      this.#countedAttempts < MAXIMUM_ATTEMPTS && this.#refusedAttempts <= MAXIMUM_REFUSED_ATTEMPTS;
-    const isHarmless = isContentAllowed && this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN;
-    const isRetried =
-      canRepeat && isHarmless && isWithinLimits && retryBudget.tryAcquire(service.name);
+    const isRetried = this.#limits.allowsRetry && retryBudget.tryAcquire(service.name);
     logs('routing').info(isRetried ? 'Retrying request.' : 'Request failed; not retrying.', {
       requestId: metadata.requestId,
       after: result.kind,
@@ -194,11 +167,7 @@
       first: firstEngine?.id,
       lastEventId: this.#caller.lastEventId,
       sharedPromptParts: metadata.sharedPromptParts,
-      attempts: this.#runs.total,
-      runs: this.#runs.countedServers,
-      endedServers: this.#runs.endedProcessKeys,
-      endsAtBegin: this.#endsAtBegin,
-      refusedTries: this.#refusedAttempts,
+      ...this.#limits.counts,
     });
     metrics.countEvent(isRetried ? 'retry' : 'given_up');
     if (isRetried) return undefined;
@@ -209,97 +178,7 @@
     const { stallDetector, fleet } = this.#context;
     await stallDetector.checkEngine(firstEngine.id);
     const hasEnded = fleet.hasEnded(getProcessKey(firstEngine));
-    if (hasEnded && !this.#exchange.wasWritten) this.#endsAtBegin += 1;
-  }
-
-  /** Decides on the suspicion that some engines of a running attempt have stalled. */
-  #decideOnSuspicion(
-    firstEngine: ServerEntry,
-    suspectedEngineIds: readonly string[],
-  ): SuspicionDecision {
-    const { fleet, retryBudget, serverReach } = this.#context;
-    const processKey = getProcessKey(firstEngine);
-    // One engine must not run the request twice at a time.
-    const engineIdsToAvoid = [...suspectedEngineIds, firstEngine.id];
-    return decideOnSuspicion({
-      hasServerEnded: fleet.hasEnded(processKey),
-      mayRunAgain: this.#mayRunAgainAfter(processKey),
-      hasAlternative: () =>
-        serverReach.isCut
-          ? this.#canPassOn()
-          : this.#chainSelector.avoidIfPossible(engineIdsToAvoid),
-      acquireRetry: () => retryBudget.tryAcquire(this.#request.service.name),
-    });
-  }
-
-  /**
-   * Starts another attempt beside the one that runs.
-   *
-   * @param processKey - The process of the first engine of that one.
-   */
-  #startReplacement(processKey: string): StreamReplacement | undefined {
-    if (this.#context.serverReach.isCut)
-      return startPeerReplacement(
-        (signal) => this.#passOn([...this.#runs.processKeys, processKey], signal),
-        (peer) => this.#runs.record(peer, false),
-      );
-    const chain = this.#chooseChain();
-    const firstEngine = chain?.stages[0]?.engine.server;
-    if (!chain || !firstEngine) return undefined;
-    this.#context
-      .logs('routing')
-      .info('Chain chosen beside a silent one.', this.#chainSelector.describeForLog(chain));
-    return startEngineReplacement({
-      exchange: this.#exchange,
-      chain,
-      firstEngine,
-      release: this.#chainSelector.reserve(chain),
-      isAnswering: () => this.#isAnswering(firstEngine.entry),
-      signal: this.#request.signal,
-      onCancelled: () => {
-        this.#cancelledRuns += 1;
-        this.#runs.record(getProcessKey(firstEngine.entry), false);
-      },
-      onFailed: (result) => this.#recordFailedReplacement(result, firstEngine.entry),
-    });
-  }
-
-  async #isAnswering({ id }: ServerEntry): Promise<boolean> {
-    const { stallDetector, outlierEjection } = this.#context;
-    await stallDetector.checkEngine(id);
-    return !outlierEjection.isEjected(id);
-  }
-
-  #recordFailedReplacement(result: FailedReplacement, firstEngine: ServerEntry): void {
-    const { logs } = this.#context;
-    if (result.kind === 'notRun') this.#refusedReplacements += 1;
-    else {
-      this.#runs.record(getProcessKey(firstEngine), false);
-      void this.#checkForEnd(firstEngine);
-    }
-    result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
-    logs('routing').info('The attempt beside a silent one failed.', {
-      requestId: this.#request.metadata.requestId,
-      first: firstEngine.id,
-      after: result.kind,
-      message: result.message,
-      runs: this.#runs.countedServers,
-      refusedTries: this.#refusedReplacements,
-    });
-  }
-
-  /** Whether the request may be run once more after an attempt that is under way. */
-  #mayRunAgainAfter(processKey: string): boolean {
-    const { crashBlame } = this.#context;
-    const { content, route } = this.#request;
-    return (
-      isIdempotent(route) &&
-      !crashBlame.isBlocked(content) &&
-      this.#countedAttempts + 1 < MAXIMUM_ATTEMPTS &&
-      this.#refusedReplacements <= MAXIMUM_REFUSED_ATTEMPTS &&
-      this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN &&
-      this.#runs.allowsAnotherAfter(processKey)
-    );
+    if (hasEnded && !this.#exchange.wasWritten) this.#limits.recordEndAtBegin();
   }
 
   /** @param processKeys - Processes of servers that may have run the request. */
@@ -314,17 +193,6 @@
     });
   }
 
-  /** Whether a peer can take the request from an instance that reaches no server. */
-  #canPassOn(): boolean {
-    return !this.#request.relayed && this.#context.peerRelay.hasPeer;
-  }
-
-  #tryCountLateRetry(): boolean {
-    if (this.#lateRetries >= MAXIMUM_LATE_RETRIES) return false;
-    this.#lateRetries += 1;
-    return true;
-  }
-
   /** Finds a chain. A stream that has already started waits a limited time for one. */
   async #findChain(): Promise<EngineChain | undefined> {
     const until = performance.now() + MAXIMUM_CHAIN_WAIT_MILLISECONDS;
@@ -373,10 +241,9 @@
       chain,
       firstEngine,
       begun,
-      decide: (suspectedEngineIds) =>
-        this.#decideOnSuspicion(firstEngine.entry, suspectedEngineIds),
-      startReplacement: () => this.#startReplacement(getProcessKey(firstEngine.entry)),
-      mayRetryLate: () => this.#tryCountLateRetry(),
+      decide: (suspectedEngineIds) => this.#beside.decide(firstEngine.entry, suspectedEngineIds),
+      startReplacement: () => this.#beside.start(firstEngine.entry),
+      tryTakeLateRetry: () => this.#limits.tryTakeLateRetry(),
     });
     const result = await attempt.run();
     const successor = await this.#takeSuccessor(attempt, result);
--- a/src/entry/stream-attempt.test.ts
+++ b/src/entry/stream-attempt.test.ts
@@ -67,7 +67,7 @@
           acquireRetry: () => true,
         }),
       startReplacement: () => this.#startReplacement(),
-      mayRetryLate: () => true,
+      tryTakeLateRetry: () => true,
     });
     void this.#attempt.run();
   }
--- a/src/entry/stream-attempt.ts
+++ b/src/entry/stream-attempt.ts
@@ -36,8 +36,8 @@
   readonly decide: (suspectedEngineIds: readonly string[]) => SuspicionDecision;
   /** Starts another attempt, which avoids the suspected engines; undefined if there is none after all. */
   readonly startReplacement: () => StreamReplacement | undefined;
-  /** Whether another chain may be tried because the first event is late; counts the call. */
-  readonly mayRetryLate: () => boolean;
+  /** Takes the retry for a late first event; false if it has been taken. */
+  readonly tryTakeLateRetry: () => boolean;
 }
 
 /**
@@ -152,8 +152,8 @@
 
   /** Tries another chain beside this one, since the first event is late. */
   retryElsewhere(): void {
-    const { chain, mayRetryLate } = this.#options;
-    if (this.#isRerouting || this.#replacement || !mayRetryLate()) return;
+    const { chain, tryTakeLateRetry } = this.#options;
+    if (this.#isRerouting || this.#replacement || !tryTakeLateRetry()) return;
     this.#actOnSuspicion(chain.stages.map(({ engine }) => engine.id));
   }
 
--- /dev/null
+++ b/src/entry/stream-limits.ts
@@ -0,0 +1,126 @@
+/**
+ * Keeps how often one streaming request was attempted, and decides whether it may be attempted again. What runs
+ * beside a silent attempt takes nothing from the limits on attempts that follow one that failed. Handles engines
+ * that refuse, break off or end, one after the other, under one request.
+ */
+import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
+import type { CrashBlame } from './crash-blame.js';
+import { isIdempotent, type EntryRequest } from './entry-request.js';
+import type { StreamRuns } from './stream-runs.js';
+
+/** Options of {@link StreamLimits}. */
+export interface StreamLimitsOptions {
+  readonly request: Pick<EntryRequest, 'content' | 'route'>;
+  readonly runs: StreamRuns;
+  readonly crashBlame: Pick<CrashBlame, 'isBlocked'>;
+}
+
+/** Limit on attempts that engines refuse; these do not count towards the route's maximum. */
+const MAXIMUM_REFUSED_ATTEMPTS = 4;
+/** Limit on attempts that may have run, whatever the route allows. */
+const MAXIMUM_ATTEMPTS = 4;
+/** A request under which so many engines ended as they began it is not sent to another one. */
+const MAXIMUM_ENDS_AT_BEGIN = 2;
+/** How often another chain may be tried because the first event is late. */
+const MAXIMUM_LATE_RETRIES = 1;
+
+export class StreamLimits {
+  readonly #options: StreamLimitsOptions;
+
+  #refusals = 0;
+
+  #refusalsBeside = 0;
+
+  #cancelledBeside = 0;
+
+  #endsAtBegin = 0;
+
+  #lateRetries = 0;
+
+  /** Whether the request is blocked, and runs to find out whether it should be. */
+  isTrial = false;
+
+  constructor(options: StreamLimitsOptions) {
+    this.#options = options;
+  }
+
+  /** Counts an attempt that an engine refused. */
+  recordRefusal(): void {
+    this.#refusals += 1;
+  }
+
+  /** Counts an attempt beside a silent one that an engine refused. */
+  recordRefusalBeside(): void {
+    this.#refusalsBeside += 1;
+  }
+
+  /**
+   * Counts an attempt beside a silent one that was cancelled after it had been sent.
+   *
+   * @param engine - Its first engine.
+   */
+  recordCancelledBeside(engine: ServerEntry): void {
+    this.#cancelledBeside += 1;
+    this.#options.runs.record(getProcessKey(engine), false);
+  }
+
+  /** Counts an engine that ended as it began the request. */
+  recordEndAtBegin(): void {
+    this.#endsAtBegin += 1;
+  }
+
+  /** Takes the one retry for a late first event; false if it has been taken. */
+  tryTakeLateRetry(): boolean {
+    if (this.#lateRetries >= MAXIMUM_LATE_RETRIES) return false;
+    this.#lateRetries += 1;
+    return true;
+  }
+
+  /** Whether the request may be attempted again after an attempt that failed. */
+  get allowsRetry(): boolean {
+    const { request, runs, crashBlame } = this.#options;
+    const hasNotRun = runs.total === 0;
+    const isContentAllowed = !crashBlame.isBlocked(request.content) || (this.isTrial && hasNotRun);
+    return (
+      (isIdempotent(request.route) || hasNotRun) &&
+      isContentAllowed &&
+      this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN &&
+      this.#attempts < MAXIMUM_ATTEMPTS &&
+      this.#refusals <= MAXIMUM_REFUSED_ATTEMPTS
+    );
+  }
+
+  /**
+   * Whether the request may be attempted beside an attempt that is open.
+   *
+   * @param processKey - The process of the first engine of the open one.
+   */
+  allowsBeside(processKey: string): boolean {
+    const { request, runs, crashBlame } = this.#options;
+    return (
+      isIdempotent(request.route) &&
+      !crashBlame.isBlocked(request.content) &&
+      this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN &&
+      this.#attempts + 1 < MAXIMUM_ATTEMPTS &&
+      this.#refusalsBeside <= MAXIMUM_REFUSED_ATTEMPTS &&
+      runs.allowsAnotherAfter(processKey)
+    );
+  }
+
+  /** The counts, for the log. */
+  get counts(): Readonly<Record<string, number | readonly string[]>> {
+    const { runs } = this.#options;
+    return {
+      attempts: runs.total,
+      runs: runs.countedServers,
+      endedServers: runs.endedProcessKeys,
+      endsAtBegin: this.#endsAtBegin,
+      refusedTries: this.#refusals,
+    };
+  }
+
+  /** Attempts that may have run, but for those that were cancelled for the sake of another one. */
+  get #attempts(): number {
+    return this.#options.runs.total - this.#cancelledBeside;
+  }
+}
