Let a begun stream whose run has ended wait for room until its own time is over

Cause: a begun stream without a chain was given up after a fixed 1,700 ms; one whose next engine refused it, or for which the retry budget was empty at that moment, was given up at once. Neither shows that the rest can't follow: work in hand ended on a belief. Why it works: what becomes of a request whose run has ended is one decision (ended-run): it ends with a proof (not repeatable, blocked content, servers that end as they begin it, limit of runs); otherwise a begun one waits for a chain with room and a unit of the budget, until its deadline or its caller ends it. Who waits looks in the order of the remaining time, before new requests do; after a refusal only engines that are expected to have room are asked, so that waiting costs no arrivals. At most 256 wait in an instance. The same for a stream that a peer served and that broke off, and for an instance that reaches no server and finds no peer. What has not begun is refused at once, as before. Ruled out: the change of the configuration beside it (sent a second after the runs' ends). Not shown: what ended the runs.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -13,6 +13,7 @@
 import { RefusalPacing } from '../entry/refusal-pacing.js';
 import { RELAY_HEADER } from '../entry/relayed-request.js';
 import { RetryBudget } from '../entry/retry-budget.js';
+import { WaitingStreams } from '../entry/waiting-streams.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { collectServerObservations } from '../fleet/server-observations.js';
@@ -307,6 +308,7 @@
       retryBudget: this.#createRetryBudget(),
       linkLoad: new DataCentreLinkLoad({ instanceCount: () => this.peers.aliveCount + 1 }),
       stallDetector,
+      waitingStreams: new WaitingStreams({ fleetRevision: () => fleet.revision }),
       metrics: new EntryMetrics(),
       logs,
     };
--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -24,6 +24,8 @@
 export interface ChoiceOptions {
   /** Whether the caller has received events of the stream. */
   readonly hasStarted: boolean;
+  /** Whether only engines are used that are expected to have room; false by default. */
+  readonly needsRoom?: boolean;
   /** The first stage, when the chain must keep it. */
   readonly pinnedStage?: ChainStage<EngineCandidate>;
 }
@@ -118,8 +120,9 @@
    *   keep it.
    * @returns The chain, or undefined when no engine that may be used holds some layer.
    */
-  choose({ hasStarted, pinnedStage }: ChoiceOptions): EngineChain | undefined {
+  choose({ hasStarted, needsRoom = false, pinnedStage }: ChoiceOptions): EngineChain | undefined {
     const canUseBusyLinks = hasStarted;
+    if (needsRoom) return this.#chooseWithRoom();
     return (
       this.#chooseWithin({ canUseFull: false, canUseAvoided: false }, pinnedStage) ??
       this.#chooseWithin({ canUseFull: true, canUseAvoided: false }, pinnedStage) ??
@@ -127,6 +130,14 @@
     );
   }
 
+  #chooseWithRoom(): EngineChain | undefined {
+    const canUseFull = false;
+    const chain =
+      this.#chooseWithin({ canUseFull, canUseAvoided: false }) ??
+      this.#chooseWithin({ canUseFull, canUseAvoided: true, canUseBusyLinks: true });
+    return chain?.isOverCapacity ? undefined : chain;
+  }
+
   #chooseWithin(
     { canUseFull, canUseAvoided, canUseBusyLinks = false }: SelectionLimits,
     pinnedStage?: ChainStage<EngineCandidate>,
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -15,6 +15,7 @@
 import type { RefusalPacing } from './refusal-pacing.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { StallDetector } from './stall-detector.js';
+import type { WaitingStreams } from './waiting-streams.js';
 
 /** The parts of an instance that all requests share. */
 export interface EntryContext {
@@ -33,6 +34,7 @@
   readonly retryBudget: RetryBudget;
   readonly linkLoad: DataCentreLinkLoad;
   readonly stallDetector: StallDetector;
+  readonly waitingStreams: WaitingStreams;
   readonly metrics: EntryMetrics;
   readonly logs: LoggerFactory;
 }
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -11,6 +11,7 @@
 import { AttemptBeside } from './attempt-beside.js';
 import { CallerStream } from './caller-stream.js';
 import { ChainSelector, type EngineChain } from './chain-selector.js';
+import { decideOnEndedRun, type EndedRunDecision } from './ended-run.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
 import type { PeerAnswer } from './peer-relay.js';
@@ -22,10 +23,27 @@
 import { discard, type Begun, type BegunStream } from './stream-replacement.js';
 import { StreamRuns } from './stream-runs.js';
 
-const MAXIMUM_CHAIN_WAIT_MILLISECONDS = 1700;
-const CHAIN_POLL_INTERVAL_MILLISECONDS = 60;
 /** Callers come back to any instance, and others may reach the servers. */
 const RETRY_AFTER_CUT_SECONDS = 0.2;
+const PEER_RETRY_INTERVAL_MILLISECONDS = 300;
+
+/** How a request goes on: over a chain, or over peers while this instance reaches no server. */
+type Way =
+  | { readonly kind: 'chain'; readonly chain: EngineChain }
+  | { readonly kind: 'peers' }
+  | { readonly kind: 'none' };
+
+/** What is logged and counted for each decision on a request whose run has ended. */
+const ENDED_RUN_MESSAGES: Readonly<Record<EndedRunDecision['kind'], string>> = {
+  end: 'Request failed; not retrying.',
+  retry: 'Retrying request.',
+  wait: 'Request waits for room.',
+};
+const ENDED_RUN_EVENTS: Readonly<Record<EndedRunDecision['kind'], string>> = {
+  end: 'given_up',
+  retry: 'retry',
+  wait: 'waits_for_room',
+};
 
 /** Relays one streaming request, from its first attempt to its outcome. */
 class StreamRelay {
@@ -47,6 +65,9 @@
 
   readonly #beside: AttemptBeside;
 
+  /** An attempt that took over from the one before and has begun to answer. */
+  #begun: BegunStream | undefined;
+
   constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
     this.#context = context;
     this.#request = request;
@@ -79,99 +100,151 @@
   }
 
   async serve(): Promise<string> {
-    const { crashBlame, retryBudget, serverReach } = this.#context;
-    const { content, service, signal, relayed } = this.#request;
+    const { crashBlame, retryBudget } = this.#context;
+    const { content, service, relayed } = this.#request;
     const admission = admitRequest(this.#context, this.#request);
     if (admission === 'refuse') return this.#ending.refuseBlocked();
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
-    let begun: BegunStream | undefined;
     for (;;) {
-      if (!begun && serverReach.isCut) return this.#serveWhileCut();
-      const chain = begun?.chain ?? (await this.#findChain());
-      if (signal.aborted) return this.#endAborted(begun);
-      if (!chain) return serverReach.isCut ? this.#serveWhileCut() : this.#endWithoutChain();
-      if (admission === 'try' && !this.#limits.isTrial) crashBlame.startTrial(content);
-      this.#limits.isTrial = admission === 'try';
-      const result = await this.#attempt(chain, begun);
-      if (signal.aborted)
-        return this.#endAborted(result.kind === 'replaced' ? result.by : undefined);
-      if (result.kind === 'completed' || result.kind === 'answered')
-        return this.#ending.complete(result.kind);
-      const successor = result.kind === 'replaced' ? result.by : undefined;
-      if (successor?.kind === 'peer') return this.#relayFromPeer(successor.answer);
-      begun = successor;
-      const firstEngine = chain.stages[0]?.engine.server.entry;
+      const begun = this.#takeBegun();
+      const way: Way = begun ? { kind: 'chain', chain: begun.chain } : await this.#findWay();
+      if (way.kind === 'chain') {
+        if (admission === 'try' && !this.#limits.isTrial) crashBlame.startTrial(content);
+        this.#limits.isTrial = admission === 'try';
+      }
       const outcome =
-        result.kind === 'replaced' ? undefined : await this.#handleFault(result, firstEngine);
+        way.kind === 'chain'
+          ? await this.#serveOver(way.chain, begun)
+          : await this.#serveWithoutChain(way.kind);
       if (outcome !== undefined) return outcome;
     }
   }
 
+  #takeBegun(): BegunStream | undefined {
+    const begun = this.#begun;
+    this.#begun = undefined;
+    return begun;
+  }
+
+  /** Attempts the request over a chain; returns its outcome, or undefined if it is to go on. */
+  async #serveOver(
+    chain: EngineChain,
+    begun: BegunStream | undefined,
+  ): Promise<string | undefined> {
+    const { signal } = this.#request;
+    if (signal.aborted) return this.#endAborted(begun);
+    const result = await this.#attempt(chain, begun);
+    if (signal.aborted) return this.#endAborted(result.kind === 'replaced' ? result.by : undefined);
+    if (result.kind === 'completed' || result.kind === 'answered')
+      return this.#ending.complete(result.kind);
+    if (result.kind !== 'replaced')
+      return this.#handleFault(result, chain.stages[0]?.engine.server.entry);
+    if (result.by.kind === 'peer') return this.#relayFromPeer(result.by.answer);
+    this.#begun = result.by;
+    return undefined;
+  }
+
+  async #serveWithoutChain(way: 'peers' | 'none'): Promise<string | undefined> {
+    if (this.#request.signal.aborted) return this.#ending.sendTimeout();
+    return way === 'peers' ? this.#serveWhileCut() : this.#endWithoutChain();
+  }
+
   #endAborted(begun: Begun | undefined): string {
     if (begun) discard(begun);
     return this.#ending.sendTimeout();
   }
 
   /** Lets a peer serve the request, unless this instance is itself the peer of another one. */
-  async #serveWhileCut(): Promise<string> {
+  async #serveWhileCut(): Promise<string | undefined> {
     const answer: PeerAnswer = this.#request.relayed
       ? { kind: 'none' }
       : await this.#passOn(this.#runs.processKeys);
     if (this.#request.signal.aborted) return this.#ending.sendTimeout();
-    if (answer.kind === 'none')
+    if (answer.kind === 'served') return this.#relayFromPeer(answer);
+    if (answer.kind === 'none') return this.#handleNoPeer();
+    if (!this.#caller.hasStarted)
+      return answer.kind === 'ended'
+        ? this.#ending.sendPeerResponse(answer.response)
+        : this.#ending.sendPeerLost();
+    const message = answer.kind === 'ended' ? answer.response.message : answer.message;
+    return this.#handlePeerFault(answer.peer, message);
+  }
+
+  /** Waits before peers are asked once more, if the caller has a part of the answer. */
+  async #handleNoPeer(): Promise<string | undefined> {
+    const { proof } = this.#limits;
+    if (!this.#caller.hasStarted || proof)
       return this.#ending.sendFailure('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
-    if (answer.kind === 'ended') return this.#ending.sendPeerResponse(answer.response);
-    if (answer.kind === 'lost') return this.#ending.sendPeerLost();
-    return this.#relayFromPeer(answer);
+    await sleep(PEER_RETRY_INTERVAL_MILLISECONDS, this.#request.signal);
+    return undefined;
   }
 
   async #relayFromPeer({
+    peer,
     message,
     status,
-  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string> {
-    const { signal, metadata } = this.#request;
+  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string | undefined> {
+    const { signal } = this.#request;
     try {
       const result = await this.#exchange.relayFromPeer(message, status);
       return this.#ending.complete(result.kind === 'answered' ? 'answered' : 'completed');
     } catch (error) {
       if (signal.aborted) return this.#ending.sendTimeout();
-      this.#context.logs('routing').info('The answer of the peer broke off.', {
-        requestId: metadata.requestId,
-        lastEventId: this.#caller.lastEventId,
-        message: getErrorMessage(error),
-      });
-      return this.#ending.sendPeerLost();
+      return this.#handlePeerFault(peer, getErrorMessage(error));
     }
   }
 
-  /**
-   * Decides on a retry after a failed attempt; returns the request's outcome when there is none.
-   */
+  /** Decides on a request that a peer, or the server that the peer used, may have run in part. */
+  #handlePeerFault(peer: string, message: string): string | undefined {
+    this.#runs.record(peer, true);
+    const isGoingOn = this.#decideOnEndedRun({ after: 'peerLost', message, peer });
+    return isGoingOn ? undefined : this.#ending.sendPeerLost();
+  }
+
+  /** Records a failed attempt; returns the request's outcome if it is not to go on. */
   async #handleFault(
     result: Extract<AttemptResult, { kind: 'notRun' | 'broken' }>,
     firstEngine: ServerEntry | undefined,
   ): Promise<string | undefined> {
-    const { retryBudget, logs, metrics } = this.#context;
-    const { service, metadata } = this.#request;
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
     if (result.kind === 'notRun') this.#limits.recordRefusal();
     else if (firstEngine) this.#runs.record(getProcessKey(firstEngine), true);
     // Whether the first engine still lives decides how many further engines may run the request.
     if (result.kind === 'broken' && firstEngine) await this.#checkForEnd(firstEngine);
-    const isRetried = this.#limits.allowsRetry && retryBudget.tryAcquire(service.name);
-    logs('routing').info(isRetried ? 'Retrying request.' : 'Request failed; not retrying.', {
-      requestId: metadata.requestId,
+    const isGoingOn = this.#decideOnEndedRun({
       after: result.kind,
       message: result.message,
       engineIdsToAvoid: result.engineIdsToAvoid,
       first: firstEngine?.id,
+    });
+    return isGoingOn ? undefined : this.#ending.sendFailure('servers_refused');
+  }
+
+  /**
+   * Decides what becomes of the request after an attempt that failed.
+   *
+   * @param attempt - The attempt, for the log.
+   * @returns Whether the request goes on.
+   */
+  #decideOnEndedRun(attempt: Readonly<Record<string, unknown>>): boolean {
+    const { retryBudget, logs, metrics } = this.#context;
+    const { service, metadata } = this.#request;
+    const decision = decideOnEndedRun({
+      hasStarted: this.#caller.hasStarted,
+      proof: this.#limits.proof,
+      isRefusedTooOften: this.#limits.isRefusedTooOften,
+      acquireRetry: () => retryBudget.tryAcquire(service.name),
+    });
+    logs('routing').info(ENDED_RUN_MESSAGES[decision.kind], {
+      requestId: metadata.requestId,
+      ...attempt,
+      reason: decision.kind === 'end' ? decision.reason : undefined,
       lastEventId: this.#caller.lastEventId,
       sharedPromptParts: metadata.sharedPromptParts,
       ...this.#limits.counts,
     });
-    metrics.countEvent(isRetried ? 'retry' : 'given_up');
-    if (isRetried) return undefined;
-    return this.#ending.sendFailure('servers_refused');
+    metrics.countEvent(ENDED_RUN_EVENTS[decision.kind]);
+    return decision.kind !== 'end';
   }
 
   async #checkForEnd(firstEngine: ServerEntry): Promise<void> {
@@ -193,27 +266,55 @@
     });
   }
 
-  /** Finds a chain. A stream that has already started waits a limited time for one. */
-  async #findChain(): Promise<EngineChain | undefined> {
-    const until = performance.now() + MAXIMUM_CHAIN_WAIT_MILLISECONDS;
-    for (;;) {
-      const chain = this.#chooseChain();
-      if (chain) return chain;
-      if (!this.#caller.hasStarted || performance.now() > until) return undefined;
-      if (this.#context.serverReach.isCut) return undefined;
-      if (this.#request.signal.aborted) return undefined;
-      await sleep(CHAIN_POLL_INTERVAL_MILLISECONDS, this.#request.signal);
-    }
+  /** Finds a way to go on; a stream that has begun waits for one as long as its time lasts. */
+  async #findWay(): Promise<Way> {
+    const { waitingStreams, serverReach } = this.#context;
+    if (serverReach.isCut) return { kind: 'peers' };
+    if (this.#caller.hasStarted) return this.#waitForWay();
+    waitingStreams.offerRoom();
+    const chain = this.#chooseChain();
+    return chain ? { kind: 'chain', chain } : { kind: 'none' };
+  }
+
+  async #waitForWay(): Promise<Way> {
+    const { waitingStreams, logs, metrics } = this.#context;
+    const { deadline, signal, metadata } = this.#request;
+    const startedAt = performance.now();
+    const tryProceed = (): Way | undefined => this.#tryProceed();
+    const way = (await waitingStreams.wait({ deadline, signal, tryProceed })) ?? { kind: 'none' };
+    logs('routing').info('Waited for room.', {
+      requestId: metadata.requestId,
+      found: way.kind,
+      waitedMilliseconds: Math.round(performance.now() - startedAt),
+      stillWaiting: waitingStreams.count,
+      lastEventId: this.#caller.lastEventId,
+    });
+    metrics.countEvent(`waited_${way.kind}`);
+    return way;
+  }
+
+  /** Takes a chain with room and a retry of the budget; undefined as long as either is lacking. */
+  #tryProceed(): Way | undefined {
+    const { retryBudget, serverReach } = this.#context;
+    if (serverReach.isCut) return { kind: 'peers' };
+    const needsRoom = this.#limits.wasRefused;
+    const chain = this.#chainSelector.choose({ hasStarted: true, needsRoom });
+    if (!chain || !retryBudget.tryAcquire(this.#request.service.name)) return undefined;
+    this.#recordSend(chain);
+    return { kind: 'chain', chain };
   }
 
   #chooseChain(): EngineChain | undefined {
     const chain = this.#chainSelector.choose({ hasStarted: this.#caller.hasStarted });
-    // Counted in the same step as it is chosen, so that no other request takes the same room.
-    const [first] = chain?.stages ?? [];
-    if (first) this.#context.serverLimits.recordSend(first.engine.id);
+    if (chain) this.#recordSend(chain);
     return chain;
   }
 
+  /** Called in the same step as a chain is chosen, so that no other request takes the same room. */
+  #recordSend({ stages: [first] }: EngineChain): void {
+    if (first) this.#context.serverLimits.recordSend(first.engine.id);
+  }
+
   #endWithoutChain(): string {
     const { fleet, serverLimits } = this.#context;
     const servers = fleet
--- a/src/entry/stream-limits.test.ts
+++ b/src/entry/stream-limits.test.ts
@@ -5,11 +5,11 @@
 import { StreamLimits } from './stream-limits.js';
 import { StreamRuns } from './stream-runs.js';
 
-function createLimits({ maximumServers = 4, isBlocked = false } = {}) {
+function createLimits({ maximumServers = 4, isBlocked = false, isResumable = true } = {}) {
   const runs = new StreamRuns({ maximumServers, hasEnded: () => false });
   const request = {
     content: { hash: 'content', sharedParts: [] },
-    route: { kind: 'streaming', isResumable: true, maximumAttempts: maximumServers },
+    route: { kind: 'streaming', isResumable, maximumAttempts: maximumServers },
   } as unknown as EntryRequest;
   const crashBlame = { isBlocked: () => isBlocked };
   return { runs, limits: new StreamLimits({ request, runs, crashBlame }) };
@@ -23,7 +23,7 @@
     limits.recordCancelledBeside({ id: 'b' } as ServerEntry);
   }
   runs.record('a', true);
-  assert.equal(limits.allowsRetry, true);
+  assert.deepEqual([limits.proof, limits.isRefusedTooOften], [undefined, false]);
 });
 
 test('stream limits: an attempt beside an open one counts against the servers of the route', () => {
@@ -35,21 +35,39 @@
 
 test('stream limits: blocked content runs only as a trial, and never beside an open attempt', () => {
   const { limits } = createLimits({ isBlocked: true });
-  assert.equal(limits.allowsRetry, false);
+  assert.equal(limits.proof, 'blockedContent');
   limits.isTrial = true;
-  assert.equal(limits.allowsRetry, true);
+  assert.equal(limits.proof, undefined);
   assert.equal(limits.allowsBeside('a'), false);
 });
 
 test('stream limits: two engines that end as they begin the request are the last ones', () => {
   const { limits } = createLimits();
   limits.recordEndAtBegin();
-  assert.equal(limits.allowsRetry && limits.allowsBeside('a'), true);
+  assert.deepEqual([limits.proof, limits.allowsBeside('a')], [undefined, true]);
   limits.recordEndAtBegin();
-  assert.equal(limits.allowsRetry || limits.allowsBeside('a'), false);
+  assert.deepEqual([limits.proof, limits.allowsBeside('a')], ['endsServers', false]);
 });
 
 test('stream limits: one retry is taken for a late first event', () => {
   const { limits } = createLimits();
   assert.deepEqual([limits.tryTakeLateRetry(), limits.tryTakeLateRetry()], [true, false]);
 });
+
+test('stream limits: a stream that may not run twice, or that has run as often as it may, is not sent again', () => {
+  const { runs, limits } = createLimits({ maximumServers: 1 });
+  assert.equal(limits.proof, undefined);
+  runs.record('a', true);
+  assert.equal(limits.proof, 'runLimit');
+  const once = createLimits({ isResumable: false });
+  once.runs.record('a', true);
+  assert.equal(once.limits.proof, 'notRepeatable');
+});
+
+test('stream limits: the fifth refusal is one too many', () => {
+  const { limits } = createLimits();
+  for (let count = 0; count < 4; count += 1) limits.recordRefusal();
+  assert.equal(limits.isRefusedTooOften, false);
+  limits.recordRefusal();
+  assert.equal(limits.isRefusedTooOften, true);
+});
--- a/src/entry/stream-limits.ts
+++ b/src/entry/stream-limits.ts
@@ -5,6 +5,7 @@
  */
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import type { CrashBlame } from './crash-blame.js';
+import type { EndedRunProof } from './ended-run.js';
 import { isIdempotent, type EntryRequest } from './entry-request.js';
 import type { StreamRuns } from './stream-runs.js';
 
@@ -76,18 +77,25 @@
     return true;
   }
 
-  /** Whether the request may be attempted again after an attempt that failed. */
-  get allowsRetry(): boolean {
+  /** Why the request can't be attempted again, if it can't for good. */
+  get proof(): EndedRunProof | undefined {
     const { request, runs, crashBlame } = this.#options;
     const hasNotRun = runs.total === 0;
-    const isContentAllowed = !crashBlame.isBlocked(request.content) || (this.isTrial && hasNotRun);
-    return (
-      (isIdempotent(request.route) || hasNotRun) &&
-      isContentAllowed &&
-      this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN &&
-      this.#attempts < MAXIMUM_ATTEMPTS &&
-      this.#refusals <= MAXIMUM_REFUSED_ATTEMPTS
-    );
+    if (!isIdempotent(request.route) && !hasNotRun) return 'notRepeatable';
+    if (crashBlame.isBlocked(request.content) && !(this.isTrial && hasNotRun))
+      return 'blockedContent';
+    if (this.#endsAtBegin >= MAXIMUM_ENDS_AT_BEGIN) return 'endsServers';
+    return this.#attempts >= MAXIMUM_ATTEMPTS || runs.isExhausted ? 'runLimit' : undefined;
+  }
+
+  /** Whether engines have refused the request so often that it is sent to no further one at once. */
+  get isRefusedTooOften(): boolean {
+    return this.#refusals > MAXIMUM_REFUSED_ATTEMPTS;
+  }
+
+  /** Whether an engine has refused the request. */
+  get wasRefused(): boolean {
+    return this.#refusals > 0;
   }
 
   /**
--- a/src/entry/stream-runs.ts
+++ b/src/entry/stream-runs.ts
@@ -64,10 +64,15 @@
    * @param processKey - The server's process.
    */
   allows(processKey: string): boolean {
-    const limit = Math.max(1, this.#options.maximumServers);
-    if (this.#countedRuns.filter(({ hadEvents }) => hadEvents).length >= limit) return false;
+    if (this.isExhausted) return false;
     if (this.#runs.some((run) => run.processKey === processKey)) return true;
-    return this.countedServers < limit;
+    return this.countedServers < Math.max(1, this.#options.maximumServers);
+  }
+
+  /** Whether as many servers as the limit allows have run the request for certain. */
+  get isExhausted(): boolean {
+    const limit = Math.max(1, this.#options.maximumServers);
+    return this.#countedRuns.filter(({ hadEvents }) => hadEvents).length >= limit;
   }
 
   /**
--- /dev/null
+++ b/src/entry/waiting-streams.ts
@@ -0,0 +1,146 @@
+/**
+ * Streams that have begun, whose run has ended, and that wait for room at engines or for a retry of the budget.
+ * The one with the least time left is served first, and all of them before requests that arrive. Handles the loss
+ * of engines that leaves no room for a while: whoever looks at the right moment took the room, mostly a new request.
+ */
+
+import { getErrorMessage } from '../common/http-client.js';
+
+/** A stream that waits, and what it waits for. */
+export interface WaitingStream<T> {
+  /** When its time is over, on the monotonic clock. */
+  readonly deadline: number;
+  /** Ends the wait. */
+  readonly signal: AbortSignal;
+  /** Takes what the stream waits for, if that is there now; undefined otherwise. */
+  readonly tryProceed: () => T | undefined;
+}
+
+/** Options of {@link WaitingStreams}. */
+export interface WaitingStreamsOptions {
+  /** A number that changes with the fleet, so that all who wait look again. */
+  readonly fleetRevision: () => number;
+  /** Current time on the monotonic clock, in milliseconds. */
+  readonly now?: () => number;
+}
+
+interface Waiting {
+  readonly deadline: number;
+  /** Whether the stream waits no longer. */
+  readonly attempt: () => boolean;
+  nextTryAt: number;
+  tries: number;
+}
+
+/** Each holds its request's body and its caller's connection. */
+const MAXIMUM_WAITING_STREAMS = 256;
+const PASS_INTERVAL_MILLISECONDS = 60;
+const MAXIMUM_TRY_INTERVAL_MILLISECONDS = 240;
+/** Looking for a chain takes processor time that requests in progress need. */
+const MAXIMUM_TRIES_PER_PASS = 4;
+
+function compareDeadlines(one: Waiting, other: Waiting): number {
+  return one.deadline - other.deadline;
+}
+
+export class WaitingStreams {
+  readonly #options: WaitingStreamsOptions;
+
+  readonly #now: () => number;
+
+  readonly #waiting = new Set<Waiting>();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #fleetRevision = 0;
+
+  constructor(options: WaitingStreamsOptions) {
+    this.#options = options;
+    this.#now = options.now ?? (() => performance.now());
+  }
+
+  /** Number of streams that wait. */
+  get count(): number {
+    return this.#waiting.size;
+  }
+
+  /**
+   * Waits until a stream can proceed.
+   *
+   * @param stream - The stream.
+   * @returns What it has taken; undefined if its signal has aborted, or too many wait already.
+   * @throws Whatever `tryProceed` throws.
+   */
+  wait<T>({ deadline, signal, tryProceed }: WaitingStream<T>): Promise<T | undefined> {
+    if (signal.aborted || this.#waiting.size >= MAXIMUM_WAITING_STREAMS)
+      return Promise.resolve(undefined);
+    return new Promise((resolve, reject) => {
+      const leave = (): void => {
+        this.#remove(waiting);
+        signal.removeEventListener('abort', abort);
+      };
+      const abort = (): void => {
+        leave();
+        resolve(undefined);
+      };
+      const attempt = (): boolean => {
+        try {
+          const taken = tryProceed();
+          if (taken === undefined) return false;
+          leave();
+          resolve(taken);
+        } catch (error) {
+          leave();
+          reject(error instanceof Error ? error : new Error(getErrorMessage(error)));
+        }
+        return true;
+      };
+      const waiting: Waiting = { deadline, attempt, nextTryAt: this.#now(), tries: 0 };
+      signal.addEventListener('abort', abort, { once: true });
+      this.#add(waiting);
+    });
+  }
+
+  /** Lets streams that wait take what room there is; called before a new request looks for some. */
+  offerRoom(): void {
+    const inOrder = [...this.#waiting].sort(compareDeadlines).slice(0, MAXIMUM_TRIES_PER_PASS);
+    inOrder.every((waiting) => this.#try(waiting));
+  }
+
+  #add(waiting: Waiting): void {
+    this.#waiting.add(waiting);
+    this.#timer ??= setInterval(() => this.#pass(), PASS_INTERVAL_MILLISECONDS);
+    this.#pass();
+  }
+
+  #remove(waiting: Waiting): void {
+    this.#waiting.delete(waiting);
+    if (this.#waiting.size > 0) return;
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
+  /** Tries the streams whose turn it is, those with the least time left first. */
+  #pass(): void {
+    const revision = this.#options.fleetRevision();
+    const hasFleetChanged = revision !== this.#fleetRevision;
+    this.#fleetRevision = revision;
+    const now = this.#now();
+    if (hasFleetChanged)
+      this.#waiting.forEach((waiting) => Object.assign(waiting, { nextTryAt: now, tries: 0 }));
+    [...this.#waiting]
+      .filter(({ nextTryAt }) => nextTryAt <= now)
+      .sort(compareDeadlines)
+      .slice(0, MAXIMUM_TRIES_PER_PASS)
+      .forEach((waiting) => this.#try(waiting));
+  }
+
+  /** Returns whether the stream waits no longer. */
+  #try(waiting: Waiting): boolean {
+    if (waiting.attempt()) return true;
+    const interval = PASS_INTERVAL_MILLISECONDS * 2 ** waiting.tries;
+    waiting.tries += 1;
+    waiting.nextTryAt = this.#now() + Math.min(MAXIMUM_TRY_INTERVAL_MILLISECONDS, interval);
+    return false;
+  }
+}
