End every exchange with a server, whatever the server writes

What callers saw: a booking whose server answered with the head of a 101 ("Connection: Upgrade") was never answered, not even at its deadline, and its place at the server was never given back. A caller whose server's answer had a status below 100 or a header name with a space had its connection closed without an answer.

Cause: sendBackendRequest settled at the events `response` and `error` only. For an answer that announces another protocol Node.js emits neither if nobody listens for `upgrade`: it destroys the connection and emits `close`, whose handler also took the listener for the abort away, so that neither the deadline nor the caller's leaving ended the wait. And Node.js reads heads that it refuses to write: appendHeaders and writeHead threw while the answer was passed on.

Found by the tests for it, same function: an answer before the end of a long body left its connection and the listener for the abort behind for as long as the server didn't read on; and a whole answer was given up for bytes that followed it.

Change: a connection that closes before a response rejects, in the phase known then, so that a request that was sent may have run. A head that can't be passed on (isRelayable) fails there, before anything is relayed. Once an answer has been read to its end the connection is closed even where the request wasn't read. An error after the end of an answer doesn't destroy the answer.

Ruled out: a listener for `upgrade` (it would hand over the connection, to be destroyed here; `close` covers all ways at once); a check at each place that writes heads (three places, two of them after the attempt has been judged).

--- a/src/entry/backend-request.test.ts
+++ b/src/entry/backend-request.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
+import { getEventListeners } from 'node:events';
 import net, { type AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { isBodyDelimited, sendBackendRequest } from './backend-request.js';
+import { waitUntil } from '../../tools/platform-group.js';
+import { sleep } from '../common/clock.js';
+import type { HttpRequestError } from '../common/http-client.js';
+import { isBodyDelimited, readAnswer, sendBackendRequest } from './backend-request.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n';
 
@@ -60,3 +64,84 @@
   for (let run = 0; run < 20; run += 1)
     assert.equal(await readUndelimitedBody(context, (socket) => socket.end(), 0), 'half of it');
 });
+
+/** Starts a server that writes a text for each request and keeps the connection. */
+async function startKeepingServer(context: TestContext, text: string) {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => sockets.delete(socket));
+    // Reads the first bytes only; the rest of a long body waits.
+    socket.once('data', () => socket.pause().write(text, 'latin1'));
+  });
+  context.after(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return { address: { host: '127.0.0.1', port }, sockets };
+}
+
+function sendTo(
+  address: { readonly host: string; readonly port: number },
+  signal: AbortSignal,
+  body = Buffer.alloc(0),
+) {
+  const headers = ['Host', 'x', 'Content-Length', String(body.length), 'Connection', 'close'];
+  return sendBackendRequest({ address, method: 'POST', target: '/', headers, body, signal });
+}
+
+const UNUSABLE_ANSWERS = {
+  'that announces another protocol':
+    'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n',
+  'with a status below 100': 'HTTP/1.1 099 Low\r\nContent-Length: 0\r\n\r\n',
+  'with a header name that holds a space':
+    'HTTP/1.1 200 OK\r\nName of it: a\r\nContent-Length: 0\r\n\r\n',
+};
+
+Object.entries(UNUSABLE_ANSWERS).forEach(([name, text]) => {
+  // The first was never settled, not even by an abort; the others can't be passed on to the caller.
+  test(`backend request: an answer ${name} fails, and the request may have run`, async (context) => {
+    const { address, sockets } = await startKeepingServer(context, text);
+    const { signal } = new AbortController();
+    const settled = await Promise.race([
+      sendTo(address, signal).then(
+        () => 'answered',
+        (error: unknown) => (error as HttpRequestError).phase,
+      ),
+      sleep(2000).then(() => 'never'),
+    ]);
+    assert.ok(settled === 'sent' || settled === 'answering', settled);
+    await waitUntil(() => sockets.size === 0, 'the connection is closed');
+    assert.equal(getEventListeners(signal, 'abort').length, 0);
+  });
+});
+
+// A connection whose request was not read to its end stayed open for as long as the server liked.
+test('backend request: an answer before the end of a long body closes the connection once it is read', async (context) => {
+  const text = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello';
+  const { address, sockets } = await startKeepingServer(context, text);
+  const { signal } = new AbortController();
+  const response = await sendTo(address, signal, Buffer.alloc(32 * 1024 * 1024));
+  assert.equal(String(await readAnswer(response)), 'hello');
+  await waitUntil(() => getEventListeners(signal, 'abort').length === 0, 'nothing listens');
+  sockets.forEach((socket) => socket.resume());
+  await waitUntil(() => sockets.size === 0, 'the connection is closed');
+});
+
+// Bytes after the end of an answer belong to no request; the answer was given up for them.
+test('backend request: an answer is whole that is followed by further bytes', async (context) => {
+  const heads = ['Connection: close\r\n', 'Connection: keep-alive\r\n', ''];
+  for (const line of heads)
+    for (const extra of ['extra', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx']) {
+      const text = `HTTP/1.1 200 OK\r\n${line}Content-Length: 5\r\n\r\nhello${extra}`;
+      const { address } = await startKeepingServer(context, text);
+      const response = await sendTo(address, new AbortController().signal);
+      assert.equal(String(await readAnswer(response)), 'hello', JSON.stringify({ line, extra }));
+      assert.ok(response.complete);
+    }
+});
--- a/src/entry/backend-request.ts
+++ b/src/entry/backend-request.ts
@@ -4,6 +4,7 @@
 import type { Address } from '../common/address.js';
 import { HttpRequestError, type RequestPhase } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
+import { isRelayable } from './entry-response.js';
 
 /** A request to a backend server. */
 export interface BackendRequest {
@@ -32,10 +33,12 @@
 }
 
 /**
- * Sends a request and waits for the head of the response.
+ * Sends a request and waits for the head of the response. Handles servers that write anything at all: with an
+ * answer that announces another protocol, a connection ends without the event of a response or an error.
  *
  * @param backendRequest - The request.
- * @returns The response. Its body fails when the connection breaks or the signal aborts.
+ * @returns The response, whose head can be passed on to a caller. Its body fails when the connection breaks or
+ *   the signal aborts.
  * @throws HttpRequestError whose phase tells whether any byte may have reached the backend server.
  */
 export function sendBackendRequest(backendRequest: BackendRequest): Promise<http.IncomingMessage> {
@@ -72,19 +75,30 @@
     });
     request.on('error', (error: NodeJS.ErrnoException) => {
       cancelTimer();
-      // Without this, a response that has no length would end here as if it were complete.
-      backendResponse?.destroy(error);
+      // Without this, a response that has no length would end here as if it were complete. To a complete one
+      // the error doesn't belong: bytes may follow it.
+      if (!backendResponse?.complete) backendResponse?.destroy(error);
       reject(new HttpRequestError(phase, error.message, error.code));
     });
     request.on('response', (response) => {
       // Whoever reads the body receives its errors; without a listener they would end the process.
       response.on('error', () => undefined);
+      if (!isRelayable(response)) {
+        request.destroy(new Error("The head of the response can't be passed on."));
+        return;
+      }
       backendResponse = response;
+      // Otherwise the connection would wait until the server has read the rest of the request's body.
+      response.once('end', () => {
+        if (!request.writableFinished) request.socket?.destroy();
+      });
       resolve(response);
     });
     request.on('close', () => {
       cancelTimer();
       signal.removeEventListener('abort', abort);
+      // Without effect if there was a response or an error.
+      reject(new HttpRequestError(phase, 'The connection ended without a response.'));
     });
     if (signal.aborted) abort();
     else signal.addEventListener('abort', abort, { once: true });
--- a/src/entry/entry-response.ts
+++ b/src/entry/entry-response.ts
@@ -2,7 +2,12 @@
  * Sends responses that the instance creates itself, and relays headers of backend servers'
  * responses.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  validateHeaderName,
+  validateHeaderValue,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
 import { HOP_BY_HOP_HEADERS } from './request-headers.js';
 
 /** A response that the instance creates itself, without one from a backend server. */
@@ -59,6 +64,31 @@
   return headers;
 }
 
+const LOWEST_STATUS = 200;
+const HIGHEST_STATUS = 999;
+
+/**
+ * Tells whether the head of a backend server's response can be passed on. Node.js reads heads that it refuses to
+ * write, such as those with a space in a header's name.
+ *
+ * @param backendResponse - The backend server's response.
+ */
+export function isRelayable(backendResponse: IncomingMessage): boolean {
+  const { statusCode = 0 } = backendResponse;
+  if (statusCode < LOWEST_STATUS || statusCode > HIGHEST_STATUS) return false;
+  const headers = getEndToEndHeaders(backendResponse);
+  try {
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+      const [name = '', value = ''] = headers.slice(index, index + 2);
+      validateHeaderName(name);
+      validateHeaderValue(name, value);
+    }
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 /**
  * Appends headers to a response, keeping repeated names.
  *
