Believe the end of an answer without a length only if its server is alive after it

A call whose like ends each server in this way was taken for completed, so that it was never blocked.

Cause: the process's connections are closed in order when it ends, which a call took for the end of the answer. Streams asked their engine; but an engine that gave no report within its time was believed too.

Ruled out: telling the two ends apart on the connection itself (they are alike); a health check or report in place of a bare connection: it waits for a slot, so that a busy server's whole answers could not be proved in time.

The decision is one now, src/evidence/answer-end.ts, for calls, bookings, lookups, streams, failures and what peers pass on: a length, or chunks as the last coding, or no body by method or status; else the server's process has to accept a connection that is begun after the end, and must not be known to have ended (by its process key, so also when its address has been given to another one). A connection that is closed at once counts as life only if that happens again 100 ms later: a process that ends accepts one for a moment, a full server goes on resetting. What is not proved is a failure: an idempotent request may run again within its limits, another one "may have run". It also puts the server under suspicion, so that its end counts against the content, and is no completion. Instances frame what they pass on, so that a peer's answer without length or chunks is not whole.

Limits: a process that takes the place of another one at its address before the connection is made, and before the registry tells, can't be told from it. The cost is one connection without a request for each answer that has neither a length nor chunks, held for 50 ms, in which the caller waits; questions about one process share connections.

--- a/src/entry/call-ending.ts
+++ b/src/entry/call-ending.ts
@@ -8,7 +8,8 @@
   sendLocalResponse,
   type LocalResponse,
 } from './entry-response.js';
-import { getErrorMessage, HttpRequestError } from '../common/http-client.js';
+import { getErrorMessage } from '../common/http-client.js';
+import { assertWholeFromPeer } from '../evidence/whole-answer.js';
 import type { PeerAnswer } from './peer-relay.js';
 
 /** A backend server's response, read completely. */
@@ -23,15 +24,16 @@
  * Reads the answer that a peer got for a call.
  *
  * @param answer - The answer, whose body has not been read.
+ * @param method - The method of the call.
  * @returns The answer, read completely.
- * @throws HttpRequestError when it breaks off.
+ * @throws HttpRequestError when it breaks off or is not shown to be whole.
  */
-export async function readPeerAnswer({
-  message,
-  status,
-}: Extract<PeerAnswer, { kind: 'served' }>): Promise<BufferedResponse> {
+export async function readPeerAnswer(
+  { message, status }: Extract<PeerAnswer, { kind: 'served' }>,
+  method: string,
+): Promise<BufferedResponse> {
   const body = await readAnswer(message);
-  if (!message.complete) throw new HttpRequestError('answering', 'The peer broke the answer off.');
+  assertWholeFromPeer({ message, method });
   return { status, headers: getEndToEndHeaders(message), body };
 }
 
@@ -68,7 +70,7 @@
   async completeFromPeer(answer: Extract<PeerAnswer, { kind: 'served' }>): Promise<string> {
     const { context, request } = this.#options;
     try {
-      return this.complete(await readPeerAnswer(answer));
+      return this.complete(await readPeerAnswer(answer, request.incoming.method ?? 'GET'));
     } catch (error) {
       if (request.signal.aborted) return this.sendTimeout();
       context.logs('routing').info('The answer of the peer broke off.', {
--- a/src/entry/call-exchange.ts
+++ b/src/entry/call-exchange.ts
@@ -8,6 +8,7 @@
   isConnectionLost,
   isConnectionRefused,
 } from '../common/http-client.js';
+import { assertWhole, UnprovedAnswerError } from '../evidence/whole-answer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { readAnswer } from './backend-request.js';
@@ -70,14 +71,15 @@
       }
       // The server was reached, whatever then became of the call.
       outlierEjection.recordFailure(id, message, 'faulty');
-      if (!attemptSignal.aborted && isConnectionLost(error)) await this.#checkForEnd(server.entry);
+      const mayHaveEnded = isConnectionLost(error) || error instanceof UnprovedAnswerError;
+      if (!attemptSignal.aborted && mayHaveEnded) await this.#checkForEnd(server.entry);
       return { kind: 'unknown', message };
     } finally {
       server.ownLoad.requests -= 1;
     }
   }
 
-  /** Finds out whether a server that broke the connection has ended, before the call may be repeated. */
+  /** Finds out whether a server that may have ended has done so, before the call may be repeated. */
   async #checkForEnd(entry: ServerEntry): Promise<void> {
     const { crashBlame, endCheck, fleet } = this.#context;
     const { content, route } = this.#request;
@@ -94,8 +96,8 @@
    * @throws Error when the response fails, is incomplete or is not the backend server's own.
    */
   async #sendToServer(server: FleetServer, signal: AbortSignal): Promise<CallResult> {
-    const { callTimes } = this.#context;
-    const { metadata } = this.#request;
+    const { callTimes, endCheck } = this.#context;
+    const { metadata, incoming } = this.#request;
     const startedAt = performance.now();
     const {
       message: backendResponse,
@@ -115,12 +117,13 @@
       };
     }
     const body = await readAnswer(backendResponse);
-    if (!backendResponse.complete)
-      throw new HttpRequestError('answering', 'The response was cut off before its end.');
+    const elapsedMilliseconds = performance.now() - startedAt;
     assertOwnResponse(metadata, responseMetadata);
+    const answer = { message: backendResponse, method: incoming.method ?? 'GET' };
+    await assertWhole(answer, { endCheck, entry: server.entry, signal });
     const load =
       responseMetadata.load && responseMetadata.load.running + responseMetadata.load.waiting;
-    callTimes.record(server.entry.id, performance.now() - startedAt, load);
+    callTimes.record(server.entry.id, elapsedMilliseconds, load);
     return {
       kind: 'answered',
       response: {
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -197,7 +197,10 @@
     if (answer.kind === 'ended') return { kind: 'unknown', message: answer.response.message };
     if (answer.kind === 'lost') return { kind: 'unknown', message: answer.message };
     try {
-      return { kind: 'answered', response: await readPeerAnswer(answer) };
+      return {
+        kind: 'answered',
+        response: await readPeerAnswer(answer, this.#request.incoming.method ?? 'GET'),
+      };
     } catch (error) {
       return { kind: 'unknown', message: getErrorMessage(error) };
     }
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -9,10 +9,12 @@
   isConnectionLost,
   isConnectionRefused,
 } from '../common/http-client.js';
+import type { AnswerDelimiter } from '../evidence/answer-end.js';
+import { assertWhole, assertWholeFromPeer, UnprovedAnswerError } from '../evidence/whole-answer.js';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import { recordAcceptance, recordRefusal } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
-import { isBodyDelimited, readAnswer, readChunks } from './backend-request.js';
+import { readAnswer, readChunks } from './backend-request.js';
 import type { CallerStream } from './caller-stream.js';
 import { listStageAddresses, type EngineChain } from './chain-selector.js';
 import type { EntryContext } from './entry-context.js';
@@ -118,7 +120,8 @@
       return { kind: 'notRun', engineIdsToAvoid, message };
     }
     // A live engine may break off an answer too; whether this one has ended is looked at next.
-    if (isConnectionLost(error)) this.recordStall(firstEngine);
+    if (isConnectionLost(error) || error instanceof UnprovedAnswerError)
+      this.recordStall(firstEngine);
     return { kind: 'broken', engineIdsToAvoid, message };
   }
 
@@ -174,7 +177,10 @@
   ): Promise<AttemptResult> {
     const { outlierEjection, crashBlame } = this.#options.context;
     const { content } = this.#options.request;
-    if (status >= 300) return this.#relayFailure(engineResponse, status);
+    if (status >= 300)
+      return this.#relayFailure(engineResponse, status, () =>
+        this.#assertWhole(engineResponse, firstEngine.entry),
+      );
     let beganAt: number | undefined;
     const splitter = new EventSplitter(this.#options.caller.lastEventId);
     for await (const chunk of chunks) {
@@ -194,7 +200,8 @@
         stream.recordProgress();
       }
     }
-    await this.#assertWhole(engineResponse, splitter, firstEngine.entry);
+    const delimiter = await this.#assertWhole(engineResponse, firstEngine.entry);
+    this.#assertEndsWithEvent(splitter, delimiter, firstEngine.entry);
     this.#startResponse(engineResponse, status);
     outlierEjection.recordSuccess(firstEngine.entry.id);
     if (beganAt !== undefined) this.#recordWritten(beganAt);
@@ -208,7 +215,9 @@
    * @throws Error when the peer's response is incomplete.
    */
   async relayFromPeer(peerResponse: IncomingMessage, status: number): Promise<AttemptResult> {
-    if (status >= 300) return this.#relayFailure(peerResponse, status);
+    const answer = { message: peerResponse, method: this.#method };
+    if (status >= 300)
+      return this.#relayFailure(peerResponse, status, () => assertWholeFromPeer(answer));
     this.#assertContinues(peerResponse, status);
     const { caller } = this.#options;
     const splitter = new EventSplitter(caller.lastEventId);
@@ -219,7 +228,8 @@
         await caller.write(events.bytes, events.lastEventId);
       }
     }
-    if (!peerResponse.complete || !splitter.isBetweenEvents)
+    assertWholeFromPeer(answer);
+    if (!splitter.isBetweenEvents)
       throw new HttpRequestError('answering', 'The peer broke the event stream off.');
     this.#startResponse(peerResponse, status);
     return { kind: 'completed' };
@@ -243,29 +253,38 @@
       );
   }
 
+  get #method(): string {
+    return this.#options.request.incoming.method ?? 'GET';
+  }
+
+  /** @throws UnprovedAnswerError when nothing shows that the engine's answer is whole. */
+  #assertWhole(message: IncomingMessage, entry: ServerEntry): Promise<AnswerDelimiter> {
+    const { context, request } = this.#options;
+    const { endCheck } = context;
+    return assertWhole(
+      { message, method: this.#method },
+      { endCheck, entry, signal: request.signal },
+    );
+  }
+
   /**
-   * Checks that a stream has ended and was not cut off. A stream that its connection delimits looks the same
-   * when its engine ends between two events, so that the engine is asked then.
+   * Checks that a stream that has ended did so after an event.
    *
-   * @throws Error when the stream was cut off.
+   * @throws Error when it ended inside one, or without a length or chunks before the first.
    */
-  async #assertWhole(
-    engineResponse: IncomingMessage,
+  #assertEndsWithEvent(
     splitter: EventSplitter,
+    delimiter: AnswerDelimiter,
     engine: ServerEntry,
-  ): Promise<void> {
-    if (!engineResponse.complete)
-      throw new HttpRequestError('answering', 'The event stream was cut off before its end.');
-    const isDelimited = isBodyDelimited(engineResponse);
-    if (isDelimited && splitter.isBetweenEvents) return;
-    const { stallDetector, fleet } = this.#options.context;
-    const processKey = getProcessKey(engine);
-    if (!isDelimited && !fleet.hasEnded(processKey)) await stallDetector.checkEngine(engine.id);
-    const hasEnded = fleet.hasEnded(processKey);
-    if (hasEnded) this.recordStall(engine);
-    if (hasEnded) throw new Error('The event stream ended with its engine.');
-    if (!splitter.isBetweenEvents) throw new Error('The event stream ended inside an event.');
-    if (!this.#options.caller.hasStarted) throw new Error('The event stream has no event.');
+  ): void {
+    if (splitter.isBetweenEvents) {
+      const isEmpty = delimiter === 'connection' && !this.#options.caller.hasStarted;
+      if (isEmpty) throw new Error('The event stream has no event.');
+      return;
+    }
+    const { fleet } = this.#options.context;
+    if (fleet.hasEnded(getProcessKey(engine))) this.recordStall(engine);
+    throw new Error('The event stream ended inside an event.');
   }
 
   #recordWritten(beganAt: number): void {
@@ -277,11 +296,16 @@
   /**
    * Relays an engine's error response to the caller.
    *
-   * @throws Error when the response is incomplete or events were already sent to the caller.
+   * @throws Error when the response is not whole or events were already sent to the caller.
    */
-  async #relayFailure(engineResponse: IncomingMessage, status: number): Promise<AttemptResult> {
+  async #relayFailure(
+    engineResponse: IncomingMessage,
+    status: number,
+    assertIsWhole: () => Promise<unknown> | void,
+  ): Promise<AttemptResult> {
     const body = await readAnswer(engineResponse);
-    if (!engineResponse.complete || this.#options.caller.hasStarted)
+    await assertIsWhole();
+    if (this.#options.caller.hasStarted)
       throw new Error(`The engine failed with status ${status}.`);
     const { response } = this.#options.request;
     appendHeaders(response, getEndToEndHeaders(engineResponse));
--- a/src/fleet/end-check.test.ts
+++ b/src/fleet/end-check.test.ts
@@ -128,3 +128,40 @@
   await sleep(CONFIRMATION_DELAYS_MILLISECONDS.reduce((sum, delay) => sum + delay, 200));
   assert.equal(fleet.hasEnded('server'), false);
 });
+
+test('life: a server that holds a connection, or has as many as it accepts, is alive', async (context) => {
+  const holding = await startServer(context, (_, socket) => socket.on('error', () => undefined));
+  assert.equal(await createCheck(context).endCheck.findLife(holding), 'alive');
+  const full = await startServer(context, (_, socket) => socket.resetAndDestroy());
+  assert.equal(await createCheck(context).endCheck.findLife(full), 'alive');
+});
+
+test('life: one that accepts a connection only while it ends, or is known to have ended, is not', async (context) => {
+  const ending = await startServer(context, (server, socket) => {
+    server.close();
+    socket.destroy();
+  });
+  assert.notEqual(await createCheck(context).endCheck.findLife(ending), 'alive');
+  // Another process has been given the address.
+  const taken = await startServer(context, (_, socket) => socket.on('error', () => undefined));
+  const { fleet, endCheck } = createCheck(context);
+  fleet.recordEnd(taken, 'its address was given to another server');
+  assert.equal(await endCheck.findLife(taken), 'ended');
+});
+
+// An answer that ended after a question had been sent would have been proved whole by that question.
+test('life: questions at one moment share a connection, which is made after the last of them', async (context) => {
+  const connectedAt: number[] = [];
+  const entry = await startServer(context, (_, socket) => {
+    connectedAt.push(performance.now());
+    socket.on('error', () => undefined);
+  });
+  const { endCheck } = createCheck(context);
+  const first = endCheck.findLife(entry);
+  await waitUntil(() => connectedAt.length === 1, 'the first question is sent');
+  const askedAt = performance.now();
+  const others = [1, 2, 3].map(() => endCheck.findLife(entry));
+  assert.deepEqual(await Promise.all([first, ...others]), Array(4).fill('alive'));
+  assert.equal(connectedAt.length, 2);
+  assert.ok((connectedAt[1] ?? 0) >= askedAt);
+});
--- a/src/fleet/end-check.ts
+++ b/src/fleet/end-check.ts
@@ -15,6 +15,16 @@
 /** What a peer finds at a server; undefined if there is no peer to ask, or it doesn't answer. */
 export type PeerFinding = ConnectionResult | undefined;
 
+/** What is found of a server's process; `unknown` if a connection shows neither its life nor its end. */
+export type ServerLife = 'alive' | 'ended' | 'unknown';
+
+/** The connections that are made to find out whether a process is alive. */
+interface LifeQuestion {
+  readonly running: Promise<ServerLife>;
+  /** Asked once the running one is answered, for those that came meanwhile. */
+  next?: Promise<ServerLife>;
+}
+
 /** Options of {@link EndCheck}. */
 export interface EndCheckOptions {
   readonly fleet: BackendFleet;
@@ -31,6 +41,8 @@
 /** A process that is ending may accept a connection just before it closes all of them. */
 const HOLD_MILLISECONDS = 50;
 const MAXIMUM_CONNECTIONS = 2;
+/** A process that has ended accepts no connection any more after this long. */
+const ENDING_MILLISECONDS = 100;
 
 /**
  * Connects to a server, once more if it closes the connection at once.
@@ -55,6 +67,8 @@
   /** Processes whose refusal is to be looked at again. */
   readonly #unconfirmed = new Set<string>();
 
+  readonly #lifeQuestions = new Map<string, LifeQuestion>();
+
   constructor(options: EndCheckOptions) {
     this.#options = options;
   }
@@ -81,6 +95,45 @@
     return this.#share(entry, () => this.#confirm(entry, evidence));
   }
 
+  /**
+   * Finds out whether a server's process is alive now, with a connection that is not begun before the call.
+   * Handles servers whose answers end with their connections: at most one such connection to a process is open
+   * at a time. A connection tells nothing of a process that has taken the place of another one meanwhile,
+   * unless the registry does.
+   *
+   * @param entry - The entry of that process.
+   * @returns `alive` only if it accepts a connection; a refusal goes the way of {@link EndCheck.recordRefusal}.
+   */
+  findLife(entry: ServerEntry): Promise<ServerLife> {
+    const question = this.#lifeQuestions.get(getProcessKey(entry));
+    if (!question) return this.#askLife(entry);
+    question.next ??= question.running.then(() => this.#askLife(entry));
+    return question.next;
+  }
+
+  #askLife(entry: ServerEntry): Promise<ServerLife> {
+    const processKey = getProcessKey(entry);
+    const running = this.#probeLife(entry).finally(() => this.#lifeQuestions.delete(processKey));
+    this.#lifeQuestions.set(processKey, { running });
+    return running;
+  }
+
+  async #probeLife(entry: ServerEntry): Promise<ServerLife> {
+    const { fleet, signal } = this.#options;
+    const processKey = getProcessKey(entry);
+    if (fleet.hasEnded(processKey)) return 'ended';
+    let result = await probeServer(entry);
+    if (result === 'closed') {
+      // Either it is ending, or it has as many connections as it accepts.
+      await sleep(ENDING_MILLISECONDS, signal);
+      result = await probeServer(entry);
+    }
+    if (result === 'refused')
+      void this.recordRefusal(entry, 'a connection was refused right after an answer had ended');
+    if (fleet.hasEnded(processKey)) return 'ended';
+    return result === 'held' || result === 'closed' ? 'alive' : 'unknown';
+  }
+
   async #share(entry: ServerEntry, check: () => Promise<void>): Promise<void> {
     const processKey = getProcessKey(entry);
     if (this.#options.fleet.hasEnded(processKey)) return undefined;
--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -69,6 +69,11 @@
   refusesProbes: boolean;
   /** Ends in order, as a process that exits does, after this many events of a stream. */
   closesBetweenEvents: number;
+  /**
+   * Ends in order, as a process that exits does, in the middle of a call's answer that has no length; where
+   * `crashingBody` is set, only on calls with that body.
+   */
+  endsWithinCall: boolean;
   /** Withdraws its entry from the store when it has begun a stream, and goes on serving. */
   unregistersWhileRunning: boolean;
 }
@@ -122,6 +127,7 @@
     namedPause: undefined,
     refusesProbes: false,
     closesBetweenEvents: Number.POSITIVE_INFINITY,
+    endsWithinCall: false,
     unregistersWhileRunning: false,
   };
 
@@ -316,8 +322,9 @@
       response.end('failed');
       return;
     }
-    const isCrashing = body !== '' && body === this.faults.crashingBody;
-    if (isCrashing && this.faults.eventsBeforeCrash === 0) {
+    const { crashingBody, endsWithinCall } = this.faults;
+    const isCrashing = body !== '' && body === crashingBody;
+    if (isCrashing && this.faults.eventsBeforeCrash === 0 && !endsWithinCall) {
       await this.#crash(response);
       return;
     }
@@ -325,7 +332,9 @@
     const responseHeaders = { 'request-id': answerId, 'response-signature': this.#options.id };
     if (this.#options.kind === undefined) {
       await sleep(this.faults.callMilliseconds);
-      this.#sendResponse(response, responseHeaders, requestId);
+      if (endsWithinCall && (isCrashing || crashingBody === undefined))
+        await this.#endWithinCall(response, responseHeaders, requestId);
+      else this.#sendResponse(response, responseHeaders, requestId);
     } else {
       if (this.faults.unregistersWhileRunning)
         this.#options.store.remove('servers', this.#options.id);
@@ -369,6 +378,20 @@
     await this.#endProcess();
   }
 
+  /** Begins an answer that its connection delimits, and ends the process. */
+  async #endWithinCall(
+    response: http.ServerResponse,
+    responseHeaders: Record<string, string>,
+    requestId: string,
+  ): Promise<void> {
+    response.removeHeader('transfer-encoding');
+    response.writeHead(200, { ...responseHeaders, connection: 'close' });
+    response.write(`ran ${requestId}`.slice(0, -1));
+    await sleep(1);
+    this.crashes.push(performance.now());
+    await this.#closeInOrder(response);
+  }
+
   #sendResponse(
     response: http.ServerResponse,
     responseHeaders: Record<string, string>,
