Sum what is observed of servers whatever their names; instances ended beside one named "constructor"

What callers saw: with a server whose entry is named "constructor", "toString", "valueOf" or "hasOwnProperty", each instance that had a request at it ended by itself ("TypeError: function is not iterable") at its next record, and again after each start; with one named "__proto__" an ejection in a peer's record did the same by reading.

Cause: loads were summed by id in a plain object, `total[id] ?? [0, 0]`. For such a name that finds what each object inherits, which can't be taken apart as a load. The periodic tasks of an instance have no handler of errors (src/daemon/entry-daemon.ts, #runPeriodically), so that it ended the process. The same way of reading stood in the ejections of a peer, the retry counts by service and the crash records.

Why the fix works: sums are kept in a map and become an object by Object.fromEntries, which makes own members of any name; values by a name from outside are read only if the object itself has them (src/common/own-value.ts).

Not changed: `__proto__` as a name is still left out of records between instances, by the schema library; its load counts only at the instance that sent it.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -2,6 +2,7 @@
  * The components of an entry instance, and what they tell each other: records of peers go to whatever acts
  * on them, changes that peers should act on lead to a new record at once.
  */
+import { getOwnValue } from '../common/own-value.js';
 import { ActiveConfiguration } from '../entry/active-configuration.js';
 import { ConfigurationCheck } from '../entry/configuration-check.js';
 import type { EngineReports } from '../entry/engine-reports.js';
@@ -148,7 +149,7 @@
 
   /** Whether no instance has recently received a request to a service. */
   isServiceIdle(service: string): boolean {
-    const [own] = this.context.retryBudget.counts[service] ?? [0];
+    const [own] = getOwnValue(this.context.retryBudget.counts, service) ?? [0];
     const [others] = this.peers.sumRetries(service);
     return own + others === 0;
   }
--- a/src/entry/crash-records.ts
+++ b/src/entry/crash-records.ts
@@ -7,6 +7,7 @@
  * forgotten first.
  */
 import { LruMap } from '../common/lru-map.js';
+import { getOwnValue } from '../common/own-value.js';
 import type { Logger } from '../telemetry/log.js';
 
 /** Options of {@link CrashRecords}. */
@@ -163,7 +164,7 @@
   /** Adds the crashes that a peer has recorded. */
   merge({ crashes, crashesWhileWritten = {} }: ReportedCrashes): void {
     Object.entries(crashes).forEach(([contentHash, processKeys]) => {
-      const written = new Set(crashesWhileWritten[contentHash]);
+      const written = new Set(getOwnValue(crashesWhileWritten, contentHash));
       processKeys.forEach((key) => this.recordCrash(contentHash, key, written.has(key)));
     });
   }
--- a/src/fleet/server-observations.ts
+++ b/src/fleet/server-observations.ts
@@ -26,32 +26,40 @@
  *   load of 0 or a normal speed, are left out.
  */
 export function collectServerObservations(fleet: BackendFleet): ServerObservations {
-  const observations: ServerObservations = {
-    loads: {},
-    paces: {},
-    holdings: {},
-    leaving: fleet.leavingProcessKeys,
-  };
+  // Not objects, since a server may be named like what each object inherits.
+  const loads = new Map<string, [number, number]>();
+  const paces = new Map<string, number>();
+  const holdings = new Map<string, [number, number]>();
   const oldest = performance.now() - LAYER_REPORT_SHARED_MILLISECONDS;
   fleet.servers.forEach(({ entry: { id }, ownLoad, ownSlowdownFactor, ownLayerReport }) => {
     if (ownLayerReport && ownLayerReport.reportedAt > oldest) {
-      observations.holdings[id] = [ownLayerReport.layers.from, ownLayerReport.layers.to];
+      holdings.set(id, [ownLayerReport.layers.from, ownLayerReport.layers.to]);
     }
     if (ownLoad.requests > 0)
-      observations.loads[id] = [ownLoad.requests, Math.round(ownLoad.reservedTokenLayers)];
+      loads.set(id, [ownLoad.requests, Math.round(ownLoad.reservedTokenLayers)]);
     if (ownSlowdownFactor > 1) {
-      observations.paces[id] =
-        Math.round(ownSlowdownFactor * SLOWDOWN_STEPS_PER_UNIT) / SLOWDOWN_STEPS_PER_UNIT;
+      const steps = Math.round(ownSlowdownFactor * SLOWDOWN_STEPS_PER_UNIT);
+      paces.set(id, steps / SLOWDOWN_STEPS_PER_UNIT);
     }
   });
-  return observations;
+  return {
+    loads: Object.fromEntries(loads),
+    paces: Object.fromEntries(paces),
+    holdings: Object.fromEntries(holdings),
+    leaving: fleet.leavingProcessKeys,
+  };
 }
 
-function addLoads(total: ServerLoads, loads: ServerLoads): void {
-  Object.entries(loads).forEach(([id, [requests, tokenLayers]]) => {
-    const [otherRequests, otherTokenLayers] = total[id] ?? [0, 0];
-    total[id] = [otherRequests + requests, otherTokenLayers + tokenLayers];
-  });
+/** Sums loads by server id. */
+function sumLoads(all: readonly ServerLoads[]): ReadonlyMap<string, [number, number]> {
+  const total = new Map<string, [number, number]>();
+  all
+    .flatMap((loads) => Object.entries(loads))
+    .forEach(([id, [requests, tokenLayers]]) => {
+      const [otherRequests, otherTokenLayers] = total.get(id) ?? [0, 0];
+      total.set(id, [otherRequests + requests, otherTokenLayers + tokenLayers]);
+    });
+  return total;
 }
 
 /**
@@ -65,11 +73,8 @@
   records: readonly PeerRecord[],
   dataCentre: string,
 ): ServerLoads {
-  const total: ServerLoads = {};
-  records
-    .filter((record) => record.dataCentre === dataCentre)
-    .forEach(({ loads }) => addLoads(total, loads));
-  return total;
+  const local = records.filter((record) => record.dataCentre === dataCentre);
+  return Object.fromEntries(sumLoads(local.map(({ loads }) => loads)));
 }
 
 /** Newest load sums that arrived from other data centres, by data centre. */
@@ -125,10 +130,7 @@
       server.isLeavingByPeer = true;
     });
   const now = performance.now();
-  const totalLoads: ServerLoads = {};
-  remoteLoads.forEach((loads) => addLoads(totalLoads, loads));
-  peers.forEach(({ loads, paces, holdings }) => {
-    addLoads(totalLoads, loads);
+  peers.forEach(({ paces, holdings }) => {
     Object.entries(holdings).forEach(([id, [from, to]]) => {
       const server = fleet.find(id);
       if (server) server.peerLayerReport = { layers: { from, to }, reportedAt: now };
@@ -138,7 +140,8 @@
       if (server) server.peerSlowdownFactor = Math.max(server.peerSlowdownFactor, pace);
     });
   });
-  Object.entries(totalLoads).forEach(([id, [requests, reservedTokenLayers]]) => {
+  const loads = [...remoteLoads, ...peers.map((peer) => peer.loads)];
+  sumLoads(loads).forEach(([requests, reservedTokenLayers], id) => {
     const server = fleet.find(id);
     if (!server) return;
     server.peerLoad.requests = requests;
--- a/src/gossip/peer-ejections.ts
+++ b/src/gossip/peer-ejections.ts
@@ -1,4 +1,5 @@
 /** Reads the ejections of servers from a peer's record. */
+import { getOwnValue } from '../common/own-value.js';
 import type { PeerEjection } from '../fleet/outlier-ejection.js';
 import type { PeerRecord } from './peer-record.js';
 
@@ -15,7 +16,7 @@
   now = performance.now(),
 ): PeerEjection[] {
   return suspects.map((id) => {
-    const [ejectedAt, cause] = ejections[id] ?? [];
+    const [ejectedAt, cause] = getOwnValue(ejections, id) ?? [];
     if (ejectedAt === undefined || cause === undefined || clock === undefined)
       return { id, cause: 'faulty', at: now };
     return { id, cause, at: now - Math.max(0, clock - ejectedAt) };
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -1,4 +1,5 @@
 /** Holds the newest record of each peer and decides which peers are alive. */
+import { getOwnValue } from '../common/own-value.js';
 import type { Logger } from '../telemetry/log.js';
 import type { PeerRecord } from './peer-record.js';
 import { getHeartbeatInterval, getRemoteRecordInterval } from './record-interval.js';
@@ -137,7 +138,7 @@
     let retries = 0;
     const oldest = this.#now() - RETRY_COUNTS_MAX_AGE_MILLISECONDS;
     this.#peers.forEach(({ record, updatedAt }) => {
-      const counts = record.retries[service];
+      const counts = getOwnValue(record.retries, service);
       if (!counts || updatedAt < oldest) return;
       firstAttempts += counts[0];
       retries += counts[1];
