Read only decimal digits as the port of an address

What callers saw: nothing yet; found by reading, after a report of odd entries in the list of servers. An entry with the port "1e3" named a server at port 1000, "0x50" and " 80" one at port 80, where another program may listen.

Cause: the port's text went through Number(), which reads whatever JavaScript takes for a number.

Why the fix works: one to five decimal digits are read, as on the command line, and the schema keeps 1 to 65535.

Evidence: "a port is written in decimal digits" failed before for 1e3. The property beside it (an address is read from its own text form; of random ports just those of decimal digits in range are read) passed before as well with its random texts.

--- a/src/common/address.ts
+++ b/src/common/address.ts
@@ -7,6 +7,9 @@
 });
 export type Address = z.infer<typeof Address>;
 
+/** Not what JavaScript reads as a number, such as `1e3` or ` 80`. */
+const PORT = /^\d{1,5}$/;
+
 /**
  * Formats an address as `host:port`.
  *
@@ -27,7 +30,9 @@
   const separator = text.lastIndexOf(':');
   if (separator < 0) return undefined;
   const host = text.slice(0, separator).replace(/^\[|\]$/g, '');
-  const port = Number(text.slice(separator + 1));
+  const digits = text.slice(separator + 1);
+  if (!PORT.test(digits)) return undefined;
+  const port = Number(digits);
   const result = Address.safeParse({ host, port });
   return result.success ? result.data : undefined;
 }
