Stop: answer requests that follow each other on a connection, or leave them unsent

Seen by callers: while an instance was stopping, the second of two requests that were sent on one connection without waiting was passed on, ran, and the connection ended without an answer to it; so did one that followed a stream whose head had announced `Connection: close`.

Cause: the header was set on each response as its request arrived. Node.js ends the connection with the first response that carries it, whatever is queued behind.

Fix: the last request of a connection ends it. An earlier response whose head is still unsent no longer announces the end. If that has been announced already, a request that still arrives is not passed on, and logged; by HTTP/1.1 its caller takes it for unread.

Ruled out: refusing the later one with 503, since the answer could not be sent any more either.

--- a/src/common/caller-connections.ts
+++ b/src/common/caller-connections.ts
@@ -123,6 +123,28 @@
     });
   }
 
+  /**
+   * Lets a connection end with the response to its last request. An earlier response that has not been sent no
+   * longer ends it, since the last one would be lost.
+   */
+  closeAfter({ socket }: IncomingMessage, response: ServerResponse): void {
+    const responses = [...this.#getState(socket).openRequests].map((open) => open.response);
+    const last = responses.at(-1) ?? response;
+    [response, ...responses]
+      .filter((open) => !open.headersSent)
+      .forEach((open) => open.setHeader('Connection', open === last ? 'close' : 'keep-alive'));
+  }
+
+  /**
+   * Whether an open response has told the caller that the connection ends with it. A request behind it can't
+   * be answered, so it must not run.
+   */
+  isEnding(socket: Duplex): boolean {
+    return [...this.#getState(socket).openRequests].some(
+      ({ response }) => response.headersSent && response.getHeader('Connection') === 'close',
+    );
+  }
+
   /** Handles an error that the HTTP server reports for a connection. */
   handleError(error: ConnectionError, socket: Duplex): void {
     const state = this.#getState(socket);
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -218,7 +218,7 @@
           sharedParts: metadata.sharedPromptParts,
         },
       };
-      if (isStopping()) response.setHeader('Connection', 'close');
+      if (isStopping()) connections.closeAfter(incoming, response);
       if (service.engine) await relayStream(context, request, service.engine);
       else await relayCall(context, request);
       return undefined;
@@ -258,10 +258,16 @@
   };
 
   const serveRequest = (incoming: IncomingMessage, response: ServerResponse): void => {
-    countOpen(response);
-    if (isStopping()) response.setHeader('Connection', 'close');
     const { requestId } = protocol.parseRequestHeaders(incoming.headers);
+    if (connections.isEnding(incoming.socket)) {
+      log.info('Request not read: an answer before it ends the connection.', { requestId });
+      metrics.countEvent('not_read');
+      incoming.resume();
+      return;
+    }
+    countOpen(response);
     connections.addRequest(incoming, response, requestId);
+    if (isStopping()) connections.closeAfter(incoming, response);
     void serve(incoming, response);
   };
 
--- /dev/null
+++ b/tests/planned-stop.test.ts
@@ -0,0 +1,128 @@
+/** Tests that an instance which is stopped as planned gives every request that it took an honest end. */
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { test, type TestContext } from 'node:test';
+import { sleep } from '../src/common/clock.js';
+import {
+  PLATFORM_CONFIGURATION,
+  waitUntil,
+  type PlatformGroup,
+  type PlatformInstance,
+} from '../tools/platform-group.js';
+import { RawConnection } from '../tools/raw-connection.js';
+import {
+  createRequestId,
+  getFirstInstance,
+  sendCallerRequest,
+  startGroup,
+} from '../tools/serving-group.js';
+
+const ROUTE_TIMEOUT_MILLISECONDS = 6000;
+
+const CONFIGURATION = {
+  ...PLATFORM_CONFIGURATION,
+  version: 2,
+  routes: [
+    ...PLATFORM_CONFIGURATION.routes.map((route) => ({
+      ...route,
+      'timeout-ms': ROUTE_TIMEOUT_MILLISECONDS,
+    })),
+    // No request of it can be finished within the time of a stop.
+    {
+      ...PLATFORM_CONFIGURATION.routes[1],
+      name: 'removals',
+      'path-prefix': '/removals/',
+      'timeout-ms': 20_000,
+    },
+    {
+      ...PLATFORM_CONFIGURATION.routes[0],
+      name: 'stories',
+      'path-prefix': '/stories/',
+      'timeout-ms': 20_000,
+    },
+  ],
+};
+
+interface StoppingGroup {
+  readonly group: PlatformGroup;
+  readonly instance: PlatformInstance;
+}
+
+/** Starts a group whose calls take a given time, with routes that allow as much and more. */
+async function startStoppingGroup(
+  context: TestContext,
+  callMilliseconds: number,
+  options: { readonly instances?: number; readonly pauseMilliseconds?: number } = {},
+): Promise<StoppingGroup> {
+  const group = await startGroup(context, { instances: 2, engines: 2, ...options });
+  group.store.put('config', 'main', CONFIGURATION);
+  await Promise.all(
+    group.instances.map((instance) =>
+      waitUntil(async () => {
+        const answer = await sendCallerRequest(instance, '/removals/ready');
+        return answer.status === 200;
+      }, `${instance.name} has the configuration`),
+    ),
+  );
+  group.servers.forEach((server) => Object.assign(server.faults, { callMilliseconds }));
+  return { group, instance: getFirstInstance(group) };
+}
+
+/** Stops an instance, and waits for its end. */
+function stop({ process: child }: PlatformInstance): Promise<unknown[]> {
+  const exit = once(child, 'exit');
+  child.kill('SIGTERM');
+  return exit;
+}
+
+function hasRun({ servers }: PlatformGroup, requestId: string): boolean {
+  return servers.some(({ runs }) => runs.some((run) => run.requestId === requestId));
+}
+
+function formatHead(path: string, requestId: string, bodyBytes: number): string {
+  const lines = [
+    `POST ${path} HTTP/1.1`,
+    'Host: site.example',
+    `Request-Id: ${requestId}`,
+    'Deadline-Ms: 30000',
+    'Api-Key: key-1',
+    `Content-Length: ${bodyBytes}`,
+  ];
+  return `${lines.join('\r\n')}\r\n\r\n`;
+}
+
+// The answer to the first one ended the connection; the second one ran, and was cut.
+test('planned stop: requests that follow each other on a connection without waiting are all answered', async (context) => {
+  const { instance } = await startStoppingGroup(context, 300);
+  const exit = stop(instance);
+  await sleep(200);
+  const ids = [createRequestId(), createRequestId(), createRequestId()];
+  const connection = await RawConnection.open(instance.ports.front);
+  context.after(() => connection.destroy());
+  connection.write(ids.map((id) => formatHead('/bookings/1', id, 0)).join(''));
+  for (const id of ids) {
+    const response = await connection.readResponse(2000);
+    assert.equal(response?.body, `ran ${id}`);
+    assert.equal(/^connection: close$/im.test(response.head), id === ids.at(-1));
+  }
+  assert.deepEqual(await exit, [0, null]);
+});
+
+// The caller has been told that the connection ends, and may send the request again elsewhere.
+test('planned stop: a request behind an answer that has announced the end of the connection is not passed on', async (context) => {
+  const { group, instance } = await startStoppingGroup(context, 0, { pauseMilliseconds: 100 });
+  const exit = stop(instance);
+  await sleep(200);
+  const [first, second] = [createRequestId(), createRequestId()];
+  const connection = await RawConnection.open(instance.ports.front);
+  context.after(() => connection.destroy());
+  connection.write(formatHead('/drafts/1', first, 0));
+  await waitUntil(() => hasRun(group, first), 'the stream has begun');
+  await sleep(200);
+  connection.write(formatHead('/bookings/1', second, 0));
+  const response = await connection.readResponse(5000);
+  assert.equal(response?.isComplete, true);
+  assert.match(response.head, /^connection: close$/im);
+  assert.deepEqual(await exit, [0, null]);
+  assert.ok(!hasRun(group, second));
+});
