Stop: refuse what may outlast the stop from its first moment on

Seen by callers: in the first 3 s of a planned stop an instance took requests that couldn't be finished before its end, bookings among them. They ran and were cut without an answer. Late in the stop it refused requests whose callers would wait for a short time only.

Cause: the time by which requests must be finished was set only once callers' cached addresses had lapsed, and was compared with the route's timeout alone.

Fix: it is set as the stop begins, and compared with the request's deadline, the lesser of the route's timeout and what the caller waits, once the body has been read. What may outlast the stop is refused as not run (503, `stopping`, `Retry-After: 0.2`, since other instances can take it at once; 0.6 before), and the answer ends the connection also where the stop began while the body arrived.

Weighed: taking safe calls and resumable streams in the first 3 s, as their end could be an honest one. Their callers would learn seconds later what the refusal tells at once. Passing requests on to a peer: this instance would still hold the caller's connection. Both are left out (src/entry/stop-admission.ts). The price: routes whose timeout exceeds the grace are refused here while callers still use the address.

Evidence: three tests of tests/planned-stop.test.ts failed before: 21 requests sent 1.98 to 2.99 s after SIGTERM with 5.5 s of work had no answer; a removal with 1.5 s left, 4 s after SIGTERM, got 503 instead of 200; a removal whose body ended 0.5 s after SIGTERM was run. They pass now.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -51,7 +51,7 @@
 
   #isStopping = false;
 
-  /** Set while the instance stops, once callers may no longer use its cached address. */
+  /** Set while the instance stops: when it ends all requests. */
   #mustFinishBy: number | undefined;
 
   #server: EntryServer | undefined;
@@ -108,6 +108,7 @@
     this.#isStopping = true;
     const startedAt = performance.now();
     const deadline = startedAt + settings.stopTimeoutMilliseconds - STOP_MARGIN_MILLISECONDS;
+    this.#mustFinishBy = deadline;
     log.info('Stopping: no longer announced to callers.', {
       open: this.#server?.openRequests(),
     });
@@ -116,10 +117,7 @@
     const cachedUntil = startedAt + CACHED_ADDRESS_LIFETIMES * ADDRESS_LIFETIME_SECONDS * 1000;
     while (performance.now() < deadline) {
       const isAddressCached = performance.now() < cachedUntil;
-      if (!isAddressCached) {
-        this.#mustFinishBy = deadline;
-        this.#server?.closeIdleConnections();
-      }
+      if (!isAddressCached) this.#server?.closeIdleConnections();
       if (!isAddressCached && this.#server?.openRequests() === 0) break;
       await sleep(STOP_POLL_INTERVAL_MILLISECONDS);
     }
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -23,6 +23,7 @@
 import { parseRequestTarget, type RequestTarget } from './request-target.js';
 import { relayCall } from './relay-call.js';
 import { relayStream } from './relay-stream.js';
+import { isRefusedByStop } from './stop-admission.js';
 import type { ActiveConfiguration } from './active-configuration.js';
 import { pickService, type Route } from './serving-configuration.js';
 
@@ -37,10 +38,7 @@
    * Whether the instance is stopping, in which case connections are closed after their response.
    */
   readonly isStopping: () => boolean;
-  /**
-   * When callers should have left a stopping instance: the time, on the monotonic clock, by which
-   * requests that still arrive must be finished. Undefined before.
-   */
+  /** When a stopping instance ends all requests, on the monotonic clock; undefined unless it stops. */
   readonly mustFinishBy: () => number | undefined;
 }
 
@@ -191,14 +189,16 @@
       if (isLocalResponse(route)) return rejectRequest(incoming, response, route);
       const service = current.services.get(pickService(route, Math.random()));
       if (!service) return rejectRequest(incoming, response, STALE_CONFIGURATION);
-      if (performance.now() + route.timeoutMilliseconds > (mustFinishBy() ?? Infinity))
-        return rejectRequest(incoming, response, STOPPING);
       const account =
         metadata.apiKey === undefined || route.isPublic
           ? undefined
           : current.accounts.get(metadata.apiKey);
       const callerTimeoutMilliseconds = metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
       const deadline = receivedAt + Math.min(callerTimeoutMilliseconds, route.timeoutMilliseconds);
+      if (isStopping()) connections.closeAfter(incoming, response);
+      // The stop may have begun while the body arrived.
+      if (isRefusedByStop({ deadline, mustFinishBy: mustFinishBy() }))
+        return rejectRequest(incoming, response, STOPPING);
       timer = setTimeout(() => abort('deadline'), Math.max(0, deadline - performance.now()));
       const request: EntryRequest = {
         incoming,
@@ -218,7 +218,6 @@
           sharedParts: metadata.sharedPromptParts,
         },
       };
-      if (isStopping()) connections.closeAfter(incoming, response);
       if (service.engine) await relayStream(context, request, service.engine);
       else await relayCall(context, request);
       return undefined;
--- a/src/entry/request-rejections.ts
+++ b/src/entry/request-rejections.ts
@@ -15,11 +15,12 @@
   retryAfterSeconds: 0.3,
 };
 
+/** Other instances can take the request at once. */
 export const STOPPING: LocalResponse = {
   status: 503,
   code: 'stopping',
   message: 'The instance is stopping; the request was not run.',
-  retryAfterSeconds: 0.6,
+  retryAfterSeconds: 0.2,
 };
 
 export const NO_ROUTE: LocalResponse = {
--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -8,6 +8,7 @@
   waitUntil,
   type PlatformGroup,
   type PlatformInstance,
+  type ReceivedResponse,
 } from '../tools/platform-group.js';
 import { RawConnection } from '../tools/raw-connection.js';
 import {
@@ -17,6 +18,8 @@
   startGroup,
 } from '../tools/serving-group.js';
 
+/** `grace-s` of the settings of these instances: what is unfinished then is killed. */
+const GRACE_MILLISECONDS = 8000;
 const ROUTE_TIMEOUT_MILLISECONDS = 6000;
 
 const CONFIGURATION = {
@@ -79,6 +82,10 @@
   return servers.some(({ runs }) => runs.some((run) => run.requestId === requestId));
 }
 
+function readCode(body: string): string {
+  return (JSON.parse(body) as { error: { code: string } }).error.code;
+}
+
 function formatHead(path: string, requestId: string, bodyBytes: number): string {
   const lines = [
     `POST ${path} HTTP/1.1`,
@@ -91,6 +98,77 @@
   return `${lines.join('\r\n')}\r\n\r\n`;
 }
 
+// What came in the first 3 s of a stop was taken whatever it might last, and cut at the end of the grace.
+test('planned stop: a request that may outlast the stop is refused as not run from the first moment on', async (context) => {
+  const { group, instance } = await startStoppingGroup(context, 5500);
+  const exit = stop(instance);
+  const stoppedAt = performance.now();
+  const sent: { id: string; at: number; answer: Promise<ReceivedResponse> }[] = [];
+  while (performance.now() < stoppedAt + 3200) {
+    const id = createRequestId();
+    const path = sent.length % 2 === 0 ? `/bookings/${id}` : `/removals/${id}`;
+    const headers = { 'request-id': id, 'deadline-ms': '30000' };
+    const at = performance.now() - stoppedAt;
+    sent.push({ id: `${path} ${id}`, at, answer: sendCallerRequest(instance, path, { headers }) });
+    await sleep(50);
+  }
+  const ends = await Promise.all(
+    sent.map(async ({ id, at, answer }) => ({ id, at, ...(await answer) })),
+  );
+  const unanswered = ends.filter(({ status }) => status === 0);
+  assert.deepEqual(
+    unanswered.map(({ id, at }) => `${id} after ${Math.round(at)} ms`),
+    [],
+  );
+  ends.forEach(({ id, at, status, body, headers }) => {
+    if (status === 200) {
+      assert.ok(at + ROUTE_TIMEOUT_MILLISECONDS <= GRACE_MILLISECONDS, id);
+      assert.ok(!id.startsWith('/removals/'), id);
+      return;
+    }
+    assert.equal(status, 503, id);
+    assert.equal(readCode(body), 'stopping');
+    assert.ok(Number(headers['retry-after']) < 1);
+    assert.ok(!hasRun(group, id.split(' ')[1] ?? ''), id);
+  });
+  assert.ok(ends.some(({ status }) => status === 200));
+  assert.deepEqual(await exit, [0, null]);
+});
+
+// Only the route's timeout counted, however soon the caller gives up itself.
+test('planned stop: a request whose caller waits for a short time is served late in the stop', async (context) => {
+  const { instance } = await startStoppingGroup(context, 100);
+  const exit = stop(instance);
+  const blocker = await RawConnection.open(instance.ports.front);
+  context.after(() => blocker.destroy());
+  // A head without its body keeps the instance from ending early.
+  blocker.write(formatHead('/bookings/slow', createRequestId(), 10));
+  await sleep(4000);
+  const headers = { 'deadline-ms': '1500' };
+  const answer = await sendCallerRequest(instance, '/removals/brief', { headers });
+  assert.equal(answer.status, 200);
+  assert.deepEqual(await exit, [0, null]);
+});
+
+// The stop began between a request's head and the end of its body.
+test('planned stop: a request whose body is still arriving is refused as not run, and its connection ends', async (context) => {
+  const { group, instance } = await startStoppingGroup(context, 100);
+  const requestId = createRequestId();
+  const connection = await RawConnection.open(instance.ports.front);
+  context.after(() => connection.destroy());
+  connection.write(`${formatHead('/removals/body', requestId, 10)}12345`);
+  await sleep(300);
+  const exit = stop(instance);
+  await sleep(500);
+  connection.write('67890');
+  const response = await connection.readResponse(2000);
+  assert.equal(response?.status, 503);
+  assert.match(response.head, /^connection: close$/im);
+  assert.equal(readCode(response.body), 'stopping');
+  assert.ok(!hasRun(group, requestId));
+  assert.deepEqual(await exit, [0, null]);
+});
+
 // The answer to the first one ended the connection; the second one ran, and was cut.
 test('planned stop: requests that follow each other on a connection without waiting are all answered', async (context) => {
   const { instance } = await startStoppingGroup(context, 300);
