--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -2,7 +2,6 @@
  * Keeps an instance's configuration and list of backend servers up to date: by watching the store,
  * and from peers while the store is unreachable.
  */
-import { z } from 'zod';
 import type { Address } from '../common/address.js';
 import { sleep } from '../common/clock.js';
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
@@ -12,6 +11,7 @@
 import { followObjects } from '../store/follow-objects.js';
 import type { StoredObject } from '../store/object-store.js';
 import type { LoggerFactory } from '../telemetry/log.js';
+import { CONFIGURATION_STATE_PATH, ConfigurationEvidence } from './configuration-evidence.js';
 import type { EntryPlatform } from './entry-platform.js';
 import { decodeFleetDocument } from './fleet-document.js';
 
@@ -42,7 +42,6 @@
 
 /** Paths under which peers read the stored configuration and the list of backend servers. */
 const CONFIGURATION_PATH = '/configuration';
-const CONFIGURATION_STATE_PATH = '/configuration-state';
 const FLEET_PATH = '/fleet';
 /** Pause between two watches of backend servers, so that changes arrive in batches. */
 const WATCH_PAUSE_MILLISECONDS = 200;
@@ -66,21 +65,14 @@
  * servers are all there after a shorter one.
  */
 const HEARTBEATS_TO_LAPSE = 2;
-/** Peers that are asked at a time whether there is a newer configuration. */
-const ASKED_PEERS = 2;
 const MAXIMUM_LOGGED_ENTRIES = 5;
 
-/** What an instance knows of the newest configuration, as it tells peers that ask. */
-const ConfigurationState = z.object({
-  version: z.number(),
-  /** How long ago the store confirmed that there is no newer version. */
-  ageMilliseconds: z.number().min(0),
-});
-
 /** Applies changes in the store to the configuration and the fleet of one instance. */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions;
 
+  readonly #evidence: ConfigurationEvidence;
+
   /** When the store last answered; or never, if a call has failed since. */
   #lastContactAt = Number.NEGATIVE_INFINITY;
 
@@ -98,9 +90,6 @@
 
   #hasFleet = false;
 
-  /** A question to the store on behalf of peers, shared by all that ask meanwhile. */
-  #stateCheck: Promise<void> | undefined;
-
   /** Ends the watch of servers that waits now. */
   #serverWatch = new AbortController();
 
@@ -109,6 +98,7 @@
 
   constructor(options: StoreFollowerOptions) {
     this.#options = options;
+    this.#evidence = this.#createEvidence();
   }
 
   /** Whether the list of backend servers has been received. */
@@ -130,7 +120,7 @@
     const { configuration, fleet } = this.#options;
     return {
       [CONFIGURATION_PATH]: () => configuration.storedValue,
-      [CONFIGURATION_STATE_PATH]: () => this.#describeConfigurationState(),
+      [CONFIGURATION_STATE_PATH]: () => this.#evidence.describe(),
       [FLEET_PATH]: () => ({
         revision: fleet.revision,
         entries: fleet.servers.map(({ entry }) => entry),
@@ -164,73 +154,27 @@
     else void this.#fetchFleetIfStillBehind(record);
   }
 
-  /**
-   * Where to ask whether the configuration is the newest one: peers first while they follow the store
-   * for this instance, otherwise the store.
-   */
+  /** Where to ask whether the configuration is the newest one. */
   get configurationSources(): readonly ConfigurationSource[] {
-    const askStore = (): Promise<void> => this.#askStoreForConfiguration();
-    const askPeers = (): Promise<void> => this.#askPeersForConfiguration();
-    return this.#options.isFollowedByPeers() ? [askPeers, askStore] : [askStore, askPeers];
+    return this.#evidence.sources;
   }
 
-  async #askStoreForConfiguration(): Promise<void> {
-    const { platform, configuration, signal } = this.#options;
-    const { store, configurationKind } = platform;
-    const since = this.#configurationRevision;
-    if (since !== undefined) {
-      const watched = await store.watch(configurationKind, { since, waitMilliseconds: 0, signal });
-      if (watched.kind === 'unavailable') return;
-      if (watched.kind === 'changed') {
-        watched.changes.forEach(({ object }) => this.#applyConfiguration(object));
-        configuration.markUpToDate('store answer');
-        return;
-      }
-    }
-    const listed = await store.list(configurationKind);
-    if (listed.kind !== 'listed') return;
-    listed.objects.forEach((object) => this.#applyConfiguration(object));
-    configuration.markUpToDate('store answer');
-  }
-
-  /** Asks peers that reach the store, those of this data centre first. */
-  async #askPeersForConfiguration(): Promise<void> {
-    const { dataCentre, listPeers } = this.#options;
-    const asked = listPeers()
-      .filter(({ isStoreReachable, isReady }) => isStoreReachable && isReady)
-      .sort(
-        (one, other) =>
-          Number(other.dataCentre === dataCentre) - Number(one.dataCentre === dataCentre),
-      )
-      .slice(0, ASKED_PEERS);
-    await Promise.all(asked.map((peer) => this.#askPeerForConfiguration(peer)));
-  }
-
-  async #askPeerForConfiguration(peer: PeerRecord): Promise<void> {
-    const { configuration, fetch } = this.#options;
-    const askedAt = performance.now();
-    const answer = ConfigurationState.safeParse(await fetch(peer.peers, CONFIGURATION_STATE_PATH));
-    if (!answer.success) return;
-    const { version, ageMilliseconds } = answer.data;
-    const isNewer = (): boolean => version > (configuration.current?.version ?? -1);
-    if (isNewer()) await this.#fetchConfiguration(peer);
-    if (version !== configuration.current?.version) return;
-    // The peer answered after it was asked, so its evidence is at most this old.
-    configuration.markUpToDate(peer.instance, ageMilliseconds + performance.now() - askedAt);
-  }
-
-  /** Answers a peer; asks the store first if this instance's own evidence is too old to be of use. */
-  async #describeConfigurationState(): Promise<unknown> {
-    const { configuration } = this.#options;
-    if (!configuration.isFresh()) {
-      this.#stateCheck ??= this.#askStoreForConfiguration().finally(() => {
-        this.#stateCheck = undefined;
-      });
-      await this.#stateCheck;
-    }
-    if (!configuration.current || !configuration.isFresh()) return undefined;
-    const ageMilliseconds = configuration.ageMilliseconds();
-    return { version: configuration.current.version, ageMilliseconds };
+  #createEvidence(): ConfigurationEvidence {
+    const { platform, configuration, dataCentre, listPeers, fetch, isFollowedByPeers, signal } =
+      this.#options;
+    return new ConfigurationEvidence({
+      store: platform.store,
+      configurationKind: platform.configurationKind,
+      configuration,
+      dataCentre,
+      watchedRevision: () => this.#configurationRevision,
+      listPeers,
+      fetch,
+      isFollowedByPeers,
+      apply: (object) => this.#applyConfiguration(object),
+      fetchConfiguration: (peer) => this.#fetchConfiguration(peer),
+      signal,
+    });
   }
 
   async #fetchFleetIfStillBehind(record: PeerRecord): Promise<void> {
