--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -2,8 +2,6 @@
  * Serves a streaming request over a chain of engines. When an attempt fails, the stream resumes
  * over another chain after the last event that the caller received.
  */
-import { sleep } from '../common/clock.js';
-import { getErrorMessage } from '../common/http-client.js';
 import { getHeldLayers } from '../fleet/backend-fleet.js';
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
@@ -14,8 +12,8 @@
 import { decideOnEndedRun, type EndedRunDecision } from './ended-run.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
-import type { PeerAnswer } from './peer-relay.js';
 import type { EngineProfile } from './serving-configuration.js';
+import { StreamAtPeer } from './stream-at-peer.js';
 import { StreamAttempt, type StreamAttemptResult } from './stream-attempt.js';
 import { StreamEnding } from './stream-ending.js';
 import { StreamExchange, type AttemptResult } from './stream-exchange.js';
@@ -23,10 +21,6 @@
 import { discard, type Begun, type BegunStream } from './stream-replacement.js';
 import { StreamRuns } from './stream-runs.js';
 
-/** Callers come back to any instance, and others may reach the servers. */
-const RETRY_AFTER_CUT_SECONDS = 0.2;
-const PEER_RETRY_INTERVAL_MILLISECONDS = 300;
-
 /** How a request goes on: over a chain, or over peers while this instance reaches no server. */
 type Way =
   | { readonly kind: 'chain'; readonly chain: EngineChain }
@@ -63,6 +57,8 @@
 
   readonly #limits: StreamLimits;
 
+  readonly #atPeer: StreamAtPeer;
+
   readonly #beside: AttemptBeside;
 
   /** An attempt that took over from the one before and has begun to answer. */
@@ -86,6 +82,16 @@
     this.#ending = new StreamEnding({ context, request, caller: this.#caller, runs: this.#runs });
     this.#exchange = new StreamExchange({ context, request, caller: this.#caller });
     this.#limits = new StreamLimits({ request, runs: this.#runs, crashBlame: context.crashBlame });
+    this.#atPeer = new StreamAtPeer({
+      context,
+      request,
+      caller: this.#caller,
+      exchange: this.#exchange,
+      ending: this.#ending,
+      runs: this.#runs,
+      limits: this.#limits,
+      mayGoOn: (run) => this.#decideOnEndedRun(run),
+    });
     this.#beside = new AttemptBeside({
       context,
       request,
@@ -94,7 +100,7 @@
       runs: this.#runs,
       limits: this.#limits,
       chooseChain: () => this.#chooseChain(),
-      passOn: (processKeys, signal) => this.#passOn(processKeys, signal),
+      passOn: (processKeys, signal) => this.#atPeer.passOn(processKeys, signal),
       checkForEnd: (engine) => this.#checkForEnd(engine),
     });
   }
@@ -139,14 +145,14 @@
       return this.#ending.complete(result.kind);
     if (result.kind !== 'replaced')
       return this.#handleFault(result, chain.stages[0]?.engine.server.entry);
-    if (result.by.kind === 'peer') return this.#relayFromPeer(result.by.answer);
+    if (result.by.kind === 'peer') return this.#atPeer.relay(result.by.answer);
     this.#begun = result.by;
     return undefined;
   }
 
   async #serveWithoutChain(way: 'peers' | 'none'): Promise<string | undefined> {
     if (this.#request.signal.aborted) return this.#ending.sendTimeout();
-    return way === 'peers' ? this.#serveWhileCut() : this.#endWithoutChain();
+    return way === 'peers' ? this.#atPeer.serve() : this.#endWithoutChain();
   }
 
   #endAborted(begun: Begun | undefined): string {
@@ -154,53 +160,6 @@
     return this.#ending.sendTimeout();
   }
 
-  /** Lets a peer serve the request, unless this instance is itself the peer of another one. */
-  async #serveWhileCut(): Promise<string | undefined> {
-    const answer: PeerAnswer = this.#request.relayed
-      ? { kind: 'none' }
-      : await this.#passOn(this.#runs.processKeys);
-    if (this.#request.signal.aborted) return this.#ending.sendTimeout();
-    if (answer.kind === 'served') return this.#relayFromPeer(answer);
-    if (answer.kind === 'none') return this.#handleNoPeer();
-    if (!this.#caller.hasStarted)
-      return answer.kind === 'ended'
-        ? this.#ending.sendPeerResponse(answer.response)
-        : this.#ending.sendPeerLost();
-    const message = answer.kind === 'ended' ? answer.response.message : answer.message;
-    return this.#handlePeerFault(answer.peer, message);
-  }
-
-  /** Waits before peers are asked once more, if the caller has a part of the answer. */
-  async #handleNoPeer(): Promise<string | undefined> {
-    const { proof } = this.#limits;
-    if (!this.#caller.hasStarted || proof)
-      return this.#ending.sendFailure('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
-    await sleep(PEER_RETRY_INTERVAL_MILLISECONDS, this.#request.signal);
-    return undefined;
-  }
-
-  async #relayFromPeer({
-    peer,
-    message,
-    status,
-  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string | undefined> {
-    const { signal } = this.#request;
-    try {
-      const result = await this.#exchange.relayFromPeer(message, status);
-      return this.#ending.complete(result.kind === 'answered' ? 'answered' : 'completed');
-    } catch (error) {
-      if (signal.aborted) return this.#ending.sendTimeout();
-      return this.#handlePeerFault(peer, getErrorMessage(error));
-    }
-  }
-
-  /** Decides on a request that a peer, or the server that the peer used, may have run in part. */
-  #handlePeerFault(peer: string, message: string): string | undefined {
-    this.#runs.record(peer, true);
-    const isGoingOn = this.#decideOnEndedRun({ after: 'peerLost', message, peer });
-    return isGoingOn ? undefined : this.#ending.sendPeerLost();
-  }
-
   /** Records a failed attempt; returns the request's outcome if it is not to go on. */
   async #handleFault(
     result: Extract<AttemptResult, { kind: 'notRun' | 'broken' }>,
@@ -223,10 +182,10 @@
   /**
    * Decides what becomes of the request after an attempt that failed.
    *
-   * @param attempt - The attempt, for the log.
+   * @param run - The run that ended, for the log.
    * @returns Whether the request goes on.
    */
-  #decideOnEndedRun(attempt: Readonly<Record<string, unknown>>): boolean {
+  #decideOnEndedRun(run: Readonly<Record<string, unknown>>): boolean {
     const { retryBudget, logs, metrics } = this.#context;
     const { service, metadata } = this.#request;
     const decision = decideOnEndedRun({
@@ -237,7 +196,7 @@
     });
     logs('routing').info(ENDED_RUN_MESSAGES[decision.kind], {
       requestId: metadata.requestId,
-      ...attempt,
+      ...run,
       reason: decision.kind === 'end' ? decision.reason : undefined,
       lastEventId: this.#caller.lastEventId,
       sharedPromptParts: metadata.sharedPromptParts,
@@ -254,18 +213,6 @@
     if (hasEnded && !this.#exchange.wasWritten) this.#limits.recordEndAtBegin();
   }
 
-  /** @param processKeys - Processes of servers that may have run the request. */
-  #passOn(
-    processKeys: readonly string[],
-    signal: AbortSignal = this.#request.signal,
-  ): Promise<PeerAnswer> {
-    const request = { ...this.#request, signal: AbortSignal.any([this.#request.signal, signal]) };
-    return this.#context.peerRelay.relay(request, {
-      processKeys,
-      lastEventId: this.#caller.lastEventId,
-    });
-  }
-
   /** Finds a way to go on; a stream that has begun waits for one as long as its time lasts. */
   async #findWay(): Promise<Way> {
     const { waitingStreams, serverReach } = this.#context;
--- /dev/null
+++ b/src/entry/stream-at-peer.ts
@@ -0,0 +1,109 @@
+/** Lets a peer serve a stream while this instance reaches no backend server. */
+import { sleep } from '../common/clock.js';
+import { getErrorMessage } from '../common/http-client.js';
+import type { CallerStream } from './caller-stream.js';
+import type { EntryContext } from './entry-context.js';
+import type { EntryRequest } from './entry-request.js';
+import type { PeerAnswer } from './peer-relay.js';
+import type { StreamEnding } from './stream-ending.js';
+import type { StreamExchange } from './stream-exchange.js';
+import type { StreamLimits } from './stream-limits.js';
+import type { StreamRuns } from './stream-runs.js';
+
+/** Options of {@link StreamAtPeer}. */
+export interface StreamAtPeerOptions {
+  readonly context: EntryContext;
+  readonly request: EntryRequest;
+  readonly caller: CallerStream;
+  readonly exchange: StreamExchange;
+  readonly ending: StreamEnding;
+  readonly runs: StreamRuns;
+  readonly limits: StreamLimits;
+  /** Decides whether the request goes on after a run that ended; the argument describes the run in the log. */
+  readonly mayGoOn: (run: Readonly<Record<string, unknown>>) => boolean;
+}
+
+/** Callers come back to any instance, and others may reach the servers. */
+const RETRY_AFTER_CUT_SECONDS = 0.2;
+const PEER_RETRY_INTERVAL_MILLISECONDS = 300;
+
+export class StreamAtPeer {
+  readonly #options: StreamAtPeerOptions;
+
+  constructor(options: StreamAtPeerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Lets a peer serve the request, unless this instance is itself the peer of another one.
+   *
+   * @returns The request's outcome; undefined if it is to go on.
+   */
+  async serve(): Promise<string | undefined> {
+    const { request, caller, ending, runs } = this.#options;
+    const answer: PeerAnswer = request.relayed
+      ? { kind: 'none' }
+      : await this.passOn(runs.processKeys, request.signal);
+    if (request.signal.aborted) return ending.sendTimeout();
+    if (answer.kind === 'served') return this.relay(answer);
+    if (answer.kind === 'none') return this.#handleNoPeer();
+    if (!caller.hasStarted)
+      return answer.kind === 'ended'
+        ? ending.sendPeerResponse(answer.response)
+        : ending.sendPeerLost();
+    const message = answer.kind === 'ended' ? answer.response.message : answer.message;
+    return this.#handleFault(answer.peer, message);
+  }
+
+  /**
+   * Relays the answer that a peer got for the request.
+   *
+   * @param answer - The answer.
+   * @returns The request's outcome; undefined if the answer broke off and the request is to go on.
+   */
+  async relay({
+    peer,
+    message,
+    status,
+  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string | undefined> {
+    const { request, exchange, ending } = this.#options;
+    try {
+      const result = await exchange.relayFromPeer(message, status);
+      return ending.complete(result.kind === 'answered' ? 'answered' : 'completed');
+    } catch (error) {
+      if (request.signal.aborted) return ending.sendTimeout();
+      return this.#handleFault(peer, getErrorMessage(error));
+    }
+  }
+
+  /**
+   * Passes the request on to a peer.
+   *
+   * @param processKeys - Processes of servers that may have run it.
+   * @param signal - Ends the exchange, as the request's own signal does.
+   * @returns What became of it.
+   */
+  passOn(processKeys: readonly string[], signal: AbortSignal): Promise<PeerAnswer> {
+    const { context, request, caller } = this.#options;
+    return context.peerRelay.relay(
+      { ...request, signal: AbortSignal.any([request.signal, signal]) },
+      { processKeys, lastEventId: caller.lastEventId },
+    );
+  }
+
+  /** Waits before peers are asked once more, if the caller has a part of the answer. */
+  async #handleNoPeer(): Promise<string | undefined> {
+    const { request, caller, ending, limits } = this.#options;
+    if (!caller.hasStarted || limits.proof)
+      return ending.sendFailure('servers_unreachable', RETRY_AFTER_CUT_SECONDS);
+    await sleep(PEER_RETRY_INTERVAL_MILLISECONDS, request.signal);
+    return undefined;
+  }
+
+  /** Decides on a request that the peer, or a server that it used, may have run in part. */
+  #handleFault(peer: string, message: string): string | undefined {
+    const { ending, runs, mayGoOn } = this.#options;
+    runs.record(peer, true);
+    return mayGoOn({ after: 'peerLost', message, peer }) ? undefined : ending.sendPeerLost();
+  }
+}
