Leave engines out whose layers aren't the model's; one odd entry stopped all streams

What callers saw: with one entry in the list of servers whose layers end behind the model's last one (for example 8 to 9, or 1e9 to 1e9 + 1, of 8), every instance refused every stream of that service for as long as the entry was there.

Cause: a chain is looked for from boundary to boundary of the engines' ranges (src/layers/chain-choice.ts). The odd range added one behind the last layer, which no engine holds, and "no chain covers all layers" followed. Beside that, src/layers/least-cached-range.ts and src/layers/coverage-guard.ts went from the first to the last layer of an entry one by one: 1e9 steps, and as many members of an array in the former. An engine that reports such layers did the same.

Why the fix works: one function tells whether a range is one of the model's (isWithinModel). Engines for which it isn't are left out of the choice of chains, of plans and of the guard; they are not ordered to hold other layers either, so that an entry of nobody's takes no part of the model. Loops over layers run within the model's number of layers.

Evidence: the process test (22 odd entries of several kinds before four engines and two other servers, two instances) failed before: "condition not met in time: entry-0 serves streams". The five properties of src/layers/odd-ranges.test.ts (each decision is the one that is made without the odd engines, and reads a range at most 2000 times) failed before, all five. The process test of one live engine that reports and registers layers 4 to 1e9 passed before as well: its range covered the model's end, so that chains were found, and it was never the cheapest. The first process test stops before the server that is added where streams aren't served, so nothing is shown of that for the code before.

--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -12,6 +12,7 @@
   estimateLayerMilliseconds,
   type RequestTokens,
 } from './engine-estimates.js';
+import { isWithinModel } from './layer-ranges.js';
 
 /** An engine that may take part in a chain. */
 export interface ChainCandidate {
@@ -228,16 +229,17 @@
 /**
  * Finds the cheapest chain by dynamic programming over the layers.
  *
- * @param candidates - The engines that may be used.
+ * @param engines - The engines that may be used; those whose layers aren't the model's are not.
  * @param request - The request and the conditions on the chain.
  * @returns The cheapest chain, or the first layer that no candidate may run.
  */
 export function chooseChain<T extends ChainCandidate>(
-  candidates: readonly T[],
+  engines: readonly T[],
   request: ChainRequest,
 ): Chain<T> | NoChain {
   const { layerCount } = request.profile;
   const requestTokens = request.tokens.prompt + request.tokens.output;
+  const candidates = engines.filter(({ layers }) => isWithinModel(layers, layerCount));
   const estimates = candidates.map((engine) => estimateEngine(engine, request));
   const boundaries = findBoundaries(candidates, layerCount, request.pinnedStage);
   let lastSteps: Step<T>[] = [];
--- a/src/layers/coverage-guard.ts
+++ b/src/layers/coverage-guard.ts
@@ -3,7 +3,7 @@
  * moves several ranges at once, whose orders are carried out at different times.
  */
 import type { LayerRange } from '../fleet/server-entry.js';
-import { findUncoveredRanges } from './layer-ranges.js';
+import { findUncoveredRanges, isWithinModel } from './layer-ranges.js';
 
 /** An engine and the layers that it holds now. */
 export interface LayerHolder {
@@ -26,8 +26,10 @@
   readonly canSpanDataCentres: boolean;
 }
 
-function listRanges(holders: readonly LayerHolder[]): LayerRange[] {
-  return holders.flatMap(({ layers }) => layers ?? []);
+function listRanges(holders: readonly LayerHolder[], layerCount: number): LayerRange[] {
+  return holders
+    .flatMap(({ layers }) => layers ?? [])
+    .filter((range) => isWithinModel(range, layerCount));
 }
 
 function contains({ from, to }: LayerRange, layer: number): boolean {
@@ -49,12 +51,13 @@
 ): boolean {
   const changed = holders.find((holder) => holder.id === id);
   const held = changed?.layers;
-  if (!held) return false;
+  if (!held || !isWithinModel(held, layerCount)) return false;
   const local = holders.filter(({ dataCentre }) => dataCentre === changed.dataCentre);
-  const isWholeLocally = findUncoveredRanges(listRanges(local), layerCount).length === 0;
+  const isWholeLocally =
+    findUncoveredRanges(listRanges(local, layerCount), layerCount).length === 0;
   const relevant = isWholeLocally || !canSpanDataCentres ? local : holders;
   const others = relevant.filter((holder) => holder.id !== id);
-  const otherRanges = listRanges(others);
+  const otherRanges = listRanges(others, layerCount);
   for (let layer = held.from; layer < held.to; layer += 1) {
     const isHeldElsewhere = otherRanges.some((range) => contains(range, layer));
     if (!contains(planned, layer) && !isHeldElsewhere) return true;
--- a/src/layers/coverage-plan.ts
+++ b/src/layers/coverage-plan.ts
@@ -11,7 +11,7 @@
 import type { LayerRange } from '../fleet/server-entry.js';
 import { maximumLayerCount, maximumLayerCountWithCache } from './engine-estimates.js';
 import { planGroup, type GroupPlanOptions } from './group-plan.js';
-import { findUncoveredRanges } from './layer-ranges.js';
+import { findUncoveredRanges, isWithinModel } from './layer-ranges.js';
 import type { LayerLimit, PlannedEngine } from './planned-engine.js';
 
 // The system tests import it from here.
@@ -26,7 +26,7 @@
  */
 const MINIMUM_SLOT_SHARE = 0.1;
 
-/** Groups the engines that can hold layers by data centre, sorted by id. */
+/** Groups the engines that can hold layers by data centre, sorted by id; those with odd layers are left out. */
 function groupByDataCentre(
   engines: readonly PlannedEngine[],
   profile: EngineProfile,
@@ -34,6 +34,7 @@
   const groups = new Map<string, PlannedEngine[]>();
   [...engines]
     .filter(({ kind }) => maximumLayerCount(profile, kind) > 0)
+    .filter(({ layers }) => !layers || isWithinModel(layers, profile.layerCount))
     .sort((one, other) => (one.id < other.id ? -1 : 1))
     .forEach((engine) => {
       const group = groups.get(engine.dataCentre) ?? [];
--- a/src/layers/layer-ranges.ts
+++ b/src/layers/layer-ranges.ts
@@ -1,6 +1,17 @@
 /** Arithmetic on ranges of consecutive layers. */
 import type { LayerRange } from '../fleet/server-entry.js';
 
+/**
+ * Whether a range is one of the model's. Handles odd entries, and engines that report such ranges; loops over
+ * layers and choices among engines need not be bounded again.
+ *
+ * @param range - The range.
+ * @param layerCount - Number of layers of the model.
+ */
+export function isWithinModel({ from, to }: LayerRange, layerCount: number): boolean {
+  return from >= 0 && from < to && to <= layerCount;
+}
+
 /**
  * Counts the layers of a range.
  *
@@ -27,7 +38,7 @@
 /**
  * Finds the layers that none of the given ranges contains.
  *
- * @param ranges - The ranges, in any order; they may overlap.
+ * @param ranges - The ranges, in any order; they may overlap. One that isn't the model's holds nothing.
  * @param layerCount - Number of layers of the model.
  * @returns The ranges of consecutive uncovered layers, in order.
  */
@@ -35,7 +46,9 @@
   ranges: readonly LayerRange[],
   layerCount: number,
 ): LayerRange[] {
-  const sorted = [...ranges].sort((one, other) => one.from - other.from);
+  const sorted = ranges
+    .filter((range) => isWithinModel(range, layerCount))
+    .sort((one, other) => one.from - other.from);
   const uncovered: LayerRange[] = [];
   let covered = 0;
   sorted.forEach(({ from, to }) => {
--- a/src/layers/least-cached-range.ts
+++ b/src/layers/least-cached-range.ts
@@ -2,7 +2,7 @@
 import type { EngineProfile } from '../entry/serving-configuration.js';
 import type { LayerRange } from '../fleet/server-entry.js';
 import { cacheCapacityTokenLayers } from './engine-estimates.js';
-import { countLayers } from './layer-ranges.js';
+import { countLayers, isWithinModel } from './layer-ranges.js';
 import type { PlannedEngine } from './planned-engine.js';
 
 /** Returns for how many tokens each layer has KV cache, over all engines. */
@@ -14,7 +14,7 @@
   const tokensByLayer = new Array<number>(profile.layerCount).fill(0);
   engines.forEach((engine) => {
     const range = ranges.get(engine.id);
-    if (!range) return;
+    if (!range || !isWithinModel(range, profile.layerCount)) return;
     const tokens = cacheCapacityTokenLayers(profile, engine.kind, range) / countLayers(range);
     for (let layer = range.from; layer < range.to; layer += 1) {
       tokensByLayer[layer] = (tokensByLayer[layer] ?? 0) + tokens;
