Bound what is read of servers and peers; a nested part of an instance's own object exceeded the stack

What callers saw: nothing measured with whole processes for this change; found by reading, after a report of odd entries. By unit tests: an entry with 2^53-1 slots was a server that is never full, one with 1e9 layers a range to go through; a peer's list and records were read with any number, as ports and layers too; and a record with one part that doesn't match beside a deeply nested unknown one exceeded the stack. An instance reads what blocks requests from the instances' objects in the same way, and has no handler there, so that such an object would end it at each start.

Cause: the schemas had lower bounds at most. To leave out parts that don't match, parseTolerantly copied all others step by step as well, however deep.

Bounds: at most 1000 layers (several times what the deepest models have; the model's own number bounds them where it is known, src/layers/layer-ranges.ts), 65535 slots (each request holds a connection, an address has no more ports), ports from 1, safe integers for counts and times. An entry of a peer's list with odd layers names no server, rather than an engine without layers. What is kept whole is no longer copied.

Evidence: failed before, of five tests: the layers and slots out of bounds, both properties over odd values, the odd entries of a peer's list (assertions), and the record ("Maximum call stack size exceeded").

--- a/src/daemon/fleet-document.ts
+++ b/src/daemon/fleet-document.ts
@@ -1,28 +1,39 @@
 /** The list of backend servers as peers fetch it from each other; reads that of another build. */
 import { z } from 'zod';
+import { FirstLayer, LayerEnd, Port, Slots } from '../fleet/entry-bounds.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import { parseTolerantly } from '../gossip/tolerant-parse.js';
 
-const Layers = z.looseObject({ from: z.number(), to: z.number() });
+const Layers = z
+  .looseObject({ from: FirstLayer, to: LayerEnd })
+  .refine(({ from, to }) => from < to);
 
 /** The fields of a {@link ServerEntry} as JSON, and others, which are kept. */
 const FleetEntry = z.looseObject({
   id: z.string(),
   incarnation: z.string().optional(),
   service: z.string(),
-  address: z.looseObject({ host: z.string(), port: z.number() }),
+  address: z.looseObject({ host: z.union([z.ipv4(), z.ipv6()]), port: Port }),
   dataCentre: z.string(),
-  slots: z.number(),
+  slots: Slots,
   isLeaving: z.boolean(),
   kind: z.string().optional(),
   layers: Layers.optional(),
 });
 
+const EntryLayers = z.object({ layers: z.unknown() }).catch({ layers: undefined });
+
+/** Whether an entry has layers that can't be read; it names no engine to use, not one without layers. */
+function hasOddLayers(entry: unknown): boolean {
+  const { layers } = EntryLayers.parse(entry);
+  return layers !== undefined && !Layers.safeParse(layers).success;
+}
+
 const FleetDocument = z.object({
-  revision: z.number(),
+  revision: z.number().int().min(0),
   entries: z.array(z.unknown()),
   /** By id of a server whose entry is missing after a store outage: how long the store has been back. */
-  missingMilliseconds: z.record(z.string(), z.number()).optional(),
+  missingMilliseconds: z.record(z.string(), z.number().min(0)).optional(),
 });
 
 /** A peer's list, as far as it can be read. */
@@ -43,7 +54,10 @@
 export function decodeFleetDocument(value: unknown): DecodedFleet | undefined {
   const { value: document, message } = parseTolerantly(FleetDocument, value);
   if (!document) return undefined;
-  const results = document.entries.map((entry) => parseTolerantly(FleetEntry, entry));
+  const results = document.entries.map((entry) => {
+    const result = parseTolerantly(FleetEntry, entry);
+    return hasOddLayers(entry) ? { ...result, value: undefined } : result;
+  });
   return {
     revision: document.revision,
     entries: results
--- a/src/daemon/instance-registration.ts
+++ b/src/daemon/instance-registration.ts
@@ -32,11 +32,11 @@
 /** What blocks requests, as it lies in the store. */
 const KeptBlocks = z.object({
   /** When it was written, in wall-clock milliseconds; clocks may differ by seconds. */
-  writtenAt: z.number(),
+  writtenAt: z.number().int().min(0),
   crashes: PeerRecord.shape.crashes,
   crashesWhileWritten: PeerRecord.shape.crashesWhileWritten,
   promptParts: PeerRecord.shape.promptParts.unwrap(),
-  clock: z.number(),
+  clock: PeerRecord.shape.clock.unwrap(),
 });
 const RegisteredBlocks = z.object({ blocks: z.unknown() });
 /** The fields of an object, known or not. */
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -1,38 +1,47 @@
 /** The record in which an instance describes itself to its peers through gossip. */
 import { z } from 'zod';
+import { FirstLayer, LayerEnd, Port } from '../fleet/entry-bounds.js';
 
-const AddressFields = z.object({ host: z.string(), port: z.number() });
+const AddressFields = z.object({ host: z.string(), port: Port });
+/** A count, or a sum that is never below 0. */
+const Amount = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
+/** Milliseconds on a clock; what lies before the clock's start is negative. */
+const Time = z.number().min(Number.MIN_SAFE_INTEGER).max(Number.MAX_SAFE_INTEGER);
+
+/** Engines slower than this are not told apart. */
+const MAXIMUM_PACE = 1000;
 
 /** By backend server: running requests and KV cache reserved for them, in tokens times layers. */
-const ServerLoads = z.record(z.string(), z.tuple([z.number(), z.number()]));
+const ServerLoads = z.record(z.string(), z.tuple([Amount, Amount]));
 export type ServerLoads = z.infer<typeof ServerLoads>;
 
 const PromptParts = z.object({
-  ends: z.record(z.string(), z.tuple([z.number(), z.array(z.array(z.string()))])),
-  written: z.record(z.string(), z.number()),
-  tried: z.record(z.string(), z.number()),
+  ends: z.record(z.string(), z.tuple([Time, z.array(z.array(z.string()))])),
+  written: z.record(z.string(), Time),
+  tried: z.record(z.string(), Time),
 });
 
 const KnownFields = z.object({
   instance: z.string(),
   dataCentre: z.string(),
   /** Start time of the process in wall-clock milliseconds; a restart yields a higher value. */
-  incarnation: z.number(),
+  incarnation: Amount,
   /** Increases each time the instance writes its record; 0 marks a record made from the store. */
-  counter: z.number(),
+  counter: Amount,
   /**
    * The counter at which something last changed that peers act on at once, such as readiness or the
    * configuration version. Absent in records of older builds.
    */
-  changeCounter: z.number().optional(),
+  changeCounter: Amount.optional(),
   /** Address for callers. */
   callers: AddressFields,
   /** Address for peers. */
   peers: AddressFields,
   isReady: z.boolean(),
   isStopping: z.boolean(),
-  configurationVersion: z.number(),
-  fleetRevision: z.number(),
+  /** -1 without one. */
+  configurationVersion: z.number().min(-1).max(Number.MAX_SAFE_INTEGER),
+  fleetRevision: Amount,
   /** Whether the store answered this instance recently. */
   isStoreReachable: z.boolean(),
   /** Whether it has lost its links to all backend servers. Absent in records of older builds. */
@@ -44,9 +53,7 @@
   /** Ids of the backend servers that it has ejected. */
   suspects: z.array(z.string()),
   /** For each of them when, on the clock of `clock`, and why. Absent in records of older builds. */
-  ejections: z
-    .record(z.string(), z.tuple([z.number(), z.enum(['unreachable', 'faulty'])]))
-    .optional(),
+  ejections: z.record(z.string(), z.tuple([Time, z.enum(['unreachable', 'faulty'])])).optional(),
   /** Loads of the requests that this instance runs. Left out towards other data centres. */
   loads: ServerLoads,
   /**
@@ -55,18 +62,18 @@
    */
   dataCentreLoads: ServerLoads.optional(),
   /** By backend server: how many times slower it is than usual for its kind. */
-  paces: z.record(z.string(), z.number()),
+  paces: z.record(z.string(), z.number().min(0).max(MAXIMUM_PACE)),
   /** By engine: the layer range it last reported, which its registry entry may not show yet. */
-  holdings: z.record(z.string(), z.tuple([z.number(), z.number()])),
+  holdings: z.record(z.string(), z.tuple([FirstLayer, LayerEnd])),
   /** Term of the planner lease while this instance holds it, otherwise 0. */
-  plannerTerm: z.number(),
+  plannerTerm: Amount,
   /** By service: first attempts and retries within the window of the retry budget. */
-  retries: z.record(z.string(), z.tuple([z.number(), z.number()])),
+  retries: z.record(z.string(), z.tuple([Amount, Amount])),
   /**
    * By backend server: the limit that it names, or null if it ceased to, and how many milliseconds
    * before the record it last said so. Absent in records of older builds.
    */
-  limits: z.record(z.string(), z.tuple([z.number().nullable(), z.number()])).optional(),
+  limits: z.record(z.string(), z.tuple([Amount.nullable(), Time])).optional(),
   /** By content key of a request: ids of the backend servers that crashed while running it. */
   crashes: z.record(z.string(), z.array(z.string())),
   /**
@@ -80,7 +87,7 @@
    */
   promptParts: PromptParts.optional(),
   /** The instance's monotonic clock when it made the record, in milliseconds. Absent in older builds. */
-  clock: z.number().optional(),
+  clock: Time.optional(),
 });
 export type PeerRecord = z.infer<typeof KnownFields>;
 
--- a/src/gossip/tolerant-parse.ts
+++ b/src/gossip/tolerant-parse.ts
@@ -48,7 +48,8 @@
 
 /** Copies a value without the entries or fields at these paths. */
 function omit(value: unknown, paths: readonly Path[]): unknown {
-  if (!isContainer(value)) return value;
+  // What is kept whole isn't walked through: it may be nested deeper than the stack is.
+  if (!isContainer(value) || paths.length === 0) return value;
   const removed = new Set(paths.filter(({ length }) => length === 1).map(([name]) => String(name)));
   const keep = (name: string): unknown =>
     omit(
