Stop: give what is unfinished at the end an answer, or an end that shows as one

Seen by callers: at the end of a planned stop's grace all connections were closed. Calls that still ran, requests whose body had not arrived and requests that a peer served for the instance ended without an answer.

Cause: the stop closed all connections without ending their requests first.

Fix: 0.6 s before the platform kills the process each request is aborted for a reason of its own ('stopping'), as a deadline does it: 502 `stopped` (possibly run); 503 `stopping` (not run) if its body has not arrived; a stream that has begun breaks off without its last chunk. The course of a stop has its own module (src/daemon/stop-sequence.ts). A timeout's message now says for streams, too, that the request may have run.

Ruled out: 503 for requests that may not have reached a server. Whether they did isn't known for certain at the moment of the abort, and 503 promises that they never run.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -14,6 +14,7 @@
 import { listCallerAddresses } from './caller-addresses.js';
 import { isPlanner } from './planner-role.js';
 import { STALL_CHECK_INTERVAL_MILLISECONDS } from './server-components.js';
+import { finishRequests, planStop, type StopTimes } from './stop-sequence.js';
 
 /** Options of {@link startEntryDaemon}. */
 export interface EntryDaemonOptions {
@@ -25,7 +26,7 @@
 /** A running entry instance. */
 export interface EntryDaemon {
   /**
-   * Stops gracefully; resolves when the last request is done, or shortly before
+   * Stops gracefully; resolves when the last request is done or was ended, shortly before
    * `settings.stopTimeoutMilliseconds` has passed.
    */
   readonly stop: () => Promise<void>;
@@ -34,14 +35,6 @@
 const SLOWDOWN_CHECK_INTERVAL_MILLISECONDS = 500;
 const HEALTH_CHECK_INTERVAL_MILLISECONDS = 200;
 const ADDRESS_LIFETIME_SECONDS = 1;
-/** Stopping ends this long before the platform kills the process, so that it exits in order. */
-const STOP_MARGIN_MILLISECONDS = 600;
-const STOP_POLL_INTERVAL_MILLISECONDS = 50;
-/**
- * Callers may keep using an address past its lifetime. After a stop begins, the instance serves for at
- * least this many address lifetimes.
- */
-const CACHED_ADDRESS_LIFETIMES = 3;
 
 /** The components of one entry instance and its lifecycle. */
 class EntryInstance {
@@ -49,10 +42,8 @@
 
   readonly #taskController = new AbortController();
 
-  #isStopping = false;
-
-  /** Set while the instance stops: when it ends all requests. */
-  #mustFinishBy: number | undefined;
+  /** Set while the instance stops. */
+  #stopTimes: StopTimes | undefined;
 
   #server: EntryServer | undefined;
 
@@ -67,7 +58,7 @@
     this.#components = new EntryComponents({
       ...options,
       signal: this.#taskController.signal,
-      isStopping: () => this.#isStopping,
+      isStopping: () => this.#stopTimes !== undefined,
       server: () => this.#server,
     });
   }
@@ -81,8 +72,8 @@
         context: this.#components.context,
         configuration: this.#components.configuration,
         confirmConfiguration: () => this.#components.configurationCheck.confirm(),
-        isStopping: () => this.#isStopping,
-        mustFinishBy: () => this.#mustFinishBy,
+        isStopping: () => this.#stopTimes !== undefined,
+        mustFinishBy: () => this.#stopTimes?.mustFinishBy,
       }),
       platform.startEndpoints({
         isReady: () => this.#components.isReady,
@@ -104,24 +95,19 @@
   async stop(): Promise<void> {
     const { settings, logs } = this.#options;
     const log = logs('daemon');
-    if (this.#isStopping) return;
-    this.#isStopping = true;
-    const startedAt = performance.now();
-    const deadline = startedAt + settings.stopTimeoutMilliseconds - STOP_MARGIN_MILLISECONDS;
-    this.#mustFinishBy = deadline;
+    if (this.#stopTimes) return;
+    this.#stopTimes = planStop({
+      startedAt: performance.now(),
+      timeoutMilliseconds: settings.stopTimeoutMilliseconds,
+      addressLifetimeMilliseconds: ADDRESS_LIFETIME_SECONDS * 1000,
+    });
     log.info('Stopping: no longer announced to callers.', {
       open: this.#server?.openRequests(),
     });
     this.#components.gossipImmediately();
     this.#components.registration.withdraw();
-    const cachedUntil = startedAt + CACHED_ADDRESS_LIFETIMES * ADDRESS_LIFETIME_SECONDS * 1000;
-    while (performance.now() < deadline) {
-      const isAddressCached = performance.now() < cachedUntil;
-      if (!isAddressCached) this.#server?.closeIdleConnections();
-      if (!isAddressCached && this.#server?.openRequests() === 0) break;
-      await sleep(STOP_POLL_INTERVAL_MILLISECONDS);
-    }
-    log.info('Stopped.', { open: this.#server?.openRequests() });
+    const result = this.#server && (await finishRequests(this.#server, this.#stopTimes));
+    log.info('Stopped.', { ...result });
     this.#taskController.abort();
     this.#server?.close();
     this.#closeEndpoints?.();
--- a/src/entry/call-ending.ts
+++ b/src/entry/call-ending.ts
@@ -1,4 +1,5 @@
 /** Ends a call to a plain service: passes an answer on, refuses it or fails it, and records its outcome. */
+import { ABORT_RESPONSES } from './abort-response.js';
 import { readAnswer } from './backend-request.js';
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, type EntryRequest } from './entry-request.js';
@@ -114,13 +115,10 @@
     });
   }
 
-  /** Ends a call whose deadline has passed or whose caller has left. */
+  /** Ends a call whose deadline has passed, whose caller has left, or that the instance's stop ends. */
   sendTimeout(): string {
-    return this.#sendLocalResponse(getAbortReason(this.#options.request.signal) ?? 'deadline', {
-      status: 504,
-      code: 'timeout',
-      message: 'The request was not finished in its time; it may have run.',
-    });
+    const reason = getAbortReason(this.#options.request.signal) ?? 'deadline';
+    return this.#sendLocalResponse(reason, ABORT_RESPONSES[reason]);
   }
 
   #sendLocalResponse(outcome: string, localResponse: LocalResponse): string {
--- a/src/entry/entry-request.ts
+++ b/src/entry/entry-request.ts
@@ -21,15 +21,15 @@
   readonly receivedAt: number;
   /** When the response must be complete, on the monotonic clock. */
   readonly deadline: number;
-  /** Aborts with an {@link AbortReason} when the caller disconnects or the deadline passes. */
+  /** Aborts with an {@link AbortReason}. */
   readonly signal: AbortSignal;
   readonly content: RequestContent;
   /** What the instance states that passed the request on; undefined if the caller sent it here. */
   readonly relayed: RelayedRequest | undefined;
 }
 
-/** Why a request's signal was aborted. */
-export type AbortReason = 'callerGone' | 'deadline';
+/** Why a request's signal was aborted: its caller left, its time is over, or the instance ends. */
+export type AbortReason = 'callerGone' | 'deadline' | 'stopping';
 
 /**
  * Returns why a request's signal was aborted.
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -6,9 +6,10 @@
 import { getErrorMessage } from '../common/http-client.js';
 import { sendLocalResponse, type LocalResponse } from './entry-response.js';
 import type { EntryContext } from './entry-context.js';
-import type { AbortReason, EntryRequest } from './entry-request.js';
+import { getAbortReason, type AbortReason, type EntryRequest } from './entry-request.js';
 import type { ProtocolAdapter, RequestMetadata } from './protocol-adapter.js';
 import { decodeRelayedRequest, RELAY_HEADER, type RelayedRequest } from './relayed-request.js';
+import { readBody, UnreadBodyError } from './request-body.js';
 import {
   BAD_RELAY,
   BAD_REQUEST,
@@ -50,6 +51,8 @@
   readonly openRequests: () => number;
   /** Closes connections that carry no request. */
   readonly closeIdleConnections: () => void;
+  /** Ends all requests, as possibly run if they have been passed on. */
+  readonly endRequests: () => void;
   /** Stops listening and closes all connections, including those with a request. */
   readonly close: () => void;
 }
@@ -63,21 +66,6 @@
 /** Requests of peers that are served at the same time; each takes two connections. */
 const MAXIMUM_RELAYED_REQUESTS = 256;
 
-class BodyTooLargeError extends Error {}
-
-async function readBody(incoming: IncomingMessage, maximumBytes: number): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of incoming) {
-    const part = chunk as Buffer;
-    bytes += part.length;
-    if (bytes > maximumBytes)
-      throw new BodyTooLargeError('The request body exceeds the configured limit.');
-    parts.push(part);
-  }
-  return Buffer.concat(parts);
-}
-
 function hashContent(path: string, account: string, body: Buffer): string {
   const hash = createHash('sha1').update(`${account}\n${path}\n`).update(body);
   return hash.digest('hex').slice(0, 2 * CONTENT_HASH_BYTES);
@@ -132,6 +120,8 @@
     log,
     countError: (code) => metrics.countEvent(`connection_error_${code}`),
   });
+  /** Ends the requests that are being served. */
+  const abortControllers = new Set<AbortController>();
   let openCount = 0;
   let relayedCount = 0;
 
@@ -173,13 +163,14 @@
     }
     const abortController = new AbortController();
     const abort = (reason: AbortReason): void => abortController.abort(reason);
+    abortControllers.add(abortController);
     const onClose = (): void => {
       if (!response.writableFinished) abort('callerGone');
     };
     response.on('close', onClose);
     let timer: NodeJS.Timeout | undefined;
     try {
-      const body = await readBody(incoming, bodyBytes);
+      const body = await readBody(incoming, bodyBytes, abortController.signal);
       const isDenied = isLocalResponse(findRouteOrRejection(configuration, target, metadata));
       if (isDenied && !(await confirmConfiguration()))
         return rejectRequest(incoming, response, STALE_CONFIGURATION);
@@ -222,13 +213,20 @@
       else await relayCall(context, request);
       return undefined;
     } catch (error) {
-      if (error instanceof BodyTooLargeError) return rejectRequest(incoming, response, TOO_LARGE);
+      if (error instanceof UnreadBodyError) {
+        if (error.reason === 'tooLarge') return rejectRequest(incoming, response, TOO_LARGE);
+        if (getAbortReason(abortController.signal) === 'stopping') {
+          connections.closeAfter(incoming, response);
+          return rejectRequest(incoming, response, STOPPING);
+        }
+      }
       if (!response.destroyed)
         log.error('Unexpected error while serving a request.', { message: getErrorMessage(error) });
       response.destroy();
       return undefined;
     } finally {
       clearTimeout(timer);
+      abortControllers.delete(abortController);
       response.off('close', onClose);
     }
   };
@@ -291,6 +289,10 @@
     serveRelayed,
     openRequests: () => openCount,
     closeIdleConnections: () => server.closeIdleConnections(),
+    endRequests: () => {
+      const reason: AbortReason = 'stopping';
+      abortControllers.forEach((controller) => controller.abort(reason));
+    },
     close: () => {
       server.close();
       server.closeAllConnections();
--- a/src/entry/stream-ending.ts
+++ b/src/entry/stream-ending.ts
@@ -1,4 +1,5 @@
 /** Ends a streaming request: completes, refuses or fails it, and records its outcome. */
+import { ABORT_RESPONSES } from './abort-response.js';
 import type { CallerStream } from './caller-stream.js';
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, type EntryRequest } from './entry-request.js';
@@ -92,14 +93,10 @@
     });
   }
 
-  /** Ends a request whose deadline has passed or whose caller has left. */
+  /** Ends a request whose deadline has passed, whose caller has left, or that the instance's stop ends. */
   sendTimeout(): string {
     const reason = getAbortReason(this.#options.request.signal) ?? 'deadline';
-    return this.#sendLocalResponse(reason, {
-      status: 504,
-      code: 'timeout',
-      message: 'The request was not finished in its time.',
-    });
+    return this.#sendLocalResponse(reason, ABORT_RESPONSES[reason]);
   }
 
   #sendLocalResponse(outcome: string, localResponse: LocalResponse): string {
--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -4,6 +4,7 @@
 import { test, type TestContext } from 'node:test';
 import { sleep } from '../src/common/clock.js';
 import {
+  cutFromServers,
   PLATFORM_CONFIGURATION,
   waitUntil,
   type PlatformGroup,
@@ -204,3 +205,55 @@
   assert.deepEqual(await exit, [0, null]);
   assert.ok(!hasRun(group, second));
 });
+
+// At the end of the grace all connections were closed, whatever they carried.
+test('planned stop: what is unfinished at the end is answered as possibly run, a body that is missing as not run, and a stream ends unfinished', async (context) => {
+  const { group, instance } = await startStoppingGroup(context, 9000, { pauseMilliseconds: 1500 });
+  const headers = { 'deadline-ms': '30000' };
+  const booking = sendCallerRequest(instance, '/removals/long', { headers });
+  const streamId = createRequestId();
+  const stream = await RawConnection.open(instance.ports.front);
+  const body = await RawConnection.open(instance.ports.front);
+  context.after(() => [stream, body].forEach((connection) => connection.destroy()));
+  stream.write(formatHead('/stories/long', streamId, 0));
+  const bodyId = createRequestId();
+  body.write(`${formatHead('/removals/body', bodyId, 10)}12345`);
+  await sleep(300);
+  const stoppedAt = performance.now();
+  const exit = stop(instance);
+  const [bookingAnswer, streamAnswer, bodyAnswer] = await Promise.all([
+    booking,
+    stream.readResponse(GRACE_MILLISECONDS),
+    body.readResponse(GRACE_MILLISECONDS),
+  ]);
+  assert.equal(bookingAnswer.status, 502);
+  assert.equal(readCode(bookingAnswer.body), 'stopped');
+  assert.equal(bodyAnswer?.status, 503);
+  assert.equal(readCode(bodyAnswer.body), 'stopping');
+  assert.ok(!hasRun(group, bodyId));
+  assert.equal(streamAnswer?.status, 200);
+  assert.equal(streamAnswer.isComplete, false);
+  assert.match(streamAnswer.body, /id: (\d)\ndata: \1\n\n\r\n$/);
+  assert.deepEqual(await exit, [0, null]);
+  assert.ok(performance.now() - stoppedAt < GRACE_MILLISECONDS);
+  assert.match(instance.log.join(''), new RegExp(`"${streamId}".*"outcome":"stopping"`));
+});
+
+// A peer served the request; the instance that the caller waits at ended without a word.
+test('planned stop: a request that a peer serves is answered before the instance that passed it on ends', async (context) => {
+  const { group, instance } = await startStoppingGroup(context, 9000);
+  cutFromServers(group, instance, 'reset');
+  await waitUntil(async () => {
+    await sendCallerRequest(instance, '/lookups/1', { headers: { 'deadline-ms': '300' } });
+    return /the instance is cut from them/.test(instance.log.join(''));
+  }, 'the cut is known');
+  const requestId = createRequestId();
+  const headers = { 'request-id': requestId, 'deadline-ms': '30000' };
+  const answer = sendCallerRequest(instance, '/removals/passed-on', { headers });
+  await waitUntil(() => hasRun(group, requestId), 'the peer has passed the request on');
+  const exit = stop(instance);
+  const { status, body } = await answer;
+  assert.equal(status, 502);
+  assert.equal(readCode(body), 'stopped');
+  assert.deepEqual(await exit, [0, null]);
+});
