--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -27,7 +27,7 @@
 export interface EntryDaemon {
   /**
    * Stops gracefully; resolves when the last request is done or was ended, shortly before
-   * `settings.stopTimeoutMilliseconds` has passed.
+   * `settings.stopTimeoutMilliseconds` has passed. Further calls wait for the same stop.
    */
   readonly stop: () => Promise<void>;
 }
@@ -45,6 +45,8 @@
   /** Set while the instance stops. */
   #stopTimes: StopTimes | undefined;
 
+  #stopped: Promise<void> | undefined;
+
   #server: EntryServer | undefined;
 
   #closeEndpoints: (() => void) | undefined;
@@ -92,10 +94,14 @@
     });
   }
 
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const { settings, logs } = this.#options;
     const log = logs('daemon');
-    if (this.#stopTimes) return;
     this.#stopTimes = planStop({
       startedAt: performance.now(),
       timeoutMilliseconds: settings.stopTimeoutMilliseconds,
--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -257,3 +257,29 @@
   assert.equal(readCode(body), 'stopped');
   assert.deepEqual(await exit, [0, null]);
 });
+
+// The second signal found the stop under way, and ended the process at once.
+test('planned stop: further signals change nothing', async (context) => {
+  const { instance } = await startStoppingGroup(context, 2000);
+  const headers = { 'deadline-ms': '30000' };
+  const booking = sendCallerRequest(instance, '/removals/1', { headers });
+  await sleep(300);
+  const exit = stop(instance);
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGTERM'] as const) {
+    await sleep(200);
+    instance.process.kill(signal);
+  }
+  assert.equal((await booking).status, 200);
+  assert.deepEqual(await exit, [0, null]);
+});
+
+// SIGINT had no handler.
+test('planned stop: SIGINT stops as SIGTERM does', async (context) => {
+  const { instance } = await startStoppingGroup(context, 1000);
+  const booking = sendCallerRequest(instance, '/removals/1');
+  await sleep(300);
+  const exit = once(instance.process, 'exit');
+  instance.process.kill('SIGINT');
+  assert.equal((await booking).status, 200);
+  assert.deepEqual(await exit, [0, null]);
+});
