Stop: carry out a stop whose signal comes before the instance listens

Seen: SIGTERM or SIGHUP that came while an instance started ended its process by the signal.

Cause: handlers were set only once everything listened; until then Node.js ends the process.

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -28,8 +28,10 @@
   /**
    * Stops gracefully; resolves when the last request is done or was ended, shortly before
    * `settings.stopTimeoutMilliseconds` has passed. Further calls wait for the same stop.
+   *
+   * @param startedAt - When the platform asked for it, on the monotonic clock.
    */
-  readonly stop: () => Promise<void>;
+  readonly stop: (startedAt: number) => Promise<void>;
 }
 
 const SLOWDOWN_CHECK_INTERVAL_MILLISECONDS = 500;
@@ -94,16 +96,16 @@
     });
   }
 
-  stop(): Promise<void> {
-    this.#stopped ??= this.#stop();
+  stop(startedAt: number): Promise<void> {
+    this.#stopped ??= this.#stop(startedAt);
     return this.#stopped;
   }
 
-  async #stop(): Promise<void> {
+  async #stop(startedAt: number): Promise<void> {
     const { settings, logs } = this.#options;
     const log = logs('daemon');
     this.#stopTimes = planStop({
-      startedAt: performance.now(),
+      startedAt,
       timeoutMilliseconds: settings.stopTimeoutMilliseconds,
       addressLifetimeMilliseconds: ADDRESS_LIFETIME_SECONDS * 1000,
     });
@@ -207,5 +209,5 @@
 export async function startEntryDaemon(options: EntryDaemonOptions): Promise<EntryDaemon> {
   const instance = new EntryInstance(options);
   await instance.start();
-  return { stop: () => instance.stop() };
+  return { stop: (startedAt) => instance.stop(startedAt) };
 }
--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import { test, type TestContext } from 'node:test';
+import { fileURLToPath } from 'node:url';
 import { sleep } from '../src/common/clock.js';
 import {
   cutFromServers,
@@ -22,6 +23,7 @@
 /** `grace-s` of the settings of these instances: what is unfinished then is killed. */
 const GRACE_MILLISECONDS = 8000;
 const ROUTE_TIMEOUT_MILLISECONDS = 6000;
+const SIGNALLED_START = fileURLToPath(new URL('../tools/signalled-start.js', import.meta.url));
 
 const CONFIGURATION = {
   ...PLATFORM_CONFIGURATION,
@@ -283,3 +285,11 @@
   assert.equal((await booking).status, 200);
   assert.deepEqual(await exit, [0, null]);
 });
+
+// Signals were handled only once everything listened; before, they ended the process.
+test('planned stop: signals that come before the instance listens are carried out as an orderly stop', async (context) => {
+  const { group } = await startStoppingGroup(context, 0, { instances: 1 });
+  const signalled = await group.addInstance('entry-signalled', SIGNALLED_START);
+  assert.deepEqual(await once(signalled.process, 'exit'), [0, null]);
+  assert.match(signalled.log.join(''), /Stopped\./);
+});
