HTTP client: a watch leaves no listener at the signal that ends it

Cause: fetchResponseStream adds a listener to the caller's signal with each answer, so that an abort ends the body, and never took it away. The signal of a watch lives as long as the process. Now the listener goes when the response is closed.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -136,7 +136,12 @@
       // Without a listener, an error of the body would end the process; readers of the stream receive
       // it all the same.
       response.on('error', () => undefined);
-      request.signal?.addEventListener('abort', () => clientRequest.destroy(), { once: true });
+      const endOnAbort = (): void => {
+        clientRequest.destroy();
+      };
+      request.signal?.addEventListener('abort', endOnAbort, { once: true });
+      // The signal of a watch lives as long as the process.
+      response.on('close', () => request.signal?.removeEventListener('abort', endOnAbort));
       resolve(response);
     });
     if (request.signal?.aborted) {
