Take a process for ended at a shared address only if it was known before; a new instance counted a live engine out

What callers saw: BUDGET. An engine crashed and was back at its address under a new id while its old entry had not lapsed.

Cause: whichever entry of a list was read later counted as the one in the place of all others with its address (BackendFleet, #recordReplacedServers). A list has the order of its names. Where the old entry came last, the live engine was "ended" for good, and runs on it weren't counted.

Why the fix works (src/fleet/newer-process.ts): a server has ended when its address turns up under another id in a list or change of a later revision than the one with which the server itself became known, so that it registered before. Two entries that become known with one revision show nothing, and both count as live. What that costs: nothing for requests, since an instance that hasn't seen the old process by itself has none running there, and the address refuses what is meant for another id (421). Under one id, a process has ended if `born` has grown, or changed where it isn't a number; not if it is gone, is there for the first time or has become smaller (an older copy of the store, nonsense by another writer). An address that is named as at fault is that of a process that hasn't ended.

Ruled out: comparing `born` of two ids. It tells the starts under one id apart and may be a counter there (as in the stand-ins, where the first start of each id has 1), so that an old id that was started often would be the newer one. Asking the address which id answers there: not needed, since undecided costs nothing.

Of the four unit tests three failed before (entries that become known together, in any order; two starts under one id; the address of a live process); "its address turns up under another id in a later list, in any order" passed before as well.

Looked at as well, not changed: in src/entry/engine-ends.ts the first report of an end sets its time, so that instances may keep times that differ by how late each noticed it; the order of arrival also decides what is forgotten first. The crash records add up by process, in any order. applyPeerObservations takes the layers that the last peer in the table reports of an engine as the newest, since records have no time for them.

--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -1,10 +1,11 @@
 /**
  * Registry of all backend servers with their load and state as seen by this instance and its peers.
  */
-import { formatAddress, isSameAddress } from '../common/address.js';
+import { formatAddress } from '../common/address.js';
 import { LruMap } from '../common/lru-map.js';
 import type { Logger } from '../telemetry/log.js';
 import { STATE_OF_NEW_PROCESS, type FleetServer, type OwnWord } from './fleet-server.js';
+import { isLaterStart, isReplacedBy } from './newer-process.js';
 import { getProcessKey, type ServerEntry } from './server-entry.js';
 
 // What acts on the servers imports it from here.
@@ -152,10 +153,12 @@
    * Finds a server by the address on which it listens.
    *
    * @param address - The address as `host:port`.
-   * @returns The server, or undefined if none is registered with this address.
+   * @returns The server, one that hasn't ended if there is one; undefined if none is registered with this
+   *   address.
    */
   findByAddress(address: string): FleetServer | undefined {
-    return this.servers.find(({ entry }) => formatAddress(entry.address) === address);
+    const servers = this.servers.filter(({ entry }) => formatAddress(entry.address) === address);
+    return servers.find(({ entry }) => !this.hasEnded(getProcessKey(entry))) ?? servers[0];
   }
 
   /**
@@ -246,6 +249,7 @@
       this.#log.info('Backend server registered.', { ...entry, revision: this.revision });
       this.#servers.set(entry.id, {
         entry,
+        knownSinceRevision: this.revision,
         ownWord: this.#getOwnWord(entry),
         ownLoad: { requests: 0, reservedTokenLayers: 0 },
         peerLoad: { requests: 0, reservedTokenLayers: 0 },
@@ -255,7 +259,8 @@
       return;
     }
     if (getProcessKey(known.entry) !== getProcessKey(entry)) {
-      this.recordEnd(known.entry, `it started again, incarnation ${entry.incarnation}`);
+      if (isLaterStart(known.entry, entry))
+        this.recordEnd(known.entry, `it started again, incarnation ${entry.incarnation}`);
       Object.assign(known, STATE_OF_NEW_PROCESS, { ownWord: this.#getOwnWord(entry) });
       this.#onRestarted(entry.id);
     }
@@ -270,11 +275,10 @@
     known.missingSince = undefined;
   }
 
-  /** An address is given to another server only after the one that listened there has ended. */
-  #recordReplacedServers({ id, address }: ServerEntry): void {
-    this.#servers.forEach(({ entry }) => {
-      if (entry.id !== id && isSameAddress(entry.address, address))
-        this.recordEnd(entry, `its address was given to ${id}`);
+  #recordReplacedServers(entry: ServerEntry): void {
+    this.#servers.forEach((server) => {
+      if (isReplacedBy(server, entry, this.revision))
+        this.recordEnd(server.entry, `its address was given to ${entry.id}`);
     });
   }
 
