Take a request for not run only with a proof of who says so

What happened: a server ran a booking and spoiled its answer, with the status 429 but no id, signature or `Not-Executed`. Streams that can't be resumed took the same way.

Cause: the adapter took the statuses 421 and 429 for "not executed" in any answer, and callers of it read that before the origin was looked at.

Evidence: on the code before, the two tests "a refusal that doesn't state that nothing ran leaves open whether a call (a stream) ran" of tests/foreign-answers.test.ts failed: "a bare 429: 200, sent 2 times", the same for a bare 421, a 429 with the request's id, a signed 429 and a 200 with Not-Executed; "a signed 503: 503, sent 1 times", which promises the caller what nothing states.

Now src/evidence/response-meaning.ts decides what a head proves, origin first and meaning second, in one result: own answer, not run, or unproved, which counts as "may have run". Calls, streams and the notes of what servers say of themselves take it from sendRelayedRequest, which hands out nothing else of the head.

A bare 421 may be the spoiled answer of the server that runs the request, as a bare 429 was. 429, 503 and 400 always need Not-Executed. Not-Executed with any other status contradicts itself and proves nothing. An own, signed 408, 421, 429 or 503 without a proof is not passed on, since callers take these statuses for a promise; it is answered 502 unless it may be repeated.

Ruled out: requiring the id with Not-Executed, since a server that can't read a request refuses it without one.

--- a/src/entry/call-exchange.ts
+++ b/src/entry/call-exchange.ts
@@ -17,7 +17,7 @@
 import { isIdempotent, type EntryRequest } from './entry-request.js';
 import { getEndToEndHeaders } from './entry-response.js';
 import { sendRelayedRequest } from './relay-request.js';
-import { assertOwnResponse } from './response-origin.js';
+import { ForeignResponseError } from './response-origin.js';
 
 /** The result of one exchange. */
 export type CallResult =
@@ -93,7 +93,7 @@
   /**
    * Sends the call to a backend server and reads the complete response.
    *
-   * @throws Error when the response fails, is incomplete or is not the backend server's own.
+   * @throws Error when the response fails, or is not shown to be whole and the backend server's own.
    */
   async #sendToServer(server: FleetServer, signal: AbortSignal): Promise<CallResult> {
     const { callTimes, endCheck } = this.#context;
@@ -102,14 +102,14 @@
     const {
       message: backendResponse,
       status,
-      metadata: responseMetadata,
+      meaning,
     } = await sendRelayedRequest(this.#context, this.#request, {
       server: server.entry,
       chain: undefined,
       lastEventId: metadata.lastEventId,
       signal,
     });
-    if (responseMetadata.isNotExecuted) {
+    if (meaning.kind === 'notRun') {
       backendResponse.resume();
       return {
         kind: 'notRun',
@@ -118,11 +118,10 @@
     }
     const body = await readAnswer(backendResponse);
     const elapsedMilliseconds = performance.now() - startedAt;
-    assertOwnResponse(metadata, responseMetadata);
+    if (meaning.kind === 'unproved') throw new ForeignResponseError(meaning.reason);
     const answer = { message: backendResponse, method: incoming.method ?? 'GET' };
     await assertWhole(answer, { endCheck, entry: server.entry, signal });
-    const load =
-      responseMetadata.load && responseMetadata.load.running + responseMetadata.load.waiting;
+    const load = meaning.load && meaning.load.running + meaning.load.waiting;
     callTimes.record(server.entry.id, elapsedMilliseconds, load);
     return {
       kind: 'answered',
--- a/src/entry/protocol-adapter.ts
+++ b/src/entry/protocol-adapter.ts
@@ -54,8 +54,8 @@
    * Whether the response carries the backend server's signature, which shows where it comes from.
    */
   readonly isSigned: boolean;
-  /** Whether the server states that it did not run the request, which makes a retry safe. */
-  readonly isNotExecuted: boolean;
+  /** Whether it states that the request did not run; what that proves is for `interpretResponse` to say. */
+  readonly statesNotRun: boolean;
   /** `host:port` of the engine at fault, when the request ran over a chain. */
   readonly faultAddress: string | undefined;
   readonly load: { readonly running: number; readonly waiting: number } | undefined;
--- a/src/entry/relay-request.ts
+++ b/src/entry/relay-request.ts
@@ -2,12 +2,12 @@
 import type { IncomingMessage } from 'node:http';
 import { formatAddress } from '../common/address.js';
 import { HttpRequestError } from '../common/http-client.js';
+import { interpretResponse, type ResponseMeaning } from '../evidence/response-meaning.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import { sendBackendRequest, type BackendRequest } from './backend-request.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
 import type { ResponseMetadata, StageAddress } from './protocol-adapter.js';
-import { disregardForeignRefusal } from './response-origin.js';
 
 /** Options of {@link sendRelayedRequest}. */
 export interface RelayedRequestOptions {
@@ -24,7 +24,7 @@
 export interface RelayedResponse {
   readonly message: IncomingMessage;
   readonly status: number;
-  readonly metadata: ResponseMetadata;
+  readonly meaning: ResponseMeaning;
 }
 
 /** Statuses from here on are logged with what they say about the response's origin. */
@@ -36,14 +36,22 @@
   context: EntryContext,
   requestId: string,
   server: ServerEntry,
-  { status, metadata }: RelayedResponse,
+  {
+    status,
+    meaning,
+    metadata,
+  }: Omit<RelayedResponse, 'message'> & {
+    readonly metadata: ResponseMetadata;
+  },
 ): void {
   context.logs('routing').info('Backend server responded with a failure.', {
     requestId,
     server: server.id,
     address: formatAddress(server.address),
     status,
-    isNotExecuted: metadata.isNotExecuted,
+    meaning: meaning.kind,
+    reason: meaning.kind === 'unproved' ? meaning.reason : undefined,
+    isNotExecuted: metadata.statesNotRun,
     isSigned: metadata.isSigned,
     isForRequest: metadata.requestId === requestId,
   });
@@ -73,8 +81,7 @@
  * @param context - What the instance shares between requests.
  * @param request - The caller's request.
  * @param options - Where it goes, and how.
- * @returns The response. It is not executed only if it doesn't name another request; whether another
- *   response is the server's own has not been checked.
+ * @returns The response, and what its head proves.
  * @throws HttpRequestError whose phase tells whether any byte may have reached the backend server.
  */
 export async function sendRelayedRequest(
@@ -102,20 +109,18 @@
     signal,
   });
   const status = message.statusCode ?? 0;
-  const response = {
-    message,
-    status,
-    metadata: disregardForeignRefusal(
-      metadata,
-      protocol.parseResponseHeaders(message.headers, status),
-    ),
-  };
-  const isOwn =
-    response.metadata.requestId === metadata.requestId || response.metadata.isNotExecuted;
-  if (isOwn) {
-    const { requestId } = metadata;
-    context.statements.record({ entry: server, status, statements: response.metadata, requestId });
+  const { requestId } = metadata;
+  const responseMetadata = protocol.parseResponseHeaders(message.headers, status);
+  const addresses = [server.address, ...(chain ?? []).map(({ address }) => address)];
+  const meaning = interpretResponse(
+    { requestId, serverId: server.id, addresses: addresses.map(formatAddress) },
+    { status, metadata: responseMetadata },
+  );
+  if (meaning.kind !== 'unproved') {
+    const { statements } = meaning;
+    context.statements.record({ entry: server, status, statements, requestId });
   }
-  if (status >= FIRST_LOGGED_STATUS) logFailure(context, metadata.requestId, server, response);
-  return response;
+  if (status >= FIRST_LOGGED_STATUS)
+    logFailure(context, requestId, server, { status, meaning, metadata: responseMetadata });
+  return { message, status, meaning };
 }
--- a/src/entry/stream-exchange.ts
+++ b/src/entry/stream-exchange.ts
@@ -23,7 +23,7 @@
 import { EventSplitter } from './event-splitter.js';
 import { PeekableChunks } from './peekable-chunks.js';
 import { sendRelayedRequest } from './relay-request.js';
-import { assertOwnResponse, ForeignResponseError } from './response-origin.js';
+import { ForeignResponseError } from './response-origin.js';
 
 /** The result of one attempt. */
 export type AttemptResult =
@@ -136,22 +136,21 @@
     signal: AbortSignal,
   ): Promise<AcceptedStream | Extract<AttemptResult, { kind: 'notRun' }>> {
     const { fleet } = this.#options.context;
-    const { metadata } = this.#options.request;
-    const {
-      message,
-      status,
-      metadata: responseMetadata,
-    } = await sendRelayedRequest(this.#options.context, this.#options.request, {
-      server: firstEngine.entry,
-      chain: listStageAddresses(chain),
-      lastEventId: this.#options.caller.lastEventId,
-      signal,
-    });
-    if (responseMetadata.isNotExecuted) {
+    const { message, status, meaning } = await sendRelayedRequest(
+      this.#options.context,
+      this.#options.request,
+      {
+        server: firstEngine.entry,
+        chain: listStageAddresses(chain),
+        lastEventId: this.#options.caller.lastEventId,
+        signal,
+      },
+    );
+    if (meaning.kind === 'notRun') {
       const refusingServer =
-        responseMetadata.faultAddress === undefined
+        meaning.faultAddress === undefined
           ? firstEngine
-          : fleet.findByAddress(responseMetadata.faultAddress);
+          : fleet.findByAddress(meaning.faultAddress);
       const id = refusingServer?.entry.id ?? firstEngine.entry.id;
       if (refusingServer && status === 503) recordRefusal(refusingServer, performance.now());
       return {
@@ -160,7 +159,7 @@
         message: `The engine refused the request with status ${status}.`,
       };
     }
-    assertOwnResponse(metadata, responseMetadata);
+    if (meaning.kind === 'unproved') throw new ForeignResponseError(meaning.reason);
     if (status < 300) this.#assertContinues(message, status);
     return { kind: 'accepted', message, status, chunks: new PeekableChunks(readChunks(message)) };
   }
--- a/tests/foreign-answers.test.ts
+++ b/tests/foreign-answers.test.ts
@@ -11,7 +11,7 @@
 const REFUSAL_LINES: Readonly<Record<Refusal, string>> = {
   full: 'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRetry-After: 30\r\nServer-Leaving: 1\r\nServer-Limit: 0.5\r\n',
   misdirected: 'HTTP/1.1 421 Misdirected\r\n',
-  tooMany: 'HTTP/1.1 429 Too Many\r\n',
+  tooMany: 'HTTP/1.1 429 Too Many\r\nNot-Executed: 1\r\n',
   notExecutedBadRequest: 'HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\n',
 };
 const REFUSALS = Object.keys(REFUSAL_LINES) as Refusal[];
@@ -98,3 +98,64 @@
   assert.equal((await sendCallerRequest(instance, '/lookups/1')).status, 200);
   assert.equal(scripted.requestIds.length, 2);
 });
+
+/** Heads that a server or another program may send while the server runs the request; none proves that it hasn't. */
+const UNPROVED_HEADS: Readonly<Record<string, (requestId: string) => string>> = {
+  'a bare 429': () => 'HTTP/1.1 429 Too Many\r\n',
+  'a bare 421': () => 'HTTP/1.1 421 Misdirected\r\n',
+  'a bare 503': () => 'HTTP/1.1 503 Full\r\n',
+  'a 429 for the request': (id) => `HTTP/1.1 429 Too Many\r\nRequest-Id: ${id}\r\n`,
+  'a signed 429': (id) => `HTTP/1.1 429 Too Many\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\n`,
+  'a signed 503': (id) => `HTTP/1.1 503 Full\r\nRequest-Id: ${id}\r\nResponse-Signature: s\r\n`,
+  'a success that states that nothing ran': () => 'HTTP/1.1 200 OK\r\nNot-Executed: 1\r\n',
+};
+
+async function checkUnprovedHeads(
+  context: TestContext,
+  { isEngine, path }: { readonly isEngine: boolean; readonly path: string },
+): Promise<void> {
+  // A server is not used for a while after such answers, so that each head has another one.
+  const servers = Object.keys(UNPROVED_HEADS).length + 1;
+  const started = await startScriptedGroup(context, { isEngine, servers });
+  const { scripted, instance } = started;
+  if (isEngine) await forbidResumption(started);
+  const wrong: string[] = [];
+  for (const [name, formatHead] of Object.entries(UNPROVED_HEADS)) {
+    const countBefore = scripted.requestIds.length;
+    scripted.script = ({ requestId, index }) =>
+      index === countBefore
+        ? {
+            text: `${formatHead(requestId)}Content-Length: 0\r\nConnection: close\r\n\r\n`,
+            end: 'close',
+          }
+        : formatAnswer(requestId);
+    const { status } = await sendCallerRequest(instance, path);
+    const sends = scripted.requestIds.length - countBefore;
+    if (status !== 502 || sends !== 1) wrong.push(`${name}: ${status}, sent ${sends} times`);
+  }
+  assert.deepEqual(wrong, []);
+}
+
+// A spoiled answer with the form of a refusal ran the booking at a second server as well.
+test("foreign answer: a refusal that doesn't state that nothing ran leaves open whether a call ran", (context) =>
+  checkUnprovedHeads(context, { isEngine: false, path: '/bookings/1' }));
+
+test("foreign answer: a refusal that doesn't state that nothing ran leaves open whether a stream ran", (context) =>
+  checkUnprovedHeads(context, { isEngine: true, path: '/drafts/1' }));
+
+// Another server that has taken over the address answers so and doesn't run the request.
+test('foreign answer: a misdirected request is sent to another server if the answer shows who gave it', async (context) => {
+  const { scripted, instance } = await startScriptedGroup(context, { isEngine: false });
+  for (const line of ['Instance-Id: another', 'Not-Executed: 1', 'own id']) {
+    const countBefore = scripted.requestIds.length;
+    scripted.script = ({ requestId, index }) => {
+      if (index > countBefore) return formatAnswer(requestId);
+      const shown = line === 'own id' ? `Request-Id: ${requestId}` : line;
+      const rest = 'Content-Length: 0\r\nConnection: close\r\n\r\n';
+      return { text: `HTTP/1.1 421 Misdirected\r\n${shown}\r\n${rest}`, end: 'close' };
+    };
+    const answer = await sendCallerRequest(instance, '/bookings/1');
+    assert.equal(answer.status, 200, line);
+    assert.equal(scripted.requestIds.length, countBefore + 2, line);
+  }
+});
