--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -260,6 +260,39 @@
   assert.deepEqual(await exit, [0, null]);
 });
 
+// The instance that serves for another one ends: its word must reach the caller, and new requests another peer.
+test('planned stop: a request that a stopping peer serves is ended as possibly run, and later ones are served elsewhere', async (context) => {
+  const { group, instance } = await startStoppingGroup(context, 9000, { instances: 3 });
+  cutFromServers(group, instance, 'reset');
+  await waitUntil(async () => {
+    await sendCallerRequest(instance, '/lookups/1', { headers: { 'deadline-ms': '300' } });
+    return /the instance is cut from them/.test(instance.log.join(''));
+  }, 'the cut is known');
+  const requestId = createRequestId();
+  const headers = { 'request-id': requestId, 'deadline-ms': '30000' };
+  const answer = sendCallerRequest(instance, '/removals/served', { headers });
+  const findPeer = () =>
+    group.instances.find(({ name, log }) => {
+      const line = new RegExp(`"requestId":"${requestId}".*Serving a request for a peer`);
+      return name !== instance.name && line.test(log.join(''));
+    });
+  await waitUntil(() => findPeer() !== undefined && hasRun(group, requestId), 'a peer serves it');
+  const peer = findPeer();
+  assert.ok(peer);
+  const exit = stop(peer);
+  group.servers.forEach(({ faults }) => Object.assign(faults, { callMilliseconds: 0 }));
+  for (let turn = 0; turn < 10; turn += 1) {
+    const later = await sendCallerRequest(instance, '/removals/later', {
+      headers: { 'deadline-ms': '30000' },
+    });
+    assert.equal(later.status, 200);
+  }
+  const { status, body } = await answer;
+  assert.equal(status, 502);
+  assert.equal(readCode(body), 'stopped');
+  assert.deepEqual(await exit, [0, null]);
+});
+
 // The second signal found the stop under way, and ended the process at once.
 test('planned stop: further signals change nothing', async (context) => {
   const { instance } = await startStoppingGroup(context, 2000);
