Give requests at a peer up on proof only, and go on elsewhere

What callers saw: an instance that reaches no server had passed a stream on to a peer; the peer's records stayed out for 1.5 s, and the stream was cut although its events went on to arrive (LOST). A stream whose peer was killed or frozen was cut too, though another peer could have served the rest.

Cause: PeerRelay.abandon aborted everything open at a peer as soon as its records were late. Late records are no proof: a sound process may fall silent for a second and go on. And nothing took the place of what was given up.

Change: abandon is gone. An exchange with a peer ends with its connection, with a newer process in the peer's records, or with the request's own time; bytes that arrive count as life whatever the records say. Where neither bytes (500 ms) nor records come, another peer is tried beside the silent one, for what may run again within its route's max-attempts and the retry budget; the first that answers goes on, and anything that the silent one sends cancels the other (decideOnPeer, PeerRelay.relay before the head of the answer, peer-stream after it). After the end of a peer such a request goes on at another peer, or at servers that are reached again, after the caller's last event.

Ruled out: a refused connection as proof (a firewall refuses new connections while those in use live on, tools/link-faults "refused"); an accepted one as proof of life (a frozen process has its connections accepted); the peer's own word that it stops (it finishes what it serves, and its end closes the connection).

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -177,10 +177,7 @@
       dataCentre: settings.dataCentre,
       log: logs('peer'),
       // A dead instance cannot withdraw its ejections, so they are dropped with it.
-      onPeerLost: (instance) => {
-        this.outlierEjection.replacePeerEjections(instance, []);
-        this.peerRelay.abandon(instance);
-      },
+      onPeerLost: (instance) => this.outlierEjection.replacePeerEjections(instance, []),
     });
   }
 
@@ -191,6 +188,8 @@
       listPeers: () => this.peers.aliveRecords,
       configurationVersion: () => this.configuration.current?.version ?? -1,
       protocol: platform.protocol,
+      isBlocked: (content) => this.context.crashBlame.isBlocked(content),
+      acquireRetry: (service) => this.context.retryBudget.tryAcquire(service),
       log: logs('routing'),
     });
   }
--- a/src/entry/attempt-beside.ts
+++ b/src/entry/attempt-beside.ts
@@ -7,7 +7,7 @@
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
 import { decideOnSuspicion, type SuspicionDecision } from './exchange-suspicion.js';
-import type { PeerAnswer } from './peer-relay.js';
+import type { PeerAnswer } from './peer-answer.js';
 import type { StreamExchange } from './stream-exchange.js';
 import type { StreamLimits } from './stream-limits.js';
 import {
--- a/src/entry/call-ending.ts
+++ b/src/entry/call-ending.ts
@@ -11,7 +11,7 @@
 } from './entry-response.js';
 import { getErrorMessage } from '../common/http-client.js';
 import { assertWholeFromPeer } from '../evidence/whole-answer.js';
-import type { PeerAnswer } from './peer-relay.js';
+import type { PeerAnswer } from './peer-answer.js';
 
 /** A backend server's response, read completely. */
 export interface BufferedResponse {
--- a/src/entry/peer-relay.test.ts
+++ b/src/entry/peer-relay.test.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict';
 import { EventEmitter } from 'node:events';
 import http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import net, { type AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { createPeerRecord } from '../../tools/peer-record.js';
 import { createProtocolAdapter } from '../../platform/protocol-adapter.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import type { EntryRequest } from './entry-request.js';
-import { PeerRelay, type PeerAnswer } from './peer-relay.js';
+import type { PeerAnswer } from './peer-answer.js';
+import { PeerRelay } from './peer-relay.js';
+import type { Route } from './serving-configuration.js';
 
 /** Starts a peer that refuses each request with a code. */
 async function startRefusingPeer(context: TestContext, code: string) {
@@ -33,18 +35,24 @@
 async function relayThrough(
   peers: readonly ReturnType<typeof createPeerRecord>[],
   processKeys: readonly string[],
+  route: Partial<Route> = { kind: 'safe', maximumAttempts: 2 },
 ): Promise<PeerAnswer> {
   const relay = new PeerRelay({
     instance: 'cut',
     listPeers: () => peers,
     configurationVersion: () => 1,
     protocol: createProtocolAdapter(),
+    isBlocked: () => false,
+    acquireRetry: () => true,
     log: createSilentLogger(),
   });
   const request = {
     incoming: { rawHeaders: ['Host', 'site.example'], method: 'POST' },
     response: new EventEmitter(),
     metadata: { requestId: 'request' },
+    route,
+    service: { name: 'service' },
+    content: { hash: 'hash', sharedParts: [] },
     path: '/lookups/1',
     body: Buffer.from('body'),
     deadline: performance.now() + 1000,
@@ -77,3 +85,56 @@
   });
   assert.equal((await relayThrough([absent], [])).kind, 'none');
 });
+
+/** Starts a peer that ends as soon as a request has arrived. */
+async function startEndingPeer(context: TestContext) {
+  let received = 0;
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      received += 1;
+      socket.resetAndDestroy();
+    });
+  });
+  context.after(() => server.close());
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const record = createPeerRecord(`peer-${port}`, {
+    acceptsRequests: true,
+    peers: { host: '127.0.0.1', port },
+  });
+  return { record, countReceived: () => received };
+}
+
+// A request that may run again ended with the peer that had it, though another one could serve it.
+test('peer relay: a request whose peer ends goes on at another one only where it may run again', async (context) => {
+  const routes: readonly [Partial<Route>, number][] = [
+    [{ kind: 'safe', maximumAttempts: 2 }, 2],
+    [{ kind: 'safe', maximumAttempts: 1 }, 1],
+    [{ kind: 'unsafe', maximumAttempts: 3 }, 1],
+    [{ kind: 'streaming', isResumable: true, maximumAttempts: 2 }, 2],
+    [{ kind: 'streaming', isResumable: false, maximumAttempts: 2 }, 1],
+  ];
+  for (const [route, expected] of routes) {
+    const peers = [await startEndingPeer(context), await startEndingPeer(context)];
+    const records = peers.map(({ record }) => record);
+    const answer = await relayThrough(records, [], route);
+    assert.equal(answer.kind, 'lost', 'it may have run');
+    const received = peers.reduce((sum, { countReceived }) => sum + countReceived(), 0);
+    assert.equal(received, expected, JSON.stringify(route));
+  }
+});
+
+// The refusal of the second peer states nothing of what the first one has begun.
+test('peer relay: a refusal after the end of another peer is no proof that the request has not run', async (context) => {
+  const ending = await startEndingPeer(context);
+  const refusing = await startRefusingPeer(context, 'crashes_servers');
+  for (let run = 0; run < 8; run += 1) {
+    const countBefore = ending.countReceived();
+    const answer = await relayThrough([ending.record, refusing.record], []);
+    const wasSent = ending.countReceived() > countBefore;
+    assert.equal(answer.kind, wasSent ? 'lost' : 'ended');
+  }
+});
--- a/src/entry/peer-relay.ts
+++ b/src/entry/peer-relay.ts
@@ -1,13 +1,18 @@
-/** Passes requests on to a peer while this instance reaches no backend server. */
-import type { IncomingMessage } from 'node:http';
-import { z } from 'zod';
+/**
+ * Passes requests on to a peer while this instance reaches no backend server. What a peer serves is given up
+ * only if the peer is shown to have ended; beside one that is silent, another peer is tried.
+ */
 import { HttpRequestError, getErrorMessage } from '../common/http-client.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import type { Logger } from '../telemetry/log.js';
-import { readAnswer, sendBackendRequest } from './backend-request.js';
-import type { EntryRequest } from './entry-request.js';
-import type { LocalResponse } from './entry-response.js';
+import { sendBackendRequest } from './backend-request.js';
+import type { RequestContent } from './blocked-parts.js';
+import { isIdempotent, type EntryRequest } from './entry-request.js';
+import { decideOnSuspicion } from './exchange-suspicion.js';
+import { isDeclined, isRefusal, readLocalResponse, type PeerAnswer } from './peer-answer.js';
 import { choosePeer } from './peer-choice.js';
+import { watchSilence } from './peer-silence.js';
+import { decideOnPeer, type PeerDecision } from './peer-suspicion.js';
 import type { ProtocolAdapter } from './protocol-adapter.js';
 import { encodeRelayedRequest, RELAY_HEADER, type RelayedRequest } from './relayed-request.js';
 import { listEndToEndHeaders } from './request-headers.js';
@@ -18,6 +23,10 @@
   readonly listPeers: () => readonly PeerRecord[];
   readonly configurationVersion: () => number;
   readonly protocol: ProtocolAdapter;
+  /** Whether requests like this one must not be run again. */
+  readonly isBlocked: (content: RequestContent) => boolean;
+  /** Takes a retry of a service's budget; false if none is left. */
+  readonly acquireRetry: (service: string) => boolean;
   readonly log: Logger;
 }
 
@@ -27,50 +36,35 @@
   readonly processKeys: readonly string[];
   /** The last event that the caller has. */
   readonly lastEventId: number | undefined;
+  /** Peers that are not asked. */
+  readonly excludedPeers?: readonly string[];
 }
 
-/** What became of a request that was passed on. */
-export type PeerAnswer =
-  /** A backend server's answer, whose body can be read from `message`. */
-  | {
-      readonly kind: 'served';
-      readonly peer: string;
-      readonly status: number;
-      readonly message: IncomingMessage;
-    }
-  /** The peer ended the request itself. */
-  | { readonly kind: 'ended'; readonly peer: string; readonly response: LocalResponse }
-  /** The peer was lost; the request may have run. */
-  | { readonly kind: 'lost'; readonly peer: string; readonly message: string }
-  /** No peer took the request; it didn't run. */
-  | { readonly kind: 'none' };
+/** An exchange with a peer that seems to be silent. */
+export interface SilentExchange {
+  readonly peer: string;
+  /** The process of the peer that the request was sent to. */
+  readonly incarnation: number;
+  readonly silenceMilliseconds: number;
+  /** What may have run the request: processes of servers, and peers. */
+  readonly processKeys: readonly string[];
+  readonly excludedPeers: Iterable<string>;
+}
 
 const MAXIMUM_PEERS_TRIED = 3;
 
-/** Codes with which a peer refuses what another peer may be able to serve. */
-const DECLINING_CODES: ReadonlySet<string> = new Set([
-  'bad_relay',
-  'no_configuration',
-  'relay_full',
-  'servers_unreachable',
-  'stale_configuration',
-  'stopping',
-]);
-
-const LocalResponseBody = z.object({
-  error: z.object({ code: z.string(), message: z.string() }),
-});
-
-function isDeclined({ status, code }: LocalResponse): boolean {
-  return status === 503 && DECLINING_CODES.has(code);
-}
-
-function isRefusal(answer: PeerAnswer): boolean {
-  return answer.kind === 'ended' && answer.response.status === 503;
+/** How far a request has come that is being passed on; both sets grow. */
+interface WatchedProgress {
+  readonly processKeys: Set<string>;
+  readonly lastEventId: number | undefined;
+  readonly excluded: Set<string>;
 }
 
-function mayHaveRunBefore({ processKeys }: RelayProgress): boolean {
-  return processKeys.length > 0;
+/** A request that is open at a peer, or was. */
+interface SentRequest {
+  readonly peer: PeerRecord;
+  readonly answer: Promise<PeerAnswer>;
+  abort(): void;
 }
 
 function buildHeaders(request: EntryRequest, relayed: RelayedRequest): string[] {
@@ -84,18 +78,6 @@
   return headers;
 }
 
-/** Reads a response that the peer created itself. */
-async function readLocalResponse(message: IncomingMessage): Promise<LocalResponse> {
-  const body = await readAnswer(message);
-  const { error } = LocalResponseBody.parse(JSON.parse(body.toString()));
-  const retryAfterSeconds = Number(message.headers['retry-after']);
-  return {
-    status: message.statusCode ?? 0,
-    ...error,
-    ...(Number.isFinite(retryAfterSeconds) ? { retryAfterSeconds } : {}),
-  };
-}
-
 export class PeerRelay {
   readonly #options: PeerRelayOptions;
 
@@ -112,16 +94,8 @@
   }
 
   /**
-   * Gives up the requests that are open at a peer.
-   *
-   * @param instance - The peer, which is considered dead.
-   */
-  abandon(instance: string): void {
-    this.#open.get(instance)?.forEach((controller) => controller.abort());
-  }
-
-  /**
-   * Passes a request on to a peer, and to further ones as long as it is certain that it didn't run.
+   * Passes a request on to a peer, and to further ones as long as it is certain that it didn't run, or where it
+   * may run again.
    *
    * @param request - The request; its signal ends the exchange, also while the answer's body is read.
    * @param progress - How far this instance has come with it.
@@ -129,21 +103,134 @@
    *   for a request that may have run before, since it states that the request has not.
    */
   async relay(request: EntryRequest, progress: RelayProgress): Promise<PeerAnswer> {
-    const excluded = new Set<string>();
+    const excluded = new Set(progress.excludedPeers);
+    const processKeys = new Set(progress.processKeys);
     let last: PeerAnswer = { kind: 'none' };
-    while (excluded.size < MAXIMUM_PEERS_TRIED && !request.signal.aborted) {
+    let lost: PeerAnswer | undefined;
+    for (let tried = 0; tried < MAXIMUM_PEERS_TRIED && !request.signal.aborted; tried += 1) {
       const peer = this.#choose(excluded);
       if (!peer) break;
       excluded.add(peer.instance);
-      const answer = await this.#send(peer, request, progress);
-      const isFinal = answer.kind === 'ended' && !isDeclined(answer.response);
-      if (answer.kind === 'served' || answer.kind === 'lost' || isFinal) {
-        last = answer;
-        break;
+      const { lastEventId } = progress;
+      const answer = await this.#sendWatched(peer, request, { processKeys, lastEventId, excluded });
+      if (answer.kind === 'served') {
+        const otherPeers = [...processKeys].slice(new Set(progress.processKeys).size);
+        return { ...answer, otherPeers };
+      }
+      if (answer.kind !== 'none') last = answer;
+      if (answer.kind === 'ended' && !isDeclined(answer.response)) break;
+      if (answer.kind === 'lost') {
+        lost = answer;
+        processKeys.add(answer.peer);
+        if (!this.mayGoOn(request, [...processKeys], excluded)) break;
       }
-      if (answer.kind === 'ended') last = answer;
     }
-    return mayHaveRunBefore(progress) && isRefusal(last) ? { kind: 'none' } : last;
+    if (lost) return last.kind === 'ended' && !isRefusal(last) ? last : lost;
+    return processKeys.size > 0 && isRefusal(last) ? { kind: 'none' } : last;
+  }
+
+  /**
+   * Takes a retry to pass a request on once more after an exchange has failed, if that is allowed.
+   *
+   * @param processKeys - What may have run the request: processes of servers, and peers.
+   * @param excludedPeers - Peers that are not asked.
+   */
+  mayGoOn(
+    request: EntryRequest,
+    processKeys: readonly string[],
+    excludedPeers: Iterable<string>,
+  ): boolean {
+    const decision = decideOnSuspicion({
+      hasServerEnded: false,
+      mayRunAgain: !request.signal.aborted && this.#mayRunAgain(request, processKeys),
+      hasAlternative: () => this.#choose(new Set(excludedPeers)) !== undefined,
+      acquireRetry: () => this.#options.acquireRetry(request.service.name),
+    });
+    return decision.kind === 'tryBeside';
+  }
+
+  /**
+   * Decides what becomes of an exchange on which no byte has arrived for a while.
+   *
+   * @param request - The request.
+   * @param exchange - The exchange.
+   * @returns The decision; a retry has been taken only for `tryBeside`.
+   */
+  decide(request: EntryRequest, exchange: SilentExchange): PeerDecision {
+    const { listPeers, acquireRetry, log } = this.#options;
+    const { peer, incarnation, silenceMilliseconds, processKeys, excludedPeers } = exchange;
+    const record = listPeers().find(({ instance }) => instance === peer);
+    const decision = decideOnPeer({
+      hasPeerEnded: record !== undefined && record.incarnation > incarnation,
+      areRecordsLate: record === undefined,
+      silenceMilliseconds,
+      mayRunAgain: this.#mayRunAgain(request, processKeys),
+      hasOtherPeer: () => this.#choose(new Set(excludedPeers)) !== undefined,
+      acquireRetry: () => acquireRetry(request.service.name),
+    });
+    if (decision.kind !== 'wait')
+      log.info('Decided on a silent peer.', {
+        requestId: request.metadata.requestId,
+        peer,
+        decision: decision.kind,
+        silenceMilliseconds: Math.round(silenceMilliseconds),
+      });
+    return decision;
+  }
+
+  #mayRunAgain({ route, content }: EntryRequest, processKeys: readonly string[]): boolean {
+    const isWithinLimit = processKeys.length < Math.max(1, route.maximumAttempts);
+    return isIdempotent(route) && isWithinLimit && !this.#options.isBlocked(content);
+  }
+
+  /** Sends a request to a peer, and to another one beside it while that is silent. */
+  async #sendWatched(
+    peer: PeerRecord,
+    request: EntryRequest,
+    { processKeys, lastEventId, excluded }: WatchedProgress,
+  ): Promise<PeerAnswer> {
+    const first = this.#send(peer, request, { processKeys: [...processKeys], lastEventId });
+    return new Promise((resolve) => {
+      let beside: SentRequest | undefined;
+      const tryBeside = (): void => {
+        const other = this.#choose(excluded);
+        if (!other) return;
+        excluded.add(other.instance);
+        processKeys.add(peer.instance);
+        beside = this.#send(other, request, { processKeys: [...processKeys], lastEventId });
+        void beside.answer.then((answer) => {
+          if (answer.kind === 'lost') processKeys.add(answer.peer);
+          if (answer.kind !== 'served') return;
+          stopWatch();
+          resolve(answer);
+          first.abort();
+        });
+      };
+      const stopWatch = watchSilence({
+        countBytes: () => 0,
+        onCheck: (silenceMilliseconds) => {
+          const { instance, incarnation } = peer;
+          if (beside) return;
+          const { kind } = this.decide(request, {
+            peer: instance,
+            incarnation,
+            silenceMilliseconds,
+            processKeys: [...processKeys, instance],
+            excludedPeers: excluded,
+          });
+          if (kind === 'end') first.abort();
+          if (kind === 'tryBeside') tryBeside();
+        },
+      });
+      void first.answer.then(async (answer) => {
+        stopWatch();
+        const isFailed = answer.kind === 'lost' || answer.kind === 'none';
+        if (!isFailed) beside?.abort();
+        const other = isFailed ? await beside?.answer : undefined;
+        const isOtherBetter = other && (other.kind === 'served' || answer.kind === 'none');
+        resolve(isOtherBetter ? other : answer);
+      });
+    });
   }
 
   #choose(excluded: ReadonlySet<string>): PeerRecord | undefined {
@@ -155,10 +242,21 @@
     });
   }
 
-  async #send(
+  #send(peer: PeerRecord, request: EntryRequest, progress: RelayProgress): SentRequest {
+    const controller = this.#openAt(peer.instance, request);
+    const signal = AbortSignal.any([request.signal, controller.signal]);
+    return {
+      peer,
+      answer: this.#exchange(peer, request, progress, signal),
+      abort: () => controller.abort(),
+    };
+  }
+
+  async #exchange(
     peer: PeerRecord,
     request: EntryRequest,
     { processKeys, lastEventId }: RelayProgress,
+    signal: AbortSignal,
   ): Promise<PeerAnswer> {
     const { instance, configurationVersion, protocol, log } = this.#options;
     const { incoming, body, path, deadline, metadata } = request;
@@ -178,11 +276,18 @@
         target: path,
         headers: buildHeaders(request, relayed),
         body,
-        signal: this.#openAt(peer.instance, request),
+        signal,
       });
       const status = message.statusCode ?? 0;
       if (protocol.parseResponseHeaders(message.headers, status).isSigned)
-        return { kind: 'served', peer: peer.instance, status, message };
+        return {
+          kind: 'served',
+          peer: peer.instance,
+          incarnation: peer.incarnation,
+          status,
+          message,
+          otherPeers: [],
+        };
       const response = await readLocalResponse(message);
       log.info('The peer ended the request.', { requestId, peer: peer.instance, ...response });
       return { kind: 'ended', peer: peer.instance, response };
@@ -199,15 +304,13 @@
     }
   }
 
-  /** Counts a request as open at a peer until its response to the caller is done. */
-  #openAt(peer: string, { response, signal }: EntryRequest): AbortSignal {
+  /** Counts a request as open at a peer until it is aborted or its response to the caller is done. */
+  #openAt(peer: string, { response }: EntryRequest): AbortController {
     const controller = new AbortController();
     const open = this.#open.get(peer) ?? new Set();
     this.#open.set(peer, open.add(controller));
-    response.once('close', () => {
-      open.delete(controller);
-      controller.abort();
-    });
-    return AbortSignal.any([signal, controller.signal]);
+    controller.signal.addEventListener('abort', () => open.delete(controller), { once: true });
+    response.once('close', () => controller.abort());
+    return controller;
   }
 }
--- a/src/entry/relay-call.ts
+++ b/src/entry/relay-call.ts
@@ -14,7 +14,7 @@
 import type { EntryContext } from './entry-context.js';
 import { isIdempotent, type EntryRequest } from './entry-request.js';
 import { decideOnSuspicion, type SuspicionDecision } from './exchange-suspicion.js';
-import type { PeerAnswer } from './peer-relay.js';
+import type { PeerAnswer } from './peer-answer.js';
 
 /**
  * Limit on attempts that backend servers refuse; these do not count towards the route's maximum.
--- a/src/entry/stream-at-peer.ts
+++ b/src/entry/stream-at-peer.ts
@@ -1,10 +1,10 @@
 /** Lets a peer serve a stream while this instance reaches no backend server. */
 import { sleep } from '../common/clock.js';
-import { getErrorMessage } from '../common/http-client.js';
 import type { CallerStream } from './caller-stream.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
-import type { PeerAnswer } from './peer-relay.js';
+import type { PeerAnswer } from './peer-answer.js';
+import { relayPeerStream } from './peer-stream.js';
 import type { StreamEnding } from './stream-ending.js';
 import type { StreamExchange } from './stream-exchange.js';
 import type { StreamLimits } from './stream-limits.js';
@@ -52,7 +52,7 @@
         ? ending.sendPeerResponse(answer.response)
         : ending.sendPeerLost();
     const message = answer.kind === 'ended' ? answer.response.message : answer.message;
-    return this.#handleFault(answer.peer, message);
+    return this.#handleFault([answer.peer], message);
   }
 
   /**
@@ -61,19 +61,22 @@
    * @param answer - The answer.
    * @returns The request's outcome; undefined if the answer broke off and the request is to go on.
    */
-  async relay({
-    peer,
-    message,
-    status,
-  }: Extract<PeerAnswer, { kind: 'served' }>): Promise<string | undefined> {
-    const { request, exchange, ending } = this.#options;
-    try {
-      const result = await exchange.relayFromPeer(message, status);
-      return ending.complete(result.kind === 'answered' ? 'answered' : 'completed');
-    } catch (error) {
-      if (request.signal.aborted) return ending.sendTimeout();
-      return this.#handleFault(peer, getErrorMessage(error));
-    }
+  async relay(answer: Extract<PeerAnswer, { kind: 'served' }>): Promise<string | undefined> {
+    const { context, request, caller, exchange, ending, runs } = this.#options;
+    const result = await relayPeerStream({
+      request,
+      caller,
+      exchange,
+      peerRelay: context.peerRelay,
+      processKeys: runs.processKeys,
+      answer,
+      log: context.logs('routing'),
+    });
+    if (result.kind === 'completed' || result.kind === 'answered')
+      return ending.complete(result.kind);
+    if (request.signal.aborted) return ending.sendTimeout();
+    const peers = result.kind === 'lost' ? result.peers : [answer.peer];
+    return this.#handleFault(peers, 'The answer of the peer broke off.');
   }
 
   /**
@@ -100,10 +103,10 @@
     return undefined;
   }
 
-  /** Decides on a request that the peer, or a server that it used, may have run in part. */
-  #handleFault(peer: string, message: string): string | undefined {
+  /** Decides on a request that peers, or servers that they used, may have run in part. */
+  #handleFault(peers: readonly string[], message: string): string | undefined {
     const { ending, runs, mayGoOn } = this.#options;
-    runs.record(peer, true);
-    return mayGoOn({ after: 'peerLost', message, peer }) ? undefined : ending.sendPeerLost();
+    peers.forEach((peer) => runs.record(peer, true));
+    return mayGoOn({ after: 'peerLost', message, peers }) ? undefined : ending.sendPeerLost();
   }
 }
--- a/src/entry/stream-replacement.test.ts
+++ b/src/entry/stream-replacement.test.ts
@@ -3,7 +3,7 @@
 import { setImmediate } from 'node:timers/promises';
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import type { EngineChain } from './chain-selector.js';
-import type { PeerAnswer } from './peer-relay.js';
+import type { PeerAnswer } from './peer-answer.js';
 import type { StreamExchange } from './stream-exchange.js';
 import {
   startEngineReplacement,
--- a/src/entry/stream-replacement.ts
+++ b/src/entry/stream-replacement.ts
@@ -4,7 +4,7 @@
  */
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import type { EngineChain } from './chain-selector.js';
-import type { PeerAnswer } from './peer-relay.js';
+import type { PeerAnswer } from './peer-answer.js';
 import type { AcceptedStream, AttemptResult, StreamExchange } from './stream-exchange.js';
 
 /** How a replacement failed before it began to answer. */
--- a/tools/link-faults.ts
+++ b/tools/link-faults.ts
@@ -14,6 +14,8 @@
 export interface CutMessage {
   readonly ports: readonly number[];
   readonly mode?: CutMode;
+  /** Connections whose open request has this path live on. */
+  readonly exceptPath?: string;
 }
 
 /** What Node.js keeps of an open connection, as far as it is needed here. */
@@ -21,7 +23,11 @@
   readStart(): void;
   readStop(): void;
 }
-type SocketWithHandle = net.Socket & { _handle?: SocketHandle | null };
+type SocketWithHandle = net.Socket & {
+  _handle?: SocketHandle | null;
+  /** The request that Node.js has open on it. */
+  _httpMessage?: { readonly path?: string } | null;
+};
 
 const cutPorts = new Map<number, CutMode>();
 const socketsByPort = new Map<number, Set<SocketWithHandle>>();
@@ -76,12 +82,17 @@
 
 net.Socket.prototype.connect = connectUnlessCut;
 
-process.on('message', ({ ports, mode }: CutMessage) => {
+function getRequestPath({ _httpMessage: request }: SocketWithHandle): string | undefined {
+  return request?.path;
+}
+
+process.on('message', ({ ports, mode, exceptPath }: CutMessage) => {
   ports.forEach((port) => {
     const previous = cutPorts.get(port);
     if (mode === undefined) cutPorts.delete(port);
     else cutPorts.set(port, mode);
     socketsByPort.get(port)?.forEach((socket) => {
+      if (exceptPath !== undefined && getRequestPath(socket) === exceptPath) return;
       if (mode !== undefined) BEGIN_CUT[mode](socket);
       else if (previous === 'silent') getHandle(socket)?.readStart();
     });
