Test peers that pause and go on, and peers whose process is a newer one

A stream whose peer is frozen for 1.8 s or 2.3 s and then goes on, beside the attempt made meanwhile, must be whole, in order, without repeats, on at most max-attempts servers. A newer process in a peer's records ends an exchange of any kind; late records alone end none, and bring another attempt only for what may run again.

--- a/src/entry/peer-relay.test.ts
+++ b/src/entry/peer-relay.test.ts
@@ -5,6 +5,7 @@
 import { test, type TestContext } from 'node:test';
 import { createPeerRecord } from '../../tools/peer-record.js';
 import { createProtocolAdapter } from '../../platform/protocol-adapter.js';
+import type { PeerRecord } from '../gossip/peer-record.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import type { EntryRequest } from './entry-request.js';
 import type { PeerAnswer } from './peer-answer.js';
@@ -32,12 +33,8 @@
   return { record, countReceived: () => received };
 }
 
-async function relayThrough(
-  peers: readonly ReturnType<typeof createPeerRecord>[],
-  processKeys: readonly string[],
-  route: Partial<Route> = { kind: 'safe', maximumAttempts: 2 },
-): Promise<PeerAnswer> {
-  const relay = new PeerRelay({
+function createRelay(peers: readonly PeerRecord[]): PeerRelay {
+  return new PeerRelay({
     instance: 'cut',
     listPeers: () => peers,
     configurationVersion: () => 1,
@@ -46,7 +43,10 @@
     acquireRetry: () => true,
     log: createSilentLogger(),
   });
-  const request = {
+}
+
+function createRequest(route: Partial<Route>): EntryRequest {
+  return {
     incoming: { rawHeaders: ['Host', 'site.example'], method: 'POST' },
     response: new EventEmitter(),
     metadata: { requestId: 'request' },
@@ -58,7 +58,15 @@
     deadline: performance.now() + 1000,
     signal: new AbortController().signal,
   } as unknown as EntryRequest;
-  return relay.relay(request, { processKeys, lastEventId: undefined });
+}
+
+function relayThrough(
+  peers: readonly PeerRecord[],
+  processKeys: readonly string[],
+  route: Partial<Route> = { kind: 'safe', maximumAttempts: 2 },
+): Promise<PeerAnswer> {
+  const progress = { processKeys, lastEventId: undefined };
+  return createRelay(peers).relay(createRequest(route), progress);
 }
 
 // A server may have run the request before; the peer that refuses it only speaks of itself.
@@ -138,3 +146,27 @@
     assert.equal(answer.kind, wasSent ? 'lost' : 'ended');
   }
 });
+
+// The host of a peer may end with it, so that no connection is ever closed.
+test('peer relay: a newer process of the peer ends an exchange, its silence does not', () => {
+  const incarnation = 5;
+  const exchange = {
+    peer: 'peer',
+    incarnation,
+    silenceMilliseconds: 60_000,
+    processKeys: ['peer'],
+    excludedPeers: ['peer'],
+  };
+  const decide = (records: readonly PeerRecord[], kind: Route['kind']): string =>
+    createRelay(records).decide(createRequest({ kind, maximumAttempts: 2 }), exchange).kind;
+  const other = createPeerRecord('other', { acceptsRequests: true });
+  const same = createPeerRecord('peer', { incarnation });
+  const newer = createPeerRecord('peer', { incarnation: incarnation + 1 });
+  (['safe', 'unsafe'] as const).forEach((kind) => {
+    assert.equal(decide([other, newer], kind), 'end');
+    assert.equal(decide([other, same], kind), 'wait', 'its records come');
+    assert.equal(decide([], kind), 'wait', 'there is no other peer');
+  });
+  assert.equal(decide([other], 'safe'), 'tryBeside');
+  assert.equal(decide([other], 'unsafe'), 'wait');
+});
--- a/tests/peers-given-up.test.ts
+++ b/tests/peers-given-up.test.ts
@@ -1,6 +1,7 @@
 /** Tests peers that fall silent, or end, while they serve what an instance without servers has passed on to them. */
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
+import { sleep } from '../src/common/clock.js';
 import {
   cutFromServers,
   waitUntil,
@@ -102,6 +103,17 @@
   await assertWhole(stream);
 });
 
+// A peer that pauses goes on beside the attempt that was made meanwhile; pieces of both must not be joined.
+test('peers given up: a stream whose peer pauses and goes on is whole, in order and without repeats', async (context) => {
+  for (const pauseMilliseconds of [1800, 2300]) {
+    const stream = await startPassedOnStream(context, 3);
+    stream.peer.process.kill('SIGSTOP');
+    await sleep(pauseMilliseconds);
+    stream.peer.process.kill('SIGCONT');
+    await assertWhole(stream);
+  }
+});
+
 // A server that is reached again can serve the rest of what a peer has begun.
 test('peers given up: a stream whose only peer is killed goes on at servers that are reached again', async (context) => {
   const stream = await startPassedOnStream(context, 2);
