Believe a health check only from the server that was asked

What happened: once another server has taken over the address of one that has ended, the first health check there withdrew that end and the ejection. What rests on ended processes (which run may be repeated, which answer without a length is whole, the limit on attempts) then counted the old process as alive.

Cause: the check looked at the status alone.

Evidence: on the code before, "the answer of another server at the address says nothing of the one that is checked" failed: hasEnded false and isEjected false, where both have to stay true. Another instance of the same class: what was said was read before who said it.

Now an answer that names another server is no answer of the one that is checked. An answer without an id still readmits a server, whose requests bear Expect-Instance, but doesn't show that its process lives.

The options are narrowed to what is used, so that the test needs no stand-ins for the rest.

--- a/src/daemon/server-health.ts
+++ b/src/daemon/server-health.ts
@@ -14,12 +14,12 @@
 export interface ServerHealthOptions {
   readonly fleet: BackendFleet;
   readonly outlierEjection: OutlierEjection;
-  readonly endCheck: EndCheck;
-  readonly serverLimits: ServerLimits;
-  readonly statements: StatementRecorder;
-  readonly protocol: ProtocolAdapter;
-  readonly callTimes: CallTimes;
-  readonly configuration: ActiveConfiguration;
+  readonly endCheck: Pick<EndCheck, 'recordRefusal'>;
+  readonly serverLimits: Pick<ServerLimits, 'retain'>;
+  readonly statements: Pick<StatementRecorder, 'record'>;
+  readonly protocol: Pick<ProtocolAdapter, 'parseServerStatements'>;
+  readonly callTimes: Pick<CallTimes, 'retain'>;
+  readonly configuration: Pick<ActiveConfiguration, 'current'>;
 }
 
 const DEFAULT_HEALTH_PATH = '/health';
@@ -48,13 +48,14 @@
     const { entry } = server;
     const path = configuration.current?.services.get(entry.service)?.healthPath;
     const { health, answer } = await checkHealth(entry.address, path ?? DEFAULT_HEALTH_PATH);
-    if (answer) {
-      const said = protocol.parseServerStatements(answer.headers);
-      statements.record({ entry, status: answer.status, statements: said });
-    }
+    const said = answer && protocol.parseServerStatements(answer.headers);
+    if (said) statements.record({ entry, status: answer.status, statements: said });
     if (health === 'refused') await endCheck.recordRefusal(entry, 'a health check was refused');
     if (health !== 'healthy') return;
-    fleet.recordLife(entry);
+    // Another server may have taken over the address.
+    const isAnothers = said?.serverId !== undefined && said.serverId !== id;
+    if (isAnothers) return;
+    if (said?.serverId === id) fleet.recordLife(entry);
     outlierEjection.readmitIfHoldElapsed(id);
   }
 }
