Write the lease and an instance's object without fields that are nested too deeply; they made each write fail

What callers saw: nothing measured with whole processes; found by reading, after a report of odd entries. With one field that is nested some 5000 levels deep in the planner's lease no instance could take the lease, so that no engine was planned; in an instance's own object, what blocks requests was never kept again.

Cause: fields that this build doesn't know are kept for other builds and written again, and JSON.stringify exceeds the stack on them (seen at 5000 levels, not at 3000); the store's client reports such a write as unknown.

Fields of other builds stay, as the tests of both objects show.

Evidence: both unit tests failed before (the lease was "lost"; the object had not been written) over a store that writes values as JSON, as the platform's client does.

--- a/src/daemon/instance-registration-compatibility.test.ts
+++ b/src/daemon/instance-registration-compatibility.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { createMemoryObjectStore } from '../../tools/memory-object-store.js';
+import { createJsonStore, createMemoryObjectStore } from '../../tools/memory-object-store.js';
+import { createNested } from '../../tools/odd-values.js';
 import { CrashBlame } from '../entry/crash-blame.js';
 import { CrashRecords } from '../entry/crash-records.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
@@ -97,3 +98,18 @@
   assert.ok(isGuilty(crashBlame));
   assert.deepEqual(lines, []);
 });
+
+// Such a field was kept and made each write fail; and beside a block that can't be read it ended the instance.
+test('odd entries: an object with fields that are nested too deeply is read and written', async () => {
+  const { store, put, get } = createMemoryObjectStore();
+  const nested = createNested();
+  const blocks = { ...BLOCKS, crashes: { other: [1] }, nested, reason: 'newer' };
+  put('entry-1', { ...REGISTERED, nested, format: 2, blocks });
+  const { registration, crashBlame } = createRegistration(createJsonStore(store));
+  await registration.register();
+  crashBlame.contents.merge(BLOCKS);
+  await registration.writeBlocks();
+  const written = get('entry-1') as Record<string, unknown> & { blocks: Record<string, unknown> };
+  assert.deepEqual([written.format, written.blocks.reason], [2, 'newer']);
+  assert.deepEqual(Object.keys(written.blocks.crashes as object), ['guilty']);
+});
--- a/src/daemon/instance-registration.ts
+++ b/src/daemon/instance-registration.ts
@@ -12,6 +12,7 @@
 import { PeerRecord } from '../gossip/peer-record.js';
 import { parseTolerantly } from '../gossip/tolerant-parse.js';
 import type { ObjectStore, StoredObject } from '../store/object-store.js';
+import { keepWritableFields } from '../store/writable-fields.js';
 import type { Logger } from '../telemetry/log.js';
 import { createPlaceholderRecord } from './own-record.js';
 
@@ -149,8 +150,9 @@
 
   /** Creates the object's next value; what other builds wrote and this one doesn't know stays. */
   #createValue(kept: Readonly<Record<string, unknown>>): Record<string, unknown> {
-    const stored = ObjectFields.parse(this.#storedValue);
-    const storedBlocks = ObjectFields.parse(stored.blocks);
+    const fields = ObjectFields.parse(this.#storedValue);
+    const storedBlocks = keepWritableFields(ObjectFields.parse(fields.blocks));
+    const stored = keepWritableFields({ ...fields, blocks: undefined });
     const blocks = { ...storedBlocks, crashesWhileWritten: undefined, ...kept };
     return { ...stored, ...this.#ownValue, blocks };
   }
--- a/src/layers/planner-lease-compatibility.test.ts
+++ b/src/layers/planner-lease-compatibility.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { createMemoryObjectStore } from '../../tools/memory-object-store.js';
+import { createJsonStore, createMemoryObjectStore } from '../../tools/memory-object-store.js';
+import { createNested } from '../../tools/odd-values.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import { LEASE_NAME, PlannerLease } from './planner-lease.js';
 
@@ -63,3 +64,15 @@
     assert.equal(read().term, 1);
   }
 });
+
+// Each write of the lease failed, since it kept a field that can't be written; no instance could plan.
+test('odd entries: a lease with a field that is nested too deeply can be taken over', async () => {
+  const memory = createMemoryObjectStore();
+  memory.put(LEASE_NAME, { ...HELD, nested: createNested(), format: 2 });
+  const store = createJsonStore(memory.store);
+  const lease = new PlannerLease({ store, holder: 'entry-1/1', log: createSilentLogger() });
+  assert.equal(await lease.acquireOrRenew(() => true), 'held');
+  assert.equal(await lease.acquireOrRenew(() => true), 'held');
+  const { holder, format } = memory.get(LEASE_NAME) as Record<string, unknown>;
+  assert.deepEqual([holder, format], ['entry-1/1', 2]);
+});
--- a/src/layers/planner-lease.ts
+++ b/src/layers/planner-lease.ts
@@ -7,6 +7,7 @@
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
 import type { ObjectStore, StoredObject, WriteObjectResult } from '../store/object-store.js';
+import { keepWritableFields } from '../store/writable-fields.js';
 import type { Logger } from '../telemetry/log.js';
 
 /**
@@ -143,7 +144,7 @@
     const held = this.#parse(result.object);
     if (held.holder !== holder && !isHolderGone(held.holder)) return 'lost';
     this.#revision = result.object.revision;
-    this.#found = held;
+    this.#found = keepWritableFields(held);
     this.#term = held.holder === holder ? held.term : held.term + 1;
     log.info('Taking the planner lease.', { before: held.holder, term: this.#term });
     return 'held';
--- a/tools/memory-object-store.ts
+++ b/tools/memory-object-store.ts
@@ -49,3 +49,18 @@
   };
   return { store, put, get: (name) => objects.get(name)?.value };
 }
+
+/** Wraps a store so that values are written as JSON, as the platform's client does; a write that can't be fails. */
+export function createJsonStore(store: ObjectStore): ObjectStore {
+  return {
+    ...store,
+    replace: async (kind, name, change) => {
+      try {
+        const value: unknown = JSON.parse(JSON.stringify(change.value));
+        return await store.replace(kind, name, { ...change, value });
+      } catch (error) {
+        return { kind: 'unknown', message: String(error) };
+      }
+    },
+  };
+}
--- a/tools/odd-values.ts
+++ b/tools/odd-values.ts
@@ -4,13 +4,14 @@
 /** Deeper than what the stack of a recursive function takes. */
 const NESTED_LEVELS = 100_000;
 
-function nest(): unknown {
+/** Creates a value that is nested more deeply than JSON can be written. */
+export function createNested(): unknown {
   let value: unknown = {};
   for (let level = 0; level < NESTED_LEVELS; level += 1) value = { value };
   return value;
 }
 
-const NESTED = nest();
+const NESTED = createNested();
 const ODD_PARTS = [
   1e9,
   1e300,
