Mend what the review of waiting streams found

Each refusal in a row doubles a pause of the stream's own, 0.1 to 1.6 s; an engine that is only estimated to be over capacity no longer hides one that has room. - Streams of one service without engines used up the tries of another one. Tries are counted for each service. - The limit of runs was called final while the end of one of the engines was open: it is now, as long as that engine is ejected. - A peer without room answered "may have run" to a request that had run elsewhere only, and so counted as a run that used up the limit. It says "not run" of itself; the instance that passed the request on knows of the runs before, and doesn't pass that on. - A begun stream that was passed on to a peer took no unit of the retry budget. - Each exchange with a peer that failed left a listener and a controller until the request ended; a peer's answer that can't be gone on with was not closed. Tests: one for each in waiting-streams and stream-limits that can be shown there; the new ones have no counterpart before. tests/peers-given-up, passed-on-requests and begun-streams-without-room pass.

--- a/src/entry/chain-selector.ts
+++ b/src/entry/chain-selector.ts
@@ -24,7 +24,7 @@
 export interface ChoiceOptions {
   /** Whether the caller has received events of the stream. */
   readonly hasStarted: boolean;
-  /** Whether only engines are used that are expected to have room; false by default. */
+  /** Whether no engine is used that has recently refused a request for lack of room; false by default. */
   readonly needsRoom?: boolean;
   /** The first stage, when the chain must keep it. */
   readonly pinnedStage?: ChainStage<EngineCandidate>;
@@ -132,10 +132,10 @@
 
   #chooseWithRoom(): EngineChain | undefined {
     const canUseFull = false;
-    const chain =
-      this.#chooseWithin({ canUseFull, canUseAvoided: false }) ??
-      this.#chooseWithin({ canUseFull, canUseAvoided: true, canUseBusyLinks: true });
-    return chain?.isOverCapacity ? undefined : chain;
+    const chain = this.#chooseWithin({ canUseFull, canUseAvoided: false });
+    if (chain && !chain.isOverCapacity) return chain;
+    // An engine that refused the request may have room by now; what is over capacity is an estimate.
+    return this.#chooseWithin({ canUseFull, canUseAvoided: true, canUseBusyLinks: true }) ?? chain;
   }
 
   #chooseWithin(
--- a/src/entry/peer-relay.ts
+++ b/src/entry/peer-relay.ts
@@ -245,11 +245,9 @@
   #send(peer: PeerRecord, request: EntryRequest, progress: RelayProgress): SentRequest {
     const controller = this.#openAt(peer.instance, request);
     const signal = AbortSignal.any([request.signal, controller.signal]);
-    return {
-      peer,
-      answer: this.#exchange(peer, request, progress, signal),
-      abort: () => controller.abort(),
-    };
+    const answer = this.#exchange(peer, request, progress, signal);
+    void answer.then(({ kind }) => kind !== 'served' && controller.abort());
+    return { peer, answer, abort: () => controller.abort() };
   }
 
   async #exchange(
@@ -309,8 +307,13 @@
     const controller = new AbortController();
     const open = this.#open.get(peer) ?? new Set();
     this.#open.set(peer, open.add(controller));
-    controller.signal.addEventListener('abort', () => open.delete(controller), { once: true });
-    response.once('close', () => controller.abort());
+    const abort = (): void => controller.abort();
+    response.once('close', abort);
+    const release = (): void => {
+      open.delete(controller);
+      response.off('close', abort);
+    };
+    controller.signal.addEventListener('abort', release, { once: true });
     return controller;
   }
 }
--- a/src/entry/peer-stream.ts
+++ b/src/entry/peer-stream.ts
@@ -70,6 +70,7 @@
         this.#endBeside();
         return result;
       } catch (error) {
+        message.destroy();
         log.info('The answer of the peer broke off.', {
           requestId: request.metadata.requestId,
           peer,
--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -23,9 +23,13 @@
 
 /** How a request goes on: over a chain, or over peers while this instance reaches no server. */
 type Way =
-  | { readonly kind: 'chain'; readonly chain: EngineChain }
-  | { readonly kind: 'peers' }
-  | { readonly kind: 'none' };
+  ({ readonly kind: 'chain' } & ChainWay) | { readonly kind: 'peers' } | { readonly kind: 'none' };
+
+interface ChainWay {
+  readonly chain: EngineChain;
+  /** Releases the chain's reservation. */
+  readonly release: () => void;
+}
 
 /** What is logged and counted for each decision on a request whose run has ended. */
 const ENDED_RUN_MESSAGES: Readonly<Record<EndedRunDecision['kind'], string>> = {
@@ -39,6 +43,10 @@
   wait: 'waits_for_room',
 };
 
+function getBegunWay(begun: BegunStream | undefined): Way | undefined {
+  return begun && { kind: 'chain', chain: begun.chain, release: begun.release };
+}
+
 /** Relays one streaming request, from its first attempt to its outcome. */
 class StreamRelay {
   readonly #context: EntryContext;
@@ -64,12 +72,20 @@
   /** An attempt that took over from the one before and has begun to answer. */
   #begun: BegunStream | undefined;
 
+  /** Whether a retry of the budget has been taken for the next attempt. */
+  #hasRetry = false;
+
   constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
     this.#context = context;
     this.#request = request;
     this.#runs = new StreamRuns({
       maximumServers: request.route.maximumAttempts,
       hasEnded: (processKey) => context.fleet.hasEnded(processKey),
+      mayHaveEnded: (processKey) =>
+        context.fleet.servers.some(
+          ({ entry }) =>
+            getProcessKey(entry) === processKey && context.outlierEjection.isEjected(entry.id),
+        ),
     });
     request.relayed?.processKeys.forEach((key) => this.#runs.record(key, true));
     this.#chainSelector = new ChainSelector(
@@ -113,14 +129,14 @@
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
       const begun = this.#takeBegun();
-      const way: Way = begun ? { kind: 'chain', chain: begun.chain } : await this.#findWay();
+      const way = getBegunWay(begun) ?? (await this.#findWay());
       if (way.kind === 'chain') {
         if (admission === 'try' && !this.#limits.isTrial) crashBlame.startTrial(content);
         this.#limits.isTrial = admission === 'try';
       }
       const outcome =
         way.kind === 'chain'
-          ? await this.#serveOver(way.chain, begun)
+          ? await this.#serveOver(way, begun)
           : await this.#serveWithoutChain(way.kind);
       if (outcome !== undefined) return outcome;
     }
@@ -134,12 +150,15 @@
 
   /** Attempts the request over a chain; returns its outcome, or undefined if it is to go on. */
   async #serveOver(
-    chain: EngineChain,
+    { chain, release }: ChainWay,
     begun: BegunStream | undefined,
   ): Promise<string | undefined> {
     const { signal } = this.#request;
-    if (signal.aborted) return this.#endAborted(begun);
-    const result = await this.#attempt(chain, begun);
+    if (signal.aborted) {
+      if (!begun) release();
+      return this.#endAborted(begun);
+    }
+    const result = await this.#attempt({ chain, release }, begun);
     if (signal.aborted) return this.#endAborted(result.kind === 'replaced' ? result.by : undefined);
     if (result.kind === 'completed' || result.kind === 'answered')
       return this.#ending.complete(result.kind);
@@ -167,7 +186,7 @@
   ): Promise<string | undefined> {
     result.engineIdsToAvoid.forEach((id) => this.#chainSelector.avoidedEngineIds.add(id));
     if (result.kind === 'notRun') this.#limits.recordRefusal();
-    else if (firstEngine) this.#runs.record(getProcessKey(firstEngine), true);
+    else if (firstEngine) this.#limits.recordRun(getProcessKey(firstEngine));
     // Whether the first engine still lives decides how many further engines may run the request.
     if (result.kind === 'broken' && firstEngine) await this.#checkForEnd(firstEngine);
     const isGoingOn = this.#decideOnEndedRun({
@@ -188,6 +207,7 @@
   #decideOnEndedRun(run: Readonly<Record<string, unknown>>): boolean {
     const { retryBudget, logs, metrics } = this.#context;
     const { service, metadata } = this.#request;
+    this.#hasRetry = false;
     const decision = decideOnEndedRun({
       hasStarted: this.#caller.hasStarted,
       proof: this.#limits.proof,
@@ -216,19 +236,26 @@
   /** Finds a way to go on; a stream that has begun waits for one as long as its time lasts. */
   async #findWay(): Promise<Way> {
     const { waitingStreams, serverReach } = this.#context;
-    if (serverReach.isCut) return { kind: 'peers' };
     if (this.#caller.hasStarted) return this.#waitForWay();
-    waitingStreams.offerRoom();
+    if (serverReach.isCut) return { kind: 'peers' };
+    waitingStreams.offerRoom(this.#request.service.name);
     const chain = this.#chooseChain();
-    return chain ? { kind: 'chain', chain } : { kind: 'none' };
+    return chain ? this.#reserve(chain) : { kind: 'none' };
   }
 
   async #waitForWay(): Promise<Way> {
     const { waitingStreams, logs, metrics } = this.#context;
-    const { deadline, signal, metadata } = this.#request;
+    const { deadline, signal, metadata, service } = this.#request;
     const startedAt = performance.now();
-    const tryProceed = (): Way | undefined => this.#tryProceed();
-    const way = (await waitingStreams.wait({ deadline, signal, tryProceed })) ?? { kind: 'none' };
+    const found = await waitingStreams.wait({
+      service: service.name,
+      deadline,
+      notBefore: startedAt + this.#limits.refusalPauseMilliseconds,
+      signal,
+      tryProceed: () => this.#tryProceed(),
+    });
+    const way: Way = found ?? { kind: 'none' };
+    if (way.kind === 'peers') return way;
     logs('routing').info('Waited for room.', {
       requestId: metadata.requestId,
       found: way.kind,
@@ -242,13 +269,23 @@
 
   /** Takes a chain with room and a retry of the budget; undefined as long as either is lacking. */
   #tryProceed(): Way | undefined {
-    const { retryBudget, serverReach } = this.#context;
-    if (serverReach.isCut) return { kind: 'peers' };
-    const needsRoom = this.#limits.wasRefused;
+    if (this.#context.serverReach.isCut) return this.#takeRetry() ? { kind: 'peers' } : undefined;
+    const needsRoom = this.#limits.refusalPauseMilliseconds > 0;
     const chain = this.#chainSelector.choose({ hasStarted: true, needsRoom });
-    if (!chain || !retryBudget.tryAcquire(this.#request.service.name)) return undefined;
+    if (!chain || !this.#takeRetry()) return undefined;
     this.#recordSend(chain);
-    return { kind: 'chain', chain };
+    return this.#reserve(chain);
+  }
+
+  /** Takes a retry of the budget for the next attempt, unless one was taken that has not been used. */
+  #takeRetry(): boolean {
+    this.#hasRetry ||= this.#context.retryBudget.tryAcquire(this.#request.service.name);
+    return this.#hasRetry;
+  }
+
+  /** Reserves a chain in the step in which it was chosen. */
+  #reserve(chain: EngineChain): Way {
+    return { kind: 'chain', chain, release: this.#chainSelector.reserve(chain) };
   }
 
   #chooseChain(): EngineChain | undefined {
@@ -274,10 +311,15 @@
   }
 
   /** Sends the request over a chain, unless that has begun already as a replacement. */
-  async #attempt(chain: EngineChain, begun: BegunStream | undefined): Promise<StreamAttemptResult> {
+  async #attempt(
+    { chain, release }: ChainWay,
+    begun: BegunStream | undefined,
+  ): Promise<StreamAttemptResult> {
     const firstEngine = chain.stages[0]?.engine.server;
-    if (!firstEngine)
+    if (!firstEngine) {
+      release();
       return { kind: 'notRun', engineIdsToAvoid: [], message: 'The chosen chain has no stages.' };
+    }
     const { logs } = this.#context;
     if (!begun) logs('routing').info('Chain chosen.', this.#chainSelector.describeForLog(chain));
     const attempt = new StreamAttempt({
@@ -288,6 +330,7 @@
       caller: this.#caller,
       chain,
       firstEngine,
+      release,
       begun,
       decide: (suspectedEngineIds) => this.#beside.decide(firstEngine.entry, suspectedEngineIds),
       startReplacement: () => this.#beside.start(firstEngine.entry),
--- a/src/entry/stream-attempt.test.ts
+++ b/src/entry/stream-attempt.test.ts
@@ -51,6 +51,7 @@
         metadata: { requestId: 'request' },
         route: { targetMilliseconds: 500 },
       } as unknown as EntryRequest,
+      release: () => undefined,
       chainSelector: {
         avoidedEngineIds: new Set(),
         reserve: () => () => undefined,
--- a/src/entry/stream-attempt.ts
+++ b/src/entry/stream-attempt.ts
@@ -36,6 +36,8 @@
   readonly decide: (suspectedEngineIds: readonly string[]) => SuspicionDecision;
   /** Starts another attempt, which avoids the suspected engines; undefined if there is none after all. */
   readonly startReplacement: () => StreamReplacement | undefined;
+  /** Releases the chain's reservation. */
+  readonly release: () => void;
   /** Takes the retry for a late first event; false if it has been taken. */
   readonly tryTakeLateRetry: () => boolean;
 }
@@ -104,7 +106,7 @@
     this.chain = listServers(chain);
     this.firstEventTimeoutMilliseconds = getFirstEventTimeout(request.route.targetMilliseconds);
     this.#controller = options.begun?.controller ?? new AbortController();
-    this.#release = options.begun?.release ?? options.chainSelector.reserve(chain);
+    this.#release = options.release;
   }
 
   get requestId(): string {
--- a/src/entry/stream-ending.ts
+++ b/src/entry/stream-ending.ts
@@ -55,8 +55,10 @@
    * @param retryAfterSeconds - When there is room, where that is known.
    */
   sendFailure(refusalCode: string, retryAfterSeconds?: number): string {
-    const { runs, context } = this.#options;
-    if (runs.total > 0) {
+    const { runs, context, request } = this.#options;
+    // The instance that passed the request on knows where else it may have run.
+    const elsewhere = request.relayed?.processKeys.length ?? 0;
+    if (runs.total > elsewhere) {
       return this.#sendLocalResponse('broken', {
         status: 502,
         code: 'engine_failed',
--- a/src/entry/stream-limits.test.ts
+++ b/src/entry/stream-limits.test.ts
@@ -64,6 +64,39 @@
   assert.equal(once.limits.proof, 'notRepeatable');
 });
 
+// The end of an engine may be confirmed only a while after a stream broke off there.
+test('stream limits: runs at engines that may have ended do not use up the limit of the route for good', () => {
+  const request = {
+    content: { hash: 'content', sharedParts: [] },
+    route: { kind: 'streaming', isResumable: true },
+  } as unknown as EntryRequest;
+  const inDoubt = new Set(['a']);
+  const runs = new StreamRuns({
+    maximumServers: 1,
+    hasEnded: () => false,
+    mayHaveEnded: (processKey) => inDoubt.has(processKey),
+  });
+  const limits = new StreamLimits({ request, runs, crashBlame: { isBlocked: () => false } });
+  limits.recordRun('a');
+  assert.equal(limits.proof, undefined);
+  assert.equal(runs.allows('b'), false);
+  inDoubt.clear();
+  assert.equal(limits.proof, 'runLimit');
+});
+
+// A refusal that says nothing of room was followed by the next attempt without a pause.
+test('stream limits: each refusal doubles the pause until an attempt may have run', () => {
+  const { limits } = createLimits();
+  const pauses = [0, 1, 2, 3, 4, 5, 6].map(() => {
+    const pause = limits.refusalPauseMilliseconds;
+    limits.recordRefusal();
+    return pause;
+  });
+  assert.deepEqual(pauses, [0, 100, 200, 400, 800, 1600, 1600]);
+  limits.recordRun('a');
+  assert.equal(limits.refusalPauseMilliseconds, 0);
+});
+
 test('stream limits: the fifth refusal is one too many', () => {
   const { limits } = createLimits();
   for (let count = 0; count < 4; count += 1) limits.recordRefusal();
--- a/src/entry/stream-limits.ts
+++ b/src/entry/stream-limits.ts
@@ -22,6 +22,9 @@
 const MAXIMUM_ATTEMPTS = 4;
 /** A request under which so many engines ended as they began it is not sent to another one. */
 const MAXIMUM_ENDS_AT_BEGIN = 2;
+/** Doubles with each further refusal, whatever the engines say of their room. */
+const INITIAL_REFUSAL_PAUSE_MILLISECONDS = 100;
+const MAXIMUM_REFUSAL_PAUSE_MILLISECONDS = 1600;
 /** How often another chain may be tried because the first event is late. */
 const MAXIMUM_LATE_RETRIES = 1;
 
@@ -30,6 +33,9 @@
 
   #refusals = 0;
 
+  /** Refusals since the last attempt that may have run. */
+  #refusalsInSequence = 0;
+
   #refusalsBeside = 0;
 
   #cancelledBeside = 0;
@@ -48,6 +54,17 @@
   /** Counts an attempt that an engine refused. */
   recordRefusal(): void {
     this.#refusals += 1;
+    this.#refusalsInSequence += 1;
+  }
+
+  /**
+   * Counts an attempt that may have run.
+   *
+   * @param processKey - The process of its first engine.
+   */
+  recordRun(processKey: string): void {
+    this.#refusalsInSequence = 0;
+    this.#options.runs.record(processKey, true);
   }
 
   /** Counts an attempt beside a silent one that an engine refused. */
@@ -85,7 +102,7 @@
     if (crashBlame.isBlocked(request.content) && !(this.isTrial && hasNotRun))
       return 'blockedContent';
     if (this.#endsAtBegin >= MAXIMUM_ENDS_AT_BEGIN) return 'endsServers';
-    return this.#attempts >= MAXIMUM_ATTEMPTS || runs.isExhausted ? 'runLimit' : undefined;
+    return this.#attempts >= MAXIMUM_ATTEMPTS || runs.isExhaustedForGood ? 'runLimit' : undefined;
   }
 
   /** Whether engines have refused the request so often that it is sent to no further one at once. */
@@ -93,9 +110,11 @@
     return this.#refusals > MAXIMUM_REFUSED_ATTEMPTS;
   }
 
-  /** Whether an engine has refused the request. */
-  get wasRefused(): boolean {
-    return this.#refusals > 0;
+  /** How long no engine is asked after the last ones refused the request; 0 if they did not. */
+  get refusalPauseMilliseconds(): number {
+    if (this.#refusalsInSequence === 0) return 0;
+    const pause = INITIAL_REFUSAL_PAUSE_MILLISECONDS * 2 ** (this.#refusalsInSequence - 1);
+    return Math.min(MAXIMUM_REFUSAL_PAUSE_MILLISECONDS, pause);
   }
 
   /**
--- a/src/entry/stream-runs.ts
+++ b/src/entry/stream-runs.ts
@@ -10,6 +10,8 @@
   readonly maximumServers: number;
   /** Whether a server's process is shown to have ended; such a one does not count. */
   readonly hasEnded: (processKey: string) => boolean;
+  /** Whether it is open if a server's process has ended; false by default. */
+  readonly mayHaveEnded?: (processKey: string) => boolean;
 }
 
 export class StreamRuns {
@@ -71,8 +73,18 @@
 
   /** Whether as many servers as the limit allows have run the request for certain. */
   get isExhausted(): boolean {
-    const limit = Math.max(1, this.#options.maximumServers);
-    return this.#countedRuns.filter(({ hadEvents }) => hadEvents).length >= limit;
+    return this.#certainRuns.length >= Math.max(1, this.#options.maximumServers);
+  }
+
+  /** Whether that stays so: runs of servers whose end is open may turn out not to count. */
+  get isExhaustedForGood(): boolean {
+    const { maximumServers, mayHaveEnded = () => false } = this.#options;
+    const lasting = this.#certainRuns.filter(({ processKey }) => !mayHaveEnded(processKey));
+    return lasting.length >= Math.max(1, maximumServers);
+  }
+
+  get #certainRuns(): readonly { readonly processKey: string }[] {
+    return this.#countedRuns.filter(({ hadEvents }) => hadEvents);
   }
 
   /**
--- a/src/entry/waiting-streams.test.ts
+++ b/src/entry/waiting-streams.test.ts
@@ -19,8 +19,13 @@
     now: () => this.now,
   });
 
-  wait(name: string, deadline: number, signal = new AbortController().signal) {
-    return this.streams.wait({ deadline, signal, tryProceed: () => this.take(name) });
+  wait(
+    name: string,
+    deadline: number,
+    { signal = new AbortController().signal, service = 'service', notBefore = 0 } = {},
+  ) {
+    const tryProceed = () => this.take(name);
+    return this.streams.wait({ service, deadline, notBefore, signal, tryProceed });
   }
 
   take(name: string): string | undefined {
@@ -44,11 +49,11 @@
   const places = new Places();
   const waits = [places.wait('late', 30), places.wait('early', 10), places.wait('middle', 20)];
   places.free = 2;
-  places.streams.offerRoom();
+  places.streams.offerRoom('service');
   assert.equal(places.take('new'), undefined);
   assert.deepEqual(places.taken, ['early', 'middle']);
   places.free = 1;
-  places.streams.offerRoom();
+  places.streams.offerRoom('service');
   await Promise.all(waits);
   assert.deepEqual(places.taken, ['early', 'middle', 'late']);
 });
@@ -56,11 +61,11 @@
 test('waiting streams: a wait ends with its signal, and the stream is not tried again', async () => {
   const places = new Places();
   const controller = new AbortController();
-  const wait = places.wait('gone', 10, controller.signal);
+  const wait = places.wait('gone', 10, { signal: controller.signal });
   controller.abort();
   assert.equal(await wait, undefined);
   places.free = 1;
-  places.streams.offerRoom();
+  places.streams.offerRoom('service');
   assert.deepEqual(places.taken, []);
   assert.equal(places.streams.count, 0);
 });
@@ -70,10 +75,10 @@
   const places = new Places();
   const controller = new AbortController();
   const waits = Array.from({ length: 100 }, (_, index) =>
-    places.wait(`stream-${index}`, index, controller.signal),
+    places.wait(`stream-${index}`, index, { signal: controller.signal }),
   );
   places.tries = 0;
-  places.streams.offerRoom();
+  places.streams.offerRoom('service');
   assert.equal(places.tries, 1);
   controller.abort();
   await Promise.all(waits);
@@ -82,8 +87,44 @@
 test('waiting streams: one more than may wait is turned away', async () => {
   const places = new Places();
   const controller = new AbortController();
-  const waits = Array.from({ length: 256 }, () => places.wait('waits', 10, controller.signal));
+  const waits = Array.from({ length: 256 }, () =>
+    places.wait('waits', 10, { signal: controller.signal }),
+  );
   assert.equal(await places.wait('turned away', 5), undefined);
   controller.abort();
   await Promise.all(waits);
 });
+
+// Streams of a service without engines kept those of another one from its room.
+test('waiting streams: those of one service neither hold up nor take the room of another', async () => {
+  const places = new Places();
+  const controller = new AbortController();
+  const { signal } = controller;
+  const blocked = Array.from({ length: 20 }, () =>
+    places.streams.wait({
+      service: 'blocked',
+      deadline: 1,
+      notBefore: 0,
+      signal,
+      tryProceed: () => undefined,
+    }),
+  );
+  const wait = places.wait('other', 100);
+  places.free = 1;
+  places.streams.offerRoom('service');
+  assert.equal(await wait, 'other');
+  controller.abort();
+  await Promise.all(blocked);
+});
+
+// A stream that engines refuse whatever their room would use up the budget of all others.
+test('waiting streams: one that was refused is not tried before its pause is over', async () => {
+  const places = new Places();
+  places.free = 1;
+  const wait = places.wait('refused', 10, { notBefore: 200 });
+  places.streams.offerRoom('service');
+  assert.equal(places.tries, 0);
+  places.now = 200;
+  places.streams.offerRoom('service');
+  assert.equal(await wait, 'refused');
+});
--- a/src/entry/waiting-streams.ts
+++ b/src/entry/waiting-streams.ts
@@ -8,8 +8,12 @@
 
 /** A stream that waits, and what it waits for. */
 export interface WaitingStream<T> {
+  /** Streams of other services neither wait for it nor take its room. */
+  readonly service: string;
   /** When its time is over, on the monotonic clock. */
   readonly deadline: number;
+  /** It is not tried before, on the monotonic clock. */
+  readonly notBefore: number;
   /** Ends the wait. */
   readonly signal: AbortSignal;
   /** Takes what the stream waits for, if that is there now; undefined otherwise. */
@@ -25,10 +29,13 @@
 }
 
 interface Waiting {
+  readonly service: string;
   readonly deadline: number;
+  readonly notBefore: number;
   /** Whether the stream waits no longer. */
   readonly attempt: () => boolean;
   nextTryAt: number;
+  lastTryAt: number;
   tries: number;
 }
 
@@ -36,13 +43,21 @@
 const MAXIMUM_WAITING_STREAMS = 256;
 const PASS_INTERVAL_MILLISECONDS = 60;
 const MAXIMUM_TRY_INTERVAL_MILLISECONDS = 240;
-/** Looking for a chain takes processor time that requests in progress need. */
+/** So that those with the least time left don't use up all tries while the fleet changes all the time. */
+const TRY_INTERVAL_AFTER_CHANGE_MILLISECONDS = 120;
+/** For each service: looking for a chain takes processor time that requests in progress need. */
 const MAXIMUM_TRIES_PER_PASS = 4;
 
 function compareDeadlines(one: Waiting, other: Waiting): number {
   return one.deadline - other.deadline;
 }
 
+/** Lets a stream look again soon, since what it waits for may be there. */
+function hasten(waiting: Waiting): void {
+  const soon = waiting.lastTryAt + TRY_INTERVAL_AFTER_CHANGE_MILLISECONDS;
+  waiting.nextTryAt = Math.max(waiting.notBefore, Math.min(waiting.nextTryAt, soon));
+}
+
 export class WaitingStreams {
   readonly #options: WaitingStreamsOptions;
 
@@ -71,7 +86,8 @@
    * @returns What it has taken; undefined if its signal has aborted, or too many wait already.
    * @throws Whatever `tryProceed` throws.
    */
-  wait<T>({ deadline, signal, tryProceed }: WaitingStream<T>): Promise<T | undefined> {
+  wait<T>(stream: WaitingStream<T>): Promise<T | undefined> {
+    const { service, deadline, notBefore, signal, tryProceed } = stream;
     if (signal.aborted || this.#waiting.size >= MAXIMUM_WAITING_STREAMS)
       return Promise.resolve(undefined);
     return new Promise((resolve, reject) => {
@@ -95,16 +111,32 @@
         }
         return true;
       };
-      const waiting: Waiting = { deadline, attempt, nextTryAt: this.#now(), tries: 0 };
+      const waiting: Waiting = {
+        service,
+        deadline,
+        notBefore,
+        attempt,
+        nextTryAt: notBefore,
+        lastTryAt: -Infinity,
+        tries: 0,
+      };
       signal.addEventListener('abort', abort, { once: true });
       this.#add(waiting);
     });
   }
 
-  /** Lets streams that wait take what room there is; called before a new request looks for some. */
-  offerRoom(): void {
-    const inOrder = [...this.#waiting].sort(compareDeadlines).slice(0, MAXIMUM_TRIES_PER_PASS);
-    inOrder.every((waiting) => this.#try(waiting));
+  /**
+   * Lets streams that wait take what room there is; called before a new request looks for some.
+   *
+   * @param service - The service of the new request.
+   */
+  offerRoom(service: string): void {
+    const now = this.#now();
+    [...this.#waiting]
+      .filter((waiting) => waiting.service === service && waiting.notBefore <= now)
+      .sort(compareDeadlines)
+      .slice(0, MAXIMUM_TRIES_PER_PASS)
+      .every((waiting) => this.#try(waiting));
   }
 
   #add(waiting: Waiting): void {
@@ -125,14 +157,16 @@
     const revision = this.#options.fleetRevision();
     const hasFleetChanged = revision !== this.#fleetRevision;
     this.#fleetRevision = revision;
+    if (hasFleetChanged) this.#waiting.forEach(hasten);
     const now = this.#now();
-    if (hasFleetChanged)
-      this.#waiting.forEach((waiting) => Object.assign(waiting, { nextTryAt: now, tries: 0 }));
-    [...this.#waiting]
-      .filter(({ nextTryAt }) => nextTryAt <= now)
-      .sort(compareDeadlines)
-      .slice(0, MAXIMUM_TRIES_PER_PASS)
-      .forEach((waiting) => this.#try(waiting));
+    const due = [...this.#waiting].filter(({ nextTryAt }) => nextTryAt <= now);
+    new Set(due.map(({ service }) => service)).forEach((service) =>
+      due
+        .filter((waiting) => waiting.service === service)
+        .sort(compareDeadlines)
+        .slice(0, MAXIMUM_TRIES_PER_PASS)
+        .forEach((waiting) => this.#try(waiting)),
+    );
   }
 
   /** Returns whether the stream waits no longer. */
@@ -140,7 +174,8 @@
     if (waiting.attempt()) return true;
     const interval = PASS_INTERVAL_MILLISECONDS * 2 ** waiting.tries;
     waiting.tries += 1;
-    waiting.nextTryAt = this.#now() + Math.min(MAXIMUM_TRY_INTERVAL_MILLISECONDS, interval);
+    waiting.lastTryAt = this.#now();
+    waiting.nextTryAt = waiting.lastTryAt + Math.min(MAXIMUM_TRY_INTERVAL_MILLISECONDS, interval);
     return false;
   }
 }
