Callers' connections: answer all requests that were read before bytes that do not parse

Seen by callers: of two bookings sent on one connection without waiting, followed by bytes that are no request, both ran and only the first was answered.

Cause: `Connection: close` was set on all open responses, and Node.js ends the connection with the first one that carries it.

Fix: only the last request that was read ends the connection.

Evidence: the new test of src/common/caller-connections.test.ts failed before (no answer to /2) and passes now.

--- a/src/common/caller-connections.test.ts
+++ b/src/common/caller-connections.test.ts
@@ -1,7 +1,15 @@
 import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { decideOnConnectionError, type ConnectionSituation } from './caller-connections.js';
+import { RawConnection } from '../../tools/raw-connection.js';
+import {
+  CallerConnections,
+  decideOnConnectionError,
+  type ConnectionSituation,
+} from './caller-connections.js';
 
 const FRESH: ConnectionSituation = {
   errorCode: 'HPE_INVALID_METHOD',
@@ -63,3 +71,32 @@
     { seed: 24 },
   );
 });
+
+// The answer to the first one ended the connection, and with it the second one, which was being served.
+test('caller connections: all requests that were read are answered before bytes that do not parse end the connection', async (context) => {
+  const ignore = (): void => undefined;
+  const log = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+  const connections = new CallerConnections({ log, countError: ignore });
+  const server = http.createServer((incoming, response) => {
+    connections.addRequest(incoming, response, String(incoming.url));
+    setTimeout(() => response.end(incoming.url), 50);
+  });
+  server.on('clientError', (error, socket) => connections.handleError(error, socket));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const connection = await RawConnection.open((server.address() as AddressInfo).port);
+  context.after(() => {
+    connection.destroy();
+    server.close();
+  });
+  const paths = ['/1', '/2', '/3'];
+  const requests = paths.map((path) => `GET ${path} HTTP/1.1\r\nHost: site.example\r\n\r\n`);
+  connection.write(`${requests.join('')}no request\r\n\r\n`);
+  for (const path of paths) {
+    const response = await connection.readResponse(2000);
+    assert.equal(response?.isComplete, true, path);
+    assert.equal(response.body, path);
+  }
+  assert.equal(await connection.readResponse(2000), undefined);
+  assert.ok(connection.isClosed);
+});
--- a/src/common/caller-connections.ts
+++ b/src/common/caller-connections.ts
@@ -94,6 +94,15 @@
   return [...state.openRequests].filter(({ incoming }) => incoming.complete);
 }
 
+/** Lets the connection end with the last of its responses; each one that hasn't been sent says so or not. */
+function announceEnd(responses: readonly ServerResponse[], last: ServerResponse | undefined): void {
+  responses
+    .filter((response) => !response.headersSent)
+    .forEach((response) =>
+      response.setHeader('Connection', response === last ? 'close' : 'keep-alive'),
+    );
+}
+
 function sendStatus(socket: Duplex, status: number): void {
   if (!socket.writable) return;
   socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`);
@@ -129,10 +138,7 @@
    */
   closeAfter({ socket }: IncomingMessage, response: ServerResponse): void {
     const responses = [...this.#getState(socket).openRequests].map((open) => open.response);
-    const last = responses.at(-1) ?? response;
-    [response, ...responses]
-      .filter((open) => !open.headersSent)
-      .forEach((open) => open.setHeader('Connection', open === last ? 'close' : 'keep-alive'));
+    announceEnd([response, ...responses], responses.at(-1) ?? response);
   }
 
   /**
@@ -162,9 +168,8 @@
     this.#record(error, state, decision);
     if (decision.kind === 'finishOpenRequests') {
       state.isFinishing = true;
-      open.forEach(({ response }) => {
-        if (!response.headersSent) response.setHeader('Connection', 'close');
-      });
+      const responses = listReadRequests(state).map(({ response }) => response);
+      announceEnd(responses, responses.at(-1));
       return;
     }
     if (decision.kind === 'reject') sendStatus(socket, decision.status);
