Stop: judge streams by their route's timeout, as before

Cause: the lesser of the two times counted for streams, too. A stream that ends at its caller's deadline is a part only; a refusal lets the caller begin at an instance that stays.

Fix: for streams the route's timeout counts, for calls the lesser one.

--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -187,8 +187,11 @@
       const callerTimeoutMilliseconds = metadata.deadlineMilliseconds ?? Number.POSITIVE_INFINITY;
       const deadline = receivedAt + Math.min(callerTimeoutMilliseconds, route.timeoutMilliseconds);
       if (isStopping()) connections.closeAfter(incoming, response);
+      const routeDeadline = receivedAt + route.timeoutMilliseconds;
+      const isStream = route.kind === 'streaming';
+      const latestEnd = isStream ? routeDeadline : deadline;
       // The stop may have begun while the body arrived.
-      if (isRefusedByStop({ deadline, mustFinishBy: mustFinishBy() }))
+      if (isRefusedByStop({ deadline: latestEnd, mustFinishBy: mustFinishBy() }))
         return rejectRequest(incoming, response, STOPPING);
       timer = setTimeout(() => abort('deadline'), Math.max(0, deadline - performance.now()));
       const request: EntryRequest = {
--- a/src/entry/stop-admission.ts
+++ b/src/entry/stop-admission.ts
@@ -12,7 +12,10 @@
 
 /** Options of {@link isRefusedByStop}. */
 export interface StopAdmission {
-  /** When the request's time is over: the lesser of its route's timeout and what its caller waits. */
+  /**
+   * When the request's time is over: the lesser of its route's timeout and what its caller waits; for a stream the
+   * route's timeout, as a stream that stops at its caller's deadline is a part only.
+   */
   readonly deadline: number;
   /** When the instance ends all requests, on the same clock; undefined unless it is being stopped. */
   readonly mustFinishBy: number | undefined;
