Store from an older copy: what is known is ordered by era and revision

Cause: revisions go back and are given out again, while lists and changes of a lower revision than before were ignored for good; Store-Era was read nowhere.

Ruled out: taking any list of a lower revision (a list of a peer that is late would replace newer entries); a new list after each 410 alone (once revisions have grown past the watch there is no 410, and what the copy lacks is never reported).

A list of a newer era is taken whatever its revision; a watch answered in another era is no evidence and lists anew; so does the question before a denial. Records (fleetEra) and lists between peers (era) carry it as optional fields. A list without it, of an older build, is compared by revision alone, but not taken once an era has changed and this instance reaches the store. Each instance registers again: 1 write and 1 read for each, once an era. The lease forgets its revision; its term never goes below one that this instance has seen.

Left: a server that was gone before and is in the copy is used until its entry lapses or it refuses.

--- a/src/daemon/configuration-evidence.ts
+++ b/src/daemon/configuration-evidence.ts
@@ -9,6 +9,7 @@
 import type { ConfigurationSource } from '../entry/configuration-check.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import type { ObjectStore, StoredObject } from '../store/object-store.js';
+import type { StorePosition } from '../store/store-position.js';
 
 /** Options of {@link ConfigurationEvidence}. */
 export interface ConfigurationEvidenceOptions {
@@ -17,8 +18,8 @@
   readonly configuration: ActiveConfiguration;
   /** Name of this instance's data centre. */
   readonly dataCentre: string;
-  /** Revision from which the configuration is watched; undefined before the first list. */
-  readonly watchedRevision: () => number | undefined;
+  /** Where the watch of the configuration continues; undefined before the first list. */
+  readonly watchedPosition: () => StorePosition | undefined;
   readonly listPeers: () => readonly PeerRecord[];
   /** Reads a document of a peer; resolves to undefined when the peer does not provide it. */
   readonly fetch: (peer: Address, path: string) => Promise<unknown>;
@@ -83,13 +84,15 @@
   }
 
   async #askStore(): Promise<void> {
-    const { store, configurationKind, configuration, watchedRevision, apply, signal } =
+    const { store, configurationKind, configuration, watchedPosition, apply, signal } =
       this.#options;
-    const since = watchedRevision();
-    if (since !== undefined) {
+    const position = watchedPosition();
+    if (position !== undefined) {
+      const since = position.revision;
       const watched = await store.watch(configurationKind, { since, waitMilliseconds: 0, signal });
       if (watched.kind === 'unavailable') return;
-      if (watched.kind === 'changed') {
+      // Of another era the answer says nothing, since revisions were given out again.
+      if (watched.kind === 'changed' && (watched.era ?? 0) === position.era) {
         watched.changes.forEach(({ object }) => apply(object));
         configuration.markUpToDate('store answer');
         return;
--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -234,6 +234,10 @@
       fetch: (peer, path) => this.gossip.fetchDocument(peer, path),
       isFollowedByPeers: () => isFollowedByPeers(instance, dataCentre, this.peers.aliveRecords),
       onNews: () => this.#pushNews(),
+      onEra: () => {
+        this.lease.forget();
+        void this.registration.registerAgain();
+      },
       isIdle: () =>
         Object.values(this.context.retryBudget.counts).every(([requests]) => requests === 0),
       logs,
@@ -360,6 +364,7 @@
         promptParts: crashBlame.promptParts.reported,
       },
       fleetRevision: fleet.revision,
+      fleetEra: fleet.era,
       ...collectServerObservations(fleet),
       retries: this.context.retryBudget.counts,
       limits: serverLimits.reported,
--- a/src/daemon/fleet-document.ts
+++ b/src/daemon/fleet-document.ts
@@ -31,6 +31,8 @@
 
 const FleetDocument = z.object({
   revision: z.number().int().min(0),
+  /** Era of the store to which the revision belongs. Absent in lists of older builds. */
+  era: z.number().int().min(0).optional(),
   entries: z.array(z.unknown()),
   /** By id of a server whose entry is missing after a store outage: how long the store has been back. */
   missingMilliseconds: z.record(z.string(), z.number().min(0)).optional(),
@@ -39,6 +41,7 @@
 /** A peer's list, as far as it can be read. */
 export interface DecodedFleet {
   readonly revision: number;
+  readonly era: number | undefined;
   readonly entries: readonly ServerEntry[];
   readonly missingMilliseconds: Readonly<Record<string, number>>;
   /** What was left out. */
@@ -60,6 +63,7 @@
   });
   return {
     revision: document.revision,
+    era: document.era,
     entries: results
       .map(({ value: entry }) => entry)
       .filter((entry) => entry !== undefined)
--- a/src/daemon/instance-registration.ts
+++ b/src/daemon/instance-registration.ts
@@ -97,6 +97,12 @@
     }
   }
 
+  /** Registers once more, after a store that is back from an older copy has lost what was written there. */
+  async registerAgain(): Promise<void> {
+    this.#keptKeys = describeKeys(NO_BLOCKS);
+    await this.register();
+  }
+
   /** Keeps what blocks requests in the store, until the signal aborts. */
   async keepBlocks(): Promise<void> {
     const { signal } = this.#options;
--- a/src/daemon/store-follower.test.ts
+++ b/src/daemon/store-follower.test.ts
@@ -76,6 +76,7 @@
     onNews: () => {
       news += 1;
     },
+    onEra: () => undefined,
     isIdle: () => false,
     logs: () => createSilentLogger(),
     signal: controller.signal,
@@ -150,3 +151,21 @@
     [{ from: 0, to: 4 }],
   );
 });
+
+// The list of an older build, from before the store came back, would have hidden all that came after it.
+test('store follower: once the store is back from an older copy, a list without its era is not taken', async (context) => {
+  const options: { isFollowedByPeers: () => boolean; peerDocument: unknown } = {
+    isFollowedByPeers: () => false,
+    peerDocument: { revision: 5, era: 1, entries: [createEntry('b')] },
+  };
+  const { fleet, follower } = await startFollower(context, options);
+  follower.catchUpWithPeer(
+    createPeerRecord('other', { ...NEWER_RECORD, fleetRevision: 5, fleetEra: 1 }),
+  );
+  while (fleet.era !== 1) await sleep(10);
+  assert.equal(fleet.revision, 5, 'the lower revision of a later era');
+  options.peerDocument = NEWER_DOCUMENT;
+  follower.catchUpWithPeer(createPeerRecord('older', NEWER_RECORD));
+  await sleep(600);
+  assert.equal(fleet.revision, 5);
+});
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -7,10 +7,12 @@
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import type { ConfigurationSource } from '../entry/configuration-check.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
+import type { ServerEntry } from '../fleet/server-entry.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import { Confirmation, getFollowBounds, type FollowBounds } from '../store/confirmation.js';
 import { followObjects } from '../store/follow-objects.js';
 import type { StoredObject } from '../store/object-store.js';
+import { isLater, type StorePosition } from '../store/store-position.js';
 import type { LoggerFactory } from '../telemetry/log.js';
 import { CONFIGURATION_STATE_PATH, ConfigurationEvidence } from './configuration-evidence.js';
 import type { EntryPlatform } from './entry-platform.js';
@@ -37,6 +39,8 @@
   readonly isFollowedByPeers: () => boolean;
   /** Called when this instance has got a newer configuration or list of servers. */
   readonly onNews: () => void;
+  /** Called when the store is back from an older copy: what this instance wrote there since is gone. */
+  readonly onEra: () => void;
   /** Whether no request has arrived recently. */
   readonly isIdle: () => boolean;
   readonly logs: LoggerFactory;
@@ -93,13 +97,16 @@
 
   #hasFleet = false;
 
+  /** Whether the store has come back from an older copy since this instance started. */
+  #hasBegunEra = false;
+
   /** Ends the watches that wait now. */
   #watches = new AbortController();
 
   readonly #serversConfirmation: Confirmation;
 
-  /** Revision from which the configuration is watched. */
-  #configurationRevision: number | undefined;
+  /** Where the watch of the configuration continues. */
+  #configurationPosition: StorePosition | undefined;
 
   constructor(options: StoreFollowerOptions) {
     this.#options = options;
@@ -135,6 +142,7 @@
       [CONFIGURATION_STATE_PATH]: () => this.#evidence.describe(),
       [FLEET_PATH]: () => ({
         revision: fleet.revision,
+        era: fleet.era,
         entries: fleet.servers.map(({ entry }) => entry),
         missingMilliseconds: fleet.missingMilliseconds,
       }),
@@ -157,15 +165,21 @@
    * @param record - The latest record of the peer.
    */
   catchUpWithPeer(record: PeerRecord): void {
-    const { configuration, dataCentre, fleet } = this.#options;
+    const { configuration, dataCentre } = this.#options;
     const version = configuration.current?.version ?? -1;
     if (record.configurationVersion > version) void this.#fetchConfiguration(record);
-    if (record.fleetRevision <= fleet.revision) return;
+    if (!this.#isBehind(record)) return;
     const isExpected = record.dataCentre === dataCentre && !this.isStoreReachable;
     if (isExpected || !this.#hasFleet) void this.#fetchFleet(record);
     else void this.#fetchFleetIfStillBehind(record);
   }
 
+  /** Whether a peer has a later list. An older build doesn't tell the era, so its revision may be that of a list before. */
+  #isBehind({ fleetEra: era, fleetRevision: revision }: PeerRecord): boolean {
+    if (era === undefined && this.#hasBegunEra && this.isStoreReachable) return false;
+    return isLater({ era, revision }, this.#options.fleet);
+  }
+
   /** Where to ask whether the configuration is the newest one. */
   get configurationSources(): readonly ConfigurationSource[] {
     return this.#evidence.sources;
@@ -179,7 +193,7 @@
       configurationKind: platform.configurationKind,
       configuration,
       dataCentre,
-      watchedRevision: () => this.#configurationRevision,
+      watchedPosition: () => this.#configurationPosition,
       listPeers,
       fetch,
       isFollowedByPeers,
@@ -190,12 +204,12 @@
   }
 
   async #fetchFleetIfStillBehind(record: PeerRecord): Promise<void> {
-    const { fleet, signal } = this.#options;
+    const { signal } = this.#options;
     if (this.#isWaitingForNews) return;
     this.#isWaitingForNews = true;
     await sleep(NEWS_DELAY_MILLISECONDS, signal);
     this.#isWaitingForNews = false;
-    if (record.fleetRevision > fleet.revision) await this.#fetchFleet(record);
+    if (this.#isBehind(record)) await this.#fetchFleet(record);
   }
 
   /**
@@ -231,8 +245,8 @@
       isPaused: () => isFollowedByPeers() && configuration.current !== undefined,
       onList: (objects) => objects.forEach((object) => this.#applyConfiguration(object)),
       onChanges: (changes) => changes.forEach(({ object }) => this.#applyConfiguration(object)),
-      onRevision: (revision) => {
-        this.#configurationRevision = revision;
+      onPosition: (position) => {
+        this.#configurationPosition = position;
       },
       onStoreAnswer: () => {
         this.#recordContact();
@@ -263,20 +277,18 @@
       store: platform.store,
       objectKind: platform.serverKind,
       isPaused: () => isFollowedByPeers() && this.#hasFleet,
-      knownRevision: () => fleet.revision,
+      knownPosition: () => ({ era: fleet.era, revision: fleet.revision }),
       confirmation: this.#serversConfirmation,
       watchSignal: () => this.#watches.signal,
       batchPauseMilliseconds: () =>
         isIdle() ? IDLE_WATCH_PAUSE_MILLISECONDS : WATCH_PAUSE_MILLISECONDS,
-      onList: (objects, revision) => {
+      onList: (objects, revision, era) => {
         const entries = objects.map(platform.parseServer).filter((entry) => entry !== undefined);
-        fleet.replaceAll(entries, revision);
-        this.#hasFleet = true;
-        onNews();
+        this.#replaceServers(entries, { revision, era });
       },
-      onChanges: (changes, revision) => {
+      onChanges: (changes, revision, era) => {
         // A peer's list may have overtaken a watch that was delayed.
-        if (revision < fleet.revision) return;
+        if (isLater(fleet, { era, revision })) return;
         changes.forEach(({ object, isDeleted }) => {
           const entry = isDeleted ? undefined : platform.parseServer(object);
           if (entry) fleet.put(entry, revision);
@@ -291,6 +303,22 @@
     });
   }
 
+  /** Takes over a whole list, unless a later one has been taken over. */
+  #replaceServers(entries: readonly ServerEntry[], { era, revision }: StorePosition): void {
+    const { fleet, onNews, onEra } = this.#options;
+    if (isLater(fleet, { era, revision })) return;
+    if (era !== undefined && fleet.era !== undefined && era > fleet.era) {
+      this.#hasBegunEra = true;
+      fleet.replaceAllInEra(entries, revision, era);
+      onEra();
+    } else {
+      fleet.era = era ?? fleet.era;
+      fleet.replaceAll(entries, revision);
+    }
+    this.#hasFleet = true;
+    onNews();
+  }
+
   #applyConfiguration(object: StoredObject): void {
     const { platform, configuration, onNews, logs } = this.#options;
     if (object.name !== platform.configurationName) return;
@@ -322,7 +350,7 @@
 
   /** Takes over a peer's list of backend servers, unless this instance's list is as new. */
   async #fetchFleet(record: PeerRecord): Promise<void> {
-    const { fleet, fetch, onNews, logs } = this.#options;
+    const { fleet, fetch, logs } = this.#options;
     if (this.#isFetchingFleet) return;
     this.#isFetchingFleet = true;
     try {
@@ -331,17 +359,15 @@
       const peer = record.instance;
       const document = decodeFleetDocument(value);
       if (!document) logs('backend').warn('Servers from a peer cannot be read; ignored.', { peer });
-      if (!document || document.revision <= fleet.revision) return;
-      const { revision, entries, missingMilliseconds, messages } = document;
+      if (!document || !isLater(document, fleet)) return;
+      const { entries, missingMilliseconds, messages } = document;
       if (messages.length > 0)
         logs('backend').warn('Some servers from a peer cannot be read; ignored.', {
           peer,
           messages: messages.slice(0, MAXIMUM_LOGGED_ENTRIES),
         });
-      fleet.replaceAll(entries, revision);
+      this.#replaceServers(entries, document);
       fleet.markMissing(missingMilliseconds);
-      this.#hasFleet = true;
-      onNews();
     } finally {
       this.#isFetchingFleet = false;
     }
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -48,6 +48,9 @@
   /** Revision of the store that the servers reflect. */
   revision = 0;
 
+  /** Era of the store to which the revision belongs; undefined where only an older build told the revision. */
+  era: number | undefined;
+
   /** When the store was back from an outage in which entries may have lapsed, on the monotonic clock. */
   storeBackAt = Number.NEGATIVE_INFINITY;
 
@@ -189,6 +192,31 @@
       .forEach((id) => this.#removeOrMarkMissing(id));
   }
 
+  /**
+   * Replaces all entries by those of a store that is back from an older copy, in which entries may be missing
+   * that are written again. A process that was leaving still is, whatever the copy says.
+   *
+   * @param entries - All entries in the store.
+   * @param revision - Revision of the store that the entries reflect.
+   * @param era - The era of that revision.
+   */
+  replaceAllInEra(entries: readonly ServerEntry[], revision: number, era: number): void {
+    this.#log.warn('The store is back from an older copy.', { era, before: this.era, revision });
+    this.era = era;
+    this.revision = 0;
+    this.storeBackAt = this.#now();
+    const leaving = new Set(
+      this.servers.filter(({ entry }) => entry.isLeaving).map(({ entry }) => getProcessKey(entry)),
+    );
+    this.replaceAll(
+      entries.map((entry) => ({
+        ...entry,
+        isLeaving: entry.isLeaving || leaving.has(getProcessKey(entry)),
+      })),
+      revision,
+    );
+  }
+
   /**
    * Adds or updates one entry.
    *
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -42,6 +42,8 @@
   /** -1 without one. */
   configurationVersion: z.number().min(-1).max(Number.MAX_SAFE_INTEGER),
   fleetRevision: Amount,
+  /** Era of the store to which that revision belongs. Absent in records of older builds. */
+  fleetEra: Amount.optional(),
   /** Whether the store answered this instance recently. */
   isStoreReachable: z.boolean(),
   /** Whether it has lost its links to all backend servers. Absent in records of older builds. */
--- /dev/null
+++ b/src/layers/planner-lease.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { ObjectStore, StoredObject } from '../store/object-store.js';
+import { createSilentLogger } from '../telemetry/log.js';
+import { PlannerLease } from './planner-lease.js';
+
+const HOLDER = 'entry-1/1';
+
+/** A store of one object, whose era and content a test sets. */
+function createDrill() {
+  const state: { era: number; object: StoredObject | undefined } = { era: 1, object: undefined };
+  const unexpected = () => Promise.reject(new Error('unexpected call'));
+  const write = (revision: number, value: unknown): StoredObject => {
+    state.object = { name: 'planner', revision, era: state.era, value };
+    return state.object;
+  };
+  const store: ObjectStore = {
+    list: unexpected,
+    watch: unexpected,
+    remove: unexpected,
+    callCount: () => 0,
+    read: () =>
+      Promise.resolve(
+        state.object
+          ? { kind: 'found', object: { ...state.object, era: state.era } }
+          : { kind: 'absent' },
+      ),
+    create: (_kind, _name, value) =>
+      Promise.resolve(
+        state.object
+          ? { kind: 'conflict', current: state.object }
+          : { kind: 'written', object: write(1, value) },
+      ),
+    replace: (_kind, _name, { value, revision }) =>
+      Promise.resolve(
+        state.object?.revision === revision
+          ? { kind: 'written', object: write(revision + 1, value) }
+          : { kind: 'conflict', current: state.object },
+      ),
+  };
+  const lease = new PlannerLease({ store, holder: HOLDER, log: createSilentLogger() });
+  const backWith = (value: unknown, revision: number): void => {
+    state.era += 1;
+    state.object = value === undefined ? undefined : { name: 'planner', revision, value };
+  };
+  return { lease, backWith };
+}
+
+const never = (): boolean => false;
+
+// Engines reject orders with a lower number than one that they have seen.
+test('planner lease: it is written again after the store has lost it, with a term that is not lower', async () => {
+  const { lease, backWith } = createDrill();
+  assert.equal(await lease.acquireOrRenew(never), 'held');
+  backWith({ holder: 'entry-2/1', token: 'a', term: 7 }, 5);
+  lease.forget();
+  assert.equal(await lease.acquireOrRenew(() => true), 'held');
+  assert.equal(lease.term, 8);
+  backWith(undefined, 0);
+  lease.forget();
+  assert.ok(!lease.isHolder);
+  assert.equal(await lease.acquireOrRenew(never), 'held');
+  assert.ok(lease.term >= 8, `${lease.term}`);
+});
+
+// Revisions are given out again: the holder's own revision may be that of another holder's lease.
+test('planner lease: a renewal that hits a revision given out again does not count as held', async () => {
+  const { lease, backWith } = createDrill();
+  await lease.acquireOrRenew(never);
+  await lease.acquireOrRenew(never);
+  backWith({ holder: 'entry-2/1', token: 'a', term: 1 }, 2);
+  assert.equal(await lease.acquireOrRenew(never), 'lost');
+  assert.ok(!lease.isValid);
+});
--- a/src/layers/planner-lease.ts
+++ b/src/layers/planner-lease.ts
@@ -53,6 +53,12 @@
 
   #term = 0;
 
+  /** The highest term that this instance has seen; a store that is back from an older copy may hold a lower one. */
+  #highestTerm = 0;
+
+  /** Era of the store that gave the revision; undefined before the first answer. */
+  #era: number | undefined;
+
   /** The lease as it was read, with what other builds wrote. */
   #found: Record<string, unknown> = {};
 
@@ -83,6 +89,12 @@
     return this.#term;
   }
 
+  /** Forgets the revision, which a store that is back from an older copy may give out again. */
+  forget(): void {
+    this.#revision = undefined;
+    this.#validUntil = Number.NEGATIVE_INFINITY;
+  }
+
   /**
    * Renews the lease, or takes it over if it is free or its holder is gone.
    *
@@ -103,7 +115,20 @@
       term: this.#term,
     };
     const result = await this.#write(value);
-    if (result.kind === 'written') return this.#markHeld(result.object.revision, startedAt);
+    if (result.kind === 'written') {
+      const { revision, era = 0 } = result.object;
+      if (this.#era === undefined || era === this.#era) {
+        this.#era = era;
+        return this.#markHeld(revision, startedAt);
+      }
+      // The revision that was replaced may have been given out again, to another holder.
+      this.#options.log.warn('Planner lease written to an older copy of the store; read again.', {
+        term: this.#term,
+        era,
+      });
+      this.forget();
+      return 'lost';
+    }
     if (result.kind === 'unavailable') return 'unconfirmed';
     if (result.kind === 'unknown') {
       // The write may have succeeded: if so, the lease has the token of this renewal.
@@ -123,6 +148,7 @@
 
   #markHeld(revision: number, startedAt: number): LeaseState {
     this.#revision = revision;
+    this.#highestTerm = Math.max(this.#highestTerm, this.#term);
     this.#validUntil = startedAt + VALIDITY_MILLISECONDS;
     return 'held';
   }
@@ -137,15 +163,20 @@
     if (result.kind === 'unavailable') return 'unconfirmed';
     if (result.kind === 'absent') {
       this.#revision = 0;
-      this.#term = 1;
+      this.#era = undefined;
+      this.#term = this.#highestTerm + 1;
       this.#found = {};
       return 'held';
     }
     const held = this.#parse(result.object);
+    const highestBefore = this.#highestTerm;
+    this.#highestTerm = Math.max(highestBefore, held.term);
     if (held.holder !== holder && !isHolderGone(held.holder)) return 'lost';
     this.#revision = result.object.revision;
+    this.#era = result.object.era ?? 0;
     this.#found = keepWritableFields(held);
-    this.#term = held.holder === holder ? held.term : held.term + 1;
+    const isOwnTerm = held.holder === holder && held.term >= highestBefore;
+    this.#term = isOwnTerm ? held.term : this.#highestTerm + 1;
     log.info('Taking the planner lease.', { before: held.holder, term: this.#term });
     return 'held';
   }
--- a/src/store/follow-objects.test.ts
+++ b/src/store/follow-objects.test.ts
@@ -82,3 +82,15 @@
   const calls = await follow([{ kind: 'unavailable', message: 'reset' }, 'hang']);
   assert.deepEqual(calls, ['list', 'watch 11', 'list', 'watch 13']);
 });
+
+// A watch from a revision that was given out again reports only later changes, and none of what the copy lacks.
+test('follow: all objects are listed again when the store is back from an older copy', async () => {
+  const object = { name: 'a', revision: 20, value: 1 };
+  const changed = {
+    kind: 'changed',
+    changes: [{ object, isDeleted: false }],
+    revision: 20,
+    era: 1,
+  } as const;
+  assert.deepEqual(await follow([changed, 'hang']), ['list', 'watch 11', 'list', 'watch 13']);
+});
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -5,6 +5,7 @@
 import { sleep } from '../common/clock.js';
 import type { Logger } from '../telemetry/log.js';
 import type { Confirmation } from './confirmation.js';
+import { isLater, type StorePosition } from './store-position.js';
 import type { ObjectChange, ObjectStore, StoredObject, StoreUnavailable } from './object-store.js';
 
 /** Options of {@link followObjects}. */
@@ -24,21 +25,21 @@
    * watch that is waiting is not interrupted.
    */
   readonly isPaused?: () => boolean;
-  /** After a pause: the revision that the objects provided by peers reflect; 0 if there are none. */
-  readonly knownRevision?: () => number;
+  /** After a pause: what the objects provided by peers reflect; revision 0 if there are none. */
+  readonly knownPosition?: () => StorePosition;
   /**
    * Ends the watch that waits when it aborts, so that another one begins; read anew for each watch. It aborts
    * with `signal` as well, which is the default.
    */
   readonly watchSignal?: () => AbortSignal;
   /** Called with all objects after each list. */
-  readonly onList: (objects: readonly StoredObject[], revision: number) => void;
+  readonly onList: (objects: readonly StoredObject[], revision: number, era: number) => void;
   /** Called with the changes that a watch returned, never with none. */
-  readonly onChanges: (changes: readonly ObjectChange[], revision: number) => void;
+  readonly onChanges: (changes: readonly ObjectChange[], revision: number, era: number) => void;
   /** Called after each answer from the store. */
   readonly onStoreAnswer: () => void;
-  /** Called with the revision from which the next watch continues, after each answer to a list or watch. */
-  readonly onRevision?: (revision: number) => void;
+  /** Called with where the next watch continues, after each answer to a list or watch. */
+  readonly onPosition?: (position: StorePosition) => void;
   /** Called after each call that fails, with whether its connection was silent. */
   readonly onStoreUnavailable?: (isSilent: boolean) => void;
   readonly log: Logger;
@@ -83,11 +84,13 @@
  */
 export async function followObjects(options: FollowObjectsOptions): Promise<void> {
   const { store, objectKind, onList, onChanges, onStoreAnswer, log, signal } = options;
-  const { onStoreUnavailable = () => undefined, onRevision = () => undefined } = options;
-  const { isPaused = () => false, knownRevision = () => 0, watchSignal = () => signal } = options;
+  const { onStoreUnavailable = () => undefined, onPosition = () => undefined } = options;
+  const { isPaused = () => false, watchSignal = () => signal } = options;
+  const { knownPosition = () => ({ era: 0, revision: 0 }) } = options;
   const { confirmation, batchPauseMilliseconds = () => 0 } = options;
   const backoff = new RetryBackoff();
   let revision: number | undefined;
+  let era = 0;
   const recordAnswer = (latencyMilliseconds?: number): void => {
     confirmation.confirm(latencyMilliseconds);
     if (backoff.isFailing) log.info('Object store is available again.', { objectKind, revision });
@@ -107,7 +110,11 @@
   while (!signal.aborted) {
     if (isPaused()) {
       await waitWhilePaused(isPaused, signal);
-      if (knownRevision() > 0) revision = Math.max(revision ?? 0, knownRevision());
+      const known = knownPosition();
+      if (known.revision > 0 && isLater(known, { era, revision: revision ?? 0 })) {
+        revision = known.revision;
+        era = known.era ?? era;
+      }
     } else if (revision === undefined) {
       const { isOnNewConnection, listTimeoutMilliseconds } = confirmation.planCall();
       const startedAt = performance.now();
@@ -118,8 +125,9 @@
       if (listed.kind === 'listed') {
         recordAnswer(performance.now() - startedAt);
         revision = listed.revision;
-        onRevision(revision);
-        onList(listed.objects, revision);
+        era = listed.era ?? 0;
+        onPosition({ era, revision });
+        onList(listed.objects, revision, era);
       } else {
         await recordFailure(listed);
       }
@@ -135,13 +143,23 @@
         isOnNewConnection,
         signal: ended,
       });
-      if (watched.kind === 'changed') {
+      if (watched.kind === 'changed' && (watched.era ?? 0) !== era) {
+        // Its revision says nothing of what the older copy lacks.
+        log.warn('Object store is back from an older copy; listing all objects.', {
+          objectKind,
+          revision,
+          era,
+          newEra: watched.era,
+        });
+        confirmation.confirm();
+        revision = undefined;
+      } else if (watched.kind === 'changed') {
         const hasWaited = watched.changes.length === 0;
         recordAnswer(hasWaited ? performance.now() - startedAt - waitMilliseconds : undefined);
         revision = Math.max(revision, watched.revision);
-        onRevision(revision);
+        onPosition({ era, revision });
         if (watched.changes.length > 0) {
-          onChanges(watched.changes, revision);
+          onChanges(watched.changes, revision, era);
           const milliseconds = batchPauseMilliseconds();
           if (milliseconds > 0) await sleep(milliseconds, signal);
         }
--- a/src/store/object-store.ts
+++ b/src/store/object-store.ts
@@ -5,6 +5,8 @@
   readonly name: string;
   /** Revision of the store at which the object last changed. */
   readonly revision: number;
+  /** Era of the store that gave the revision; 0 by default. See `store-position`. */
+  readonly era?: number;
   readonly value: unknown;
 }
 
@@ -31,6 +33,8 @@
       readonly objects: readonly StoredObject[];
       /** Revision of the store that the list reflects, from which a watch continues. */
       readonly revision: number;
+      /** Era of that revision; 0 by default. */
+      readonly era?: number;
     }
   | StoreUnavailable;
 
@@ -42,6 +46,8 @@
       readonly changes: readonly ObjectChange[];
       /** Revision from which the next watch continues. */
       readonly revision: number;
+      /** Era of that revision; 0 by default. */
+      readonly era?: number;
     }
   | { readonly kind: 'historyLost' }
   | StoreUnavailable;
--- a/tools/stand-ins/http-server.ts
+++ b/tools/stand-ins/http-server.ts
@@ -28,10 +28,16 @@
  * @param response - The response to send.
  * @param status - The HTTP status code.
  * @param body - The value to serialize as JSON.
+ * @param headers - Further headers.
  */
-export function sendJson(response: http.ServerResponse, status: number, body: unknown): void {
+export function sendJson(
+  response: http.ServerResponse,
+  status: number,
+  body: unknown,
+  headers: http.OutgoingHttpHeaders = {},
+): void {
   if (response.destroyed || response.headersSent) return;
-  response.writeHead(status, { 'content-type': 'application/json' });
+  response.writeHead(status, { 'content-type': 'application/json', ...headers });
   response.end(JSON.stringify(body));
 }
 
--- a/tools/stand-ins/platform-store.ts
+++ b/tools/stand-ins/platform-store.ts
@@ -47,6 +47,13 @@
   keepsExpiredWatchesOpen: boolean;
 }
 
+/** What a store held at some time. */
+export interface StoreCopy {
+  readonly objects: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+  readonly history: readonly HistoryEntry[];
+  readonly revision: number;
+}
+
 const PAGE_SIZE = 50;
 
 /** A stand-in store whose objects tests can also read and write directly. */
@@ -66,6 +73,9 @@
 
   #revision = 1;
 
+  /** Rises each time the store comes back from a copy. */
+  #era = 1;
+
   #historyStartRevision = 0;
 
   #server: StandInServer | undefined;
@@ -129,6 +139,27 @@
     this.#watchers.clear();
   }
 
+  /** Copies what the store holds now. */
+  copy(): StoreCopy {
+    const objects = new Map([...this.#objects].map(([kind, byName]) => [kind, new Map(byName)]));
+    return { objects, history: [...this.#history], revision: this.#revision };
+  }
+
+  /** Comes back from an older copy: all that was written since is gone, and revisions are given out again. */
+  comeBackFrom({ objects, history, revision }: StoreCopy): void {
+    this.dropHistory();
+    this.#objects.clear();
+    objects.forEach((byName, kind) => this.#objects.set(kind, new Map(byName)));
+    this.#history = [...history];
+    this.#historyStartRevision = 0;
+    this.#revision = revision;
+    this.#era += 1;
+  }
+
+  #send(response: http.ServerResponse, status: number, body: unknown): void {
+    sendJson(response, status, body, { 'store-era': this.#era });
+  }
+
   #getObjectsOfKind(kind: string): Map<string, StoredObject> {
     const objects = this.#objects.get(kind) ?? new Map<string, StoredObject>();
     this.#objects.set(kind, objects);
@@ -153,13 +184,13 @@
     this.#watchers.delete(watcher);
     if (this.faults.neverAnswers) return;
     const events = this.#listEventsSince(watcher.kind, watcher.since);
-    sendJson(watcher.response, 200, { events, 'store-revision': this.#revision });
+    this.#send(watcher.response, 200, { events, 'store-revision': this.#revision });
   }
 
   #handleRequest({ method, path, query, body, response }: StandInRequest): void {
     if (this.faults.neverAnswers) return;
     if (this.faults.status > 0) {
-      sendJson(response, this.faults.status, {});
+      this.#send(response, this.faults.status, {});
       return;
     }
     const [, , kind = '', encoded] = path.split('/');
@@ -176,7 +207,7 @@
   ): void {
     if (name !== undefined) {
       const object = this.#getObjectsOfKind(kind).get(name);
-      sendJson(response, object ? 200 : 404, object ?? {});
+      this.#send(response, object ? 200 : 404, object ?? {});
       return;
     }
     const watch = query.get('watch');
@@ -187,7 +218,7 @@
     const after = query.get('after') ?? '';
     const names = [...this.#getObjectsOfKind(kind).keys()].sort().filter((each) => each > after);
     const items = names.slice(0, PAGE_SIZE).map((each) => this.#getObjectsOfKind(kind).get(each));
-    sendJson(response, 200, {
+    this.#send(response, 200, {
       items,
       'has-more': names.length > PAGE_SIZE,
       'store-revision': this.#revision,
@@ -200,9 +231,9 @@
     waitMilliseconds: number,
     response: http.ServerResponse,
   ): void {
-    const isHistoryLost = since < this.#historyStartRevision;
+    const isHistoryLost = since < this.#historyStartRevision || since > this.#revision;
     if (isHistoryLost && !this.faults.keepsExpiredWatchesOpen) {
-      sendJson(response, 410, {});
+      this.#send(response, 410, {});
       return;
     }
     const watcher: Watcher = {
@@ -230,18 +261,18 @@
     const name = nameInPath ?? metadata?.name ?? '';
     const existing = this.#getObjectsOfKind(kind).get(name);
     if (method !== 'POST' && !existing) {
-      sendJson(response, 404, {});
+      this.#send(response, 404, {});
       return;
     }
     const isStale =
       metadata?.revision !== undefined && metadata.revision !== existing?.metadata.revision;
     if ((method === 'POST' && existing) || isStale) {
-      sendJson(response, 409, existing);
+      this.#send(response, 409, existing);
       return;
     }
     if (method === 'DELETE') this.remove(kind, name);
     else this.put(kind, name, spec);
     if (this.faults.closesAfterWrite) response.destroy();
-    else sendJson(response, 200, this.#getObjectsOfKind(kind).get(name) ?? {});
+    else this.#send(response, 200, this.#getObjectsOfKind(kind).get(name) ?? {});
   }
 }
