--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -3,11 +3,9 @@
  * and from peers while the store is unreachable.
  */
 import type { Address } from '../common/address.js';
-import { sleep } from '../common/clock.js';
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import type { ConfigurationSource } from '../entry/configuration-check.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
-import type { ServerEntry } from '../fleet/server-entry.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import { Confirmation, getFollowBounds, type FollowBounds } from '../store/confirmation.js';
 import { followObjects } from '../store/follow-objects.js';
@@ -16,7 +14,7 @@
 import type { LoggerFactory } from '../telemetry/log.js';
 import { CONFIGURATION_STATE_PATH, ConfigurationEvidence } from './configuration-evidence.js';
 import type { EntryPlatform } from './entry-platform.js';
-import { decodeFleetDocument } from './fleet-document.js';
+import { FLEET_PATH, ServerList } from './server-list.js';
 
 /** Options of {@link StoreFollower}. */
 export interface StoreFollowerOptions {
@@ -49,11 +47,8 @@
 
 /** Paths under which peers read the stored configuration and the list of backend servers. */
 const CONFIGURATION_PATH = '/configuration';
-const FLEET_PATH = '/fleet';
 /** Pause between two watches of backend servers, so that changes arrive in batches. */
 const WATCH_PAUSE_MILLISECONDS = 200;
-/** How long news of a peer may take to arrive from the store or a nearer peer. */
-const NEWS_DELAY_MILLISECONDS = 400;
 /** Longer while idle, so that servers that register in quick succession are applied together. */
 const IDLE_WATCH_PAUSE_MILLISECONDS = 500;
 /**
@@ -72,7 +67,6 @@
  * servers are all there after a shorter one.
  */
 const HEARTBEATS_TO_LAPSE = 2;
-const MAXIMUM_LOGGED_ENTRIES = 5;
 
 /** Applies changes in the store to the configuration and the fleet of one instance. */
 export class StoreFollower {
@@ -80,6 +74,8 @@
 
   readonly #evidence: ConfigurationEvidence;
 
+  readonly #servers: ServerList;
+
   /** When the store last answered; or never, if a call has failed since. */
   #lastContactAt = Number.NEGATIVE_INFINITY;
 
@@ -89,17 +85,8 @@
   /** Whether the last call to the store failed. */
   #hasFailed = false;
 
-  #isFetchingFleet = false;
-
-  #isWaitingForNews = false;
-
   #isFetchingConfiguration = false;
 
-  #hasFleet = false;
-
-  /** Whether the store has come back from an older copy since this instance started. */
-  #hasBegunEra = false;
-
   /** Ends the watches that wait now. */
   #watches = new AbortController();
 
@@ -111,12 +98,13 @@
   constructor(options: StoreFollowerOptions) {
     this.#options = options;
     this.#evidence = this.#createEvidence();
+    this.#servers = this.#createServerList();
     this.#serversConfirmation = new Confirmation(getFollowBounds(options.contactMilliseconds));
   }
 
   /** Whether the list of backend servers has been received. */
   get hasFleet(): boolean {
-    return this.#hasFleet;
+    return this.#servers.hasList;
   }
 
   /**
@@ -136,16 +124,11 @@
 
   /** Documents, by path, that peers read while they do not call the store. */
   get documents(): Readonly<Record<string, () => unknown>> {
-    const { configuration, fleet } = this.#options;
+    const { configuration } = this.#options;
     return {
       [CONFIGURATION_PATH]: () => configuration.storedValue,
       [CONFIGURATION_STATE_PATH]: () => this.#evidence.describe(),
-      [FLEET_PATH]: () => ({
-        revision: fleet.revision,
-        era: fleet.era,
-        entries: fleet.servers.map(({ entry }) => entry),
-        missingMilliseconds: fleet.missingMilliseconds,
-      }),
+      [FLEET_PATH]: () => this.#servers.describe(),
     };
   }
 
@@ -157,27 +140,31 @@
   }
 
   /**
-   * Fetches newer state from a peer. Its configuration whenever that has a higher version. Its list of
-   * backend servers at once if peers of the same data centre follow the store for this instance, and
-   * otherwise if this instance is still behind a moment later: its own watch of the store, or a peer
-   * that is nearer, usually brings the news first, but a watch may hang without an error.
+   * Fetches newer state from a peer: its configuration whenever that has a higher version, and its list of
+   * backend servers as {@link ServerList} decides.
    *
    * @param record - The latest record of the peer.
    */
   catchUpWithPeer(record: PeerRecord): void {
-    const { configuration, dataCentre } = this.#options;
-    const version = configuration.current?.version ?? -1;
+    const version = this.#options.configuration.current?.version ?? -1;
     if (record.configurationVersion > version) void this.#fetchConfiguration(record);
-    if (!this.#isBehind(record)) return;
-    const isExpected = record.dataCentre === dataCentre && !this.isStoreReachable;
-    if (isExpected || !this.#hasFleet) void this.#fetchFleet(record);
-    else void this.#fetchFleetIfStillBehind(record);
+    this.#servers.catchUpWithPeer(record);
   }
 
-  /** Whether a peer has a later list. An older build doesn't tell the era, so its revision may be that of a list before. */
-  #isBehind({ fleetEra: era, fleetRevision: revision }: PeerRecord): boolean {
-    if (era === undefined && this.#hasBegunEra && this.isStoreReachable) return false;
-    return isLater({ era, revision }, this.#options.fleet);
+  #createServerList(): ServerList {
+    const { fleet, dataCentre, fetch, onNews, onEra, logs, signal } = this.#options;
+    const isStoreReachable = (): boolean => this.isStoreReachable;
+    const log = logs('backend');
+    return new ServerList({
+      fleet,
+      dataCentre,
+      fetch,
+      isStoreReachable,
+      onNews,
+      onEra,
+      log,
+      signal,
+    });
   }
 
   /** Where to ask whether the configuration is the newest one. */
@@ -203,15 +190,6 @@
     });
   }
 
-  async #fetchFleetIfStillBehind(record: PeerRecord): Promise<void> {
-    const { signal } = this.#options;
-    if (this.#isWaitingForNews) return;
-    this.#isWaitingForNews = true;
-    await sleep(NEWS_DELAY_MILLISECONDS, signal);
-    this.#isWaitingForNews = false;
-    if (this.#isBehind(record)) await this.#fetchFleet(record);
-  }
-
   /**
    * Notes a response of the store. The first one after an outage tells the fleet, since entries of live
    * servers may have lapsed in it, and be missing for a moment.
@@ -276,7 +254,7 @@
     return followObjects({
       store: platform.store,
       objectKind: platform.serverKind,
-      isPaused: () => isFollowedByPeers() && this.#hasFleet,
+      isPaused: () => isFollowedByPeers() && this.#servers.hasList,
       knownPosition: () => ({ era: fleet.era, revision: fleet.revision }),
       confirmation: this.#serversConfirmation,
       watchSignal: () => this.#watches.signal,
@@ -284,7 +262,7 @@
         isIdle() ? IDLE_WATCH_PAUSE_MILLISECONDS : WATCH_PAUSE_MILLISECONDS,
       onList: (objects, revision, era) => {
         const entries = objects.map(platform.parseServer).filter((entry) => entry !== undefined);
-        this.#replaceServers(entries, { revision, era });
+        this.#servers.replace(entries, { revision, era });
       },
       onChanges: (changes, revision, era) => {
         // A peer's list may have overtaken a watch that was delayed.
@@ -303,22 +281,6 @@
     });
   }
 
-  /** Takes over a whole list, unless a later one has been taken over. */
-  #replaceServers(entries: readonly ServerEntry[], { era, revision }: StorePosition): void {
-    const { fleet, onNews, onEra } = this.#options;
-    if (isLater(fleet, { era, revision })) return;
-    if (era !== undefined && fleet.era !== undefined && era > fleet.era) {
-      this.#hasBegunEra = true;
-      fleet.replaceAllInEra(entries, revision, era);
-      onEra();
-    } else {
-      fleet.era = era ?? fleet.era;
-      fleet.replaceAll(entries, revision);
-    }
-    this.#hasFleet = true;
-    onNews();
-  }
-
   #applyConfiguration(object: StoredObject): void {
     const { platform, configuration, onNews, logs } = this.#options;
     if (object.name !== platform.configurationName) return;
@@ -347,29 +309,4 @@
       this.#isFetchingConfiguration = false;
     }
   }
-
-  /** Takes over a peer's list of backend servers, unless this instance's list is as new. */
-  async #fetchFleet(record: PeerRecord): Promise<void> {
-    const { fleet, fetch, logs } = this.#options;
-    if (this.#isFetchingFleet) return;
-    this.#isFetchingFleet = true;
-    try {
-      const value = await fetch(record.peers, FLEET_PATH);
-      if (value === undefined) return;
-      const peer = record.instance;
-      const document = decodeFleetDocument(value);
-      if (!document) logs('backend').warn('Servers from a peer cannot be read; ignored.', { peer });
-      if (!document || !isLater(document, fleet)) return;
-      const { entries, missingMilliseconds, messages } = document;
-      if (messages.length > 0)
-        logs('backend').warn('Some servers from a peer cannot be read; ignored.', {
-          peer,
-          messages: messages.slice(0, MAXIMUM_LOGGED_ENTRIES),
-        });
-      this.#replaceServers(entries, document);
-      fleet.markMissing(missingMilliseconds);
-    } finally {
-      this.#isFetchingFleet = false;
-    }
-  }
 }
