Store from an older copy: the first list with an era is taken, whatever an older build told before

An instance that had taken its first list from a peer of an older build, which tells no era, ignored all lists of a store that had gone back to lower revisions, as before.

Cause: a position without an era was compared by revision alone also where the other one's era is known for the first time. Now the first list that has an era is taken. The new test of the follower said revision 20 in place of 5 before.

--- a/src/daemon/server-list.ts
+++ b/src/daemon/server-list.ts
@@ -85,7 +85,9 @@
   /** Takes over a whole list, unless a later one has been taken over. */
   replace(entries: readonly ServerEntry[], { era, revision }: StorePosition): void {
     const { fleet, onNews, onEra } = this.#options;
-    if (isLater(fleet, { era, revision })) return;
+    const isFirstWithEra = this.#isFirstWithEra(era);
+    if (!isFirstWithEra && isLater(fleet, { era, revision })) return;
+    if (isFirstWithEra) fleet.revision = 0;
     if (era !== undefined && fleet.era !== undefined && era > fleet.era) {
       this.#hasBegunEra = true;
       fleet.replaceAllInEra(entries, revision, era);
@@ -102,7 +104,12 @@
   #isBehind({ fleetEra: era, fleetRevision: revision }: PeerRecord): boolean {
     const { fleet, isStoreReachable } = this.#options;
     if (era === undefined && this.#hasBegunEra && isStoreReachable()) return false;
-    return isLater({ era, revision }, fleet);
+    return this.#isFirstWithEra(era) || isLater({ era, revision }, fleet);
+  }
+
+  /** Whether only older builds have told a revision so far, which can't be compared with that of a known era. */
+  #isFirstWithEra(era: number | undefined): boolean {
+    return era !== undefined && this.#options.fleet.era === undefined;
   }
 
   async #fetchIfStillBehind(record: PeerRecord): Promise<void> {
@@ -124,7 +131,8 @@
       const peer = record.instance;
       const document = decodeFleetDocument(value);
       if (!document) log.warn('Servers from a peer cannot be read; ignored.', { peer });
-      if (!document || !isLater(document, fleet)) return;
+      if (!document) return;
+      if (!this.#isFirstWithEra(document.era) && !isLater(document, fleet)) return;
       const { entries, missingMilliseconds, messages } = document;
       if (messages.length > 0)
         log.warn('Some servers from a peer cannot be read; ignored.', {
--- a/src/daemon/store-follower.test.ts
+++ b/src/daemon/store-follower.test.ts
@@ -169,3 +169,22 @@
   await sleep(600);
   assert.equal(fleet.revision, 5);
 });
+
+// The list of an older build, taken first, has a higher revision than all lists of a store that went back.
+test('store follower: the first list with an era is taken whatever the revision of an older build was', async (context) => {
+  const options: { isFollowedByPeers: () => boolean; peerDocument: unknown } = {
+    isFollowedByPeers: () => true,
+    peerDocument: NEWER_DOCUMENT,
+  };
+  const { fleet, follower } = await startFollower(context, options);
+  fleet.era = undefined;
+  follower.catchUpWithPeer(createPeerRecord('older', NEWER_RECORD));
+  await waitForRevision(fleet, 20);
+  assert.equal(fleet.era, undefined);
+  options.peerDocument = { revision: 5, era: 2, entries: [createEntry('b')] };
+  follower.catchUpWithPeer(
+    createPeerRecord('other', { ...NEWER_RECORD, fleetRevision: 5, fleetEra: 2 }),
+  );
+  await sleep(50);
+  assert.deepEqual([fleet.era, fleet.revision], [2, 5]);
+});
