Periodic tasks: log an error and go on, in place of ending the process

An error is logged with the task's name now, and the task goes on. Also: the number of streams that wait is in the metrics (streams_waiting).

--- a/src/daemon/entry-daemon.ts
+++ b/src/daemon/entry-daemon.ts
@@ -3,7 +3,7 @@
  * periodic tasks, and starts and stops it.
  */
 import { setMaxListeners } from 'node:events';
-import { sleep } from '../common/clock.js';
+import { runPeriodically } from '../common/periodic-task.js';
 import { startEntryServer, type EntryServer } from '../entry/entry-server.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
 import { getHeartbeatInterval } from '../gossip/record-interval.js';
@@ -127,18 +127,29 @@
     this.#components.storeFollower.start();
     void this.#components.registration.register().then(() => this.#components.gossip.runRound());
     void this.#components.registration.keepBlocks();
-    void this.#runPeriodically(
+    const { stallDetector } = this.#components.context;
+    const run = (name: string, interval: () => number, work: () => Promise<void>): void => {
+      void runPeriodically({ name, interval, work, signal, log: logs('daemon') });
+    };
+    run(
+      'refresh of the own record',
       () => getHeartbeatInterval(this.#components.peers.aliveCount),
       async () => this.#components.refreshRecord(),
     );
-    void this.#runPeriodically(STALL_CHECK_INTERVAL_MILLISECONDS, () =>
-      this.#components.context.stallDetector.checkStreams(),
+    run(
+      'check of streams',
+      () => STALL_CHECK_INTERVAL_MILLISECONDS,
+      () => stallDetector.checkStreams(),
     );
-    void this.#runPeriodically(SLOWDOWN_CHECK_INTERVAL_MILLISECONDS, () =>
-      this.#components.context.stallDetector.refreshSlowdownFactors(),
+    run(
+      'refresh of slowdown factors',
+      () => SLOWDOWN_CHECK_INTERVAL_MILLISECONDS,
+      () => stallDetector.refreshSlowdownFactors(),
     );
-    void this.#runPeriodically(HEALTH_CHECK_INTERVAL_MILLISECONDS, () =>
-      this.#components.serverHealth.checkEjectedServers(),
+    run(
+      'check of ejected servers',
+      () => HEALTH_CHECK_INTERVAL_MILLISECONDS,
+      () => this.#components.serverHealth.checkEjectedServers(),
     );
     void runPlanner({
       fleet: this.#components.fleet,
@@ -157,17 +168,6 @@
     });
   }
 
-  async #runPeriodically(
-    interval: number | (() => number),
-    work: () => Promise<void>,
-  ): Promise<void> {
-    const { signal } = this.#taskController;
-    while (!signal.aborted) {
-      await work();
-      await sleep(typeof interval === 'number' ? interval : interval(), signal);
-    }
-  }
-
   #listCallerAddresses(): CallerAddresses | undefined {
     const { settings } = this.#options;
     const addresses = listCallerAddresses(
@@ -185,6 +185,7 @@
   #renderMetrics(): Promise<string> {
     const { metrics } = this.#components.context;
     metrics.setState('open_requests', this.#server?.openRequests() ?? 0);
+    metrics.setState('streams_waiting', this.#components.context.waitingStreams.count);
     metrics.setState('peers_alive', this.#components.peers.aliveRecords.length);
     metrics.setState('servers', this.#components.fleet.servers.length);
     metrics.setState('servers_suspected', this.#components.outlierEjection.ownEjections.length);
