--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -8,7 +8,7 @@
 import { admitRequest } from './admission.js';
 import { AttemptBeside } from './attempt-beside.js';
 import { CallerStream } from './caller-stream.js';
-import { ChainSelector, type EngineChain } from './chain-selector.js';
+import { ChainSelector } from './chain-selector.js';
 import { decideOnEndedRun, type EndedRunDecision } from './ended-run.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
@@ -20,16 +20,7 @@
 import { StreamLimits } from './stream-limits.js';
 import { discard, type Begun, type BegunStream } from './stream-replacement.js';
 import { StreamRuns } from './stream-runs.js';
-
-/** How a request goes on: over a chain, or over peers while this instance reaches no server. */
-type Way =
-  ({ readonly kind: 'chain' } & ChainWay) | { readonly kind: 'peers' } | { readonly kind: 'none' };
-
-interface ChainWay {
-  readonly chain: EngineChain;
-  /** Releases the chain's reservation. */
-  readonly release: () => void;
-}
+import { StreamWayFinder, type ChainWay, type Way } from './stream-way.js';
 
 /** What is logged and counted for each decision on a request whose run has ended. */
 const ENDED_RUN_MESSAGES: Readonly<Record<EndedRunDecision['kind'], string>> = {
@@ -65,6 +56,8 @@
 
   readonly #limits: StreamLimits;
 
+  readonly #wayFinder: StreamWayFinder;
+
   readonly #atPeer: StreamAtPeer;
 
   readonly #beside: AttemptBeside;
@@ -72,9 +65,6 @@
   /** An attempt that took over from the one before and has begun to answer. */
   #begun: BegunStream | undefined;
 
-  /** Whether a retry of the budget has been taken for the next attempt. */
-  #hasRetry = false;
-
   constructor(context: EntryContext, request: EntryRequest, profile: EngineProfile) {
     this.#context = context;
     this.#request = request;
@@ -98,6 +88,13 @@
     this.#ending = new StreamEnding({ context, request, caller: this.#caller, runs: this.#runs });
     this.#exchange = new StreamExchange({ context, request, caller: this.#caller });
     this.#limits = new StreamLimits({ request, runs: this.#runs, crashBlame: context.crashBlame });
+    this.#wayFinder = new StreamWayFinder({
+      context,
+      request,
+      caller: this.#caller,
+      chainSelector: this.#chainSelector,
+      limits: this.#limits,
+    });
     this.#atPeer = new StreamAtPeer({
       context,
       request,
@@ -115,7 +112,7 @@
       exchange: this.#exchange,
       runs: this.#runs,
       limits: this.#limits,
-      chooseChain: () => this.#chooseChain(),
+      chooseChain: () => this.#wayFinder.chooseChain(),
       passOn: (processKeys, signal) => this.#atPeer.passOn(processKeys, signal),
       checkForEnd: (engine) => this.#checkForEnd(engine),
     });
@@ -129,7 +126,7 @@
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
       const begun = this.#takeBegun();
-      const way = getBegunWay(begun) ?? (await this.#findWay());
+      const way = getBegunWay(begun) ?? (await this.#wayFinder.find());
       if (way.kind === 'chain') {
         if (admission === 'try' && !this.#limits.isTrial) crashBlame.startTrial(content);
         this.#limits.isTrial = admission === 'try';
@@ -207,7 +204,7 @@
   #decideOnEndedRun(run: Readonly<Record<string, unknown>>): boolean {
     const { retryBudget, logs, metrics } = this.#context;
     const { service, metadata } = this.#request;
-    this.#hasRetry = false;
+    this.#wayFinder.forgetRetry();
     const decision = decideOnEndedRun({
       hasStarted: this.#caller.hasStarted,
       proof: this.#limits.proof,
@@ -233,72 +230,6 @@
     if (hasEnded && !this.#exchange.wasWritten) this.#limits.recordEndAtBegin();
   }
 
-  /** Finds a way to go on; a stream that has begun waits for one as long as its time lasts. */
-  async #findWay(): Promise<Way> {
-    const { waitingStreams, serverReach } = this.#context;
-    if (this.#caller.hasStarted) return this.#waitForWay();
-    if (serverReach.isCut) return { kind: 'peers' };
-    waitingStreams.offerRoom(this.#request.service.name);
-    const chain = this.#chooseChain();
-    return chain ? this.#reserve(chain) : { kind: 'none' };
-  }
-
-  async #waitForWay(): Promise<Way> {
-    const { waitingStreams, logs, metrics } = this.#context;
-    const { deadline, signal, metadata, service } = this.#request;
-    const startedAt = performance.now();
-    const found = await waitingStreams.wait({
-      service: service.name,
-      deadline,
-      notBefore: startedAt + this.#limits.refusalPauseMilliseconds,
-      signal,
-      tryProceed: () => this.#tryProceed(),
-    });
-    const way: Way = found ?? { kind: 'none' };
-    if (way.kind === 'peers') return way;
-    logs('routing').info('Waited for room.', {
-      requestId: metadata.requestId,
-      found: way.kind,
-      waitedMilliseconds: Math.round(performance.now() - startedAt),
-      stillWaiting: waitingStreams.count,
-      lastEventId: this.#caller.lastEventId,
-    });
-    metrics.countEvent(`waited_${way.kind}`);
-    return way;
-  }
-
-  /** Takes a chain with room and a retry of the budget; undefined as long as either is lacking. */
-  #tryProceed(): Way | undefined {
-    if (this.#context.serverReach.isCut) return this.#takeRetry() ? { kind: 'peers' } : undefined;
-    const needsRoom = this.#limits.refusalPauseMilliseconds > 0;
-    const chain = this.#chainSelector.choose({ hasStarted: true, needsRoom });
-    if (!chain || !this.#takeRetry()) return undefined;
-    this.#recordSend(chain);
-    return this.#reserve(chain);
-  }
-
-  /** Takes a retry of the budget for the next attempt, unless one was taken that has not been used. */
-  #takeRetry(): boolean {
-    this.#hasRetry ||= this.#context.retryBudget.tryAcquire(this.#request.service.name);
-    return this.#hasRetry;
-  }
-
-  /** Reserves a chain in the step in which it was chosen. */
-  #reserve(chain: EngineChain): Way {
-    return { kind: 'chain', chain, release: this.#chainSelector.reserve(chain) };
-  }
-
-  #chooseChain(): EngineChain | undefined {
-    const chain = this.#chainSelector.choose({ hasStarted: this.#caller.hasStarted });
-    if (chain) this.#recordSend(chain);
-    return chain;
-  }
-
-  /** Called in the same step as a chain is chosen, so that no other request takes the same room. */
-  #recordSend({ stages: [first] }: EngineChain): void {
-    if (first) this.#context.serverLimits.recordSend(first.engine.id);
-  }
-
   #endWithoutChain(): string {
     const { fleet, serverLimits } = this.#context;
     const servers = fleet
