--- a/tests/begun-streams-without-room.test.ts
+++ b/tests/begun-streams-without-room.test.ts
@@ -35,6 +35,7 @@
 async function loseEngineWhileOthersRefuse(
   context: TestContext,
   refusalMilliseconds: number,
+  namedPause?: string,
 ): Promise<ReceivedResponse> {
   const group = await startGroup(context, { engines: 3, pauseMilliseconds: 300 });
   await extendRouteTimeout(group);
@@ -45,7 +46,7 @@
   const running = group.servers.find(({ runs }) => runs.length > 0);
   assert.ok(running);
   const others = group.servers.filter((server) => server !== running);
-  others.forEach(({ faults }) => Object.assign(faults, { refusesAll: true }));
+  others.forEach(({ faults }) => Object.assign(faults, { refusesAll: true, namedPause }));
   await running.close();
   await sleep(refusalMilliseconds);
   others.forEach(({ faults }) => Object.assign(faults, { refusesAll: false }));
@@ -60,3 +61,10 @@
     assert.deepEqual(readEventIds(answer), ALL_EVENTS);
   });
 });
+
+// A begun stream that no engine may be sent for a while was given up after 1.7 s.
+test('begun streams: one whose engine ends is finished once the others have rested as they asked for (2.5 s)', async (context) => {
+  const answer = await loseEngineWhileOthersRefuse(context, 500, '2.5');
+  assert.equal(answer.status, 200);
+  assert.deepEqual(readEventIds(answer), ALL_EVENTS);
+});
