Test of shared questions for a server's life: ask as the first connection is made, not when a poll has seen it

Traced: the test looked each 50 ms for the first connection, which is held for 50 ms, so that at load the first question was over when the others were asked; two more connections are right then. The others are asked in the event of the connection now.

--- a/src/fleet/end-check.test.ts
+++ b/src/fleet/end-check.test.ts
@@ -152,16 +152,23 @@
 // An answer that ended after a question had been sent would have been proved whole by that question.
 test('life: questions at one moment share a connection, which is made after the last of them', async (context) => {
   const connectedAt: number[] = [];
+  let onFirstConnection: () => void = () => undefined;
   const entry = await startServer(context, (_, socket) => {
-    connectedAt.push(performance.now());
     socket.on('error', () => undefined);
+    connectedAt.push(performance.now());
+    if (connectedAt.length === 1) onFirstConnection();
   });
   const { endCheck } = createCheck(context);
+  let askedAt = 0;
+  // The connection of the first question is open then.
+  const others = new Promise<string[]>((resolve) => {
+    onFirstConnection = () => {
+      askedAt = performance.now();
+      resolve(Promise.all([1, 2, 3].map(() => endCheck.findLife(entry))));
+    };
+  });
   const first = endCheck.findLife(entry);
-  await waitUntil(() => connectedAt.length === 1, 'the first question is sent');
-  const askedAt = performance.now();
-  const others = [1, 2, 3].map(() => endCheck.findLife(entry));
-  assert.deepEqual(await Promise.all([first, ...others]), Array(4).fill('alive'));
+  assert.deepEqual(await Promise.all([first, others]), ['alive', Array(3).fill('alive')]);
   assert.equal(connectedAt.length, 2);
   assert.ok((connectedAt[1] ?? 0) >= askedAt);
 });
