--- a/tests/begun-streams-without-room.test.ts
+++ b/tests/begun-streams-without-room.test.ts
@@ -9,15 +9,16 @@
   type PlatformGroup,
   type ReceivedResponse,
 } from '../tools/platform-group.js';
-import { getFirstInstance, sendCallerRequest, startGroup } from '../tools/serving-group.js';
+import {
+  getFirstInstance,
+  readEventIds,
+  sendCallerRequest,
+  startGroup,
+} from '../tools/serving-group.js';
 
 const ALL_EVENTS = [1, 2, 3, 4, 5, 6, 7, 8];
 const ROUTE_TIMEOUT_MILLISECONDS = 12_000;
 
-function readEventIds({ body }: ReceivedResponse): number[] {
-  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-}
-
 /** Gives the streams' route more time than any of these tests takes. */
 async function extendRouteTimeout(group: PlatformGroup): Promise<void> {
   const routes = PLATFORM_CONFIGURATION.routes.map((route) =>
--- a/tests/cut-from-servers.test.ts
+++ b/tests/cut-from-servers.test.ts
@@ -12,7 +12,12 @@
   type PlatformInstance,
   type ReceivedResponse,
 } from '../tools/platform-group.js';
-import { createRequestId, sendCallerRequest, startGroup } from '../tools/serving-group.js';
+import {
+  createRequestId,
+  readEventIds,
+  sendCallerRequest,
+  startGroup,
+} from '../tools/serving-group.js';
 
 /** As in the settings of the instances. */
 const CONTACT_MILLISECONDS = 3000;
@@ -54,10 +59,6 @@
   return Promise.all(sent);
 }
 
-function readEventIds({ body }: ReceivedResponse): number[] {
-  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-}
-
 function isServed({ path, answer }: SentRequest): boolean {
   if (answer.status !== 200) return false;
   return !path.startsWith('/drafts') || readEventIds(answer).join() === EXPECTED_EVENTS.join();
--- a/tests/passed-on-requests.test.ts
+++ b/tests/passed-on-requests.test.ts
@@ -9,7 +9,12 @@
   type PlatformGroup,
   type PlatformInstance,
 } from '../tools/platform-group.js';
-import { createRequestId, sendCallerRequest, startGroup } from '../tools/serving-group.js';
+import {
+  createRequestId,
+  readEventIds,
+  sendCallerRequest,
+  startGroup,
+} from '../tools/serving-group.js';
 
 interface CutPair {
   readonly group: PlatformGroup;
@@ -42,10 +47,6 @@
   return group.servers.flatMap(({ runs }) => runs.filter((run) => run.requestId === requestId));
 }
 
-function readEventIds(body: string): number[] {
-  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-}
-
 const ALL_EVENTS = [1, 2, 3, 4, 5, 6, 7, 8];
 
 // A peer must not take what a caller writes for what another instance states.
@@ -59,7 +60,7 @@
       headers: { 'request-id': requestId, 'prompt-prefix': prefix, ...forged },
     });
     assert.equal(answer.status, 200, answer.body);
-    assert.deepEqual(readEventIds(answer.body), ALL_EVENTS);
+    assert.deepEqual(readEventIds(answer), ALL_EVENTS);
     assert.ok(answer.headers['response-signature']);
     const [run] = listRuns(group, requestId);
     assert.equal(run?.tenant, 'planner');
@@ -113,7 +114,7 @@
   cutFromServers(group, cut, 'reset');
   const { status, body } = await answer;
   assert.equal(status, 200);
-  assert.deepEqual(readEventIds(body), ALL_EVENTS);
+  assert.deepEqual(readEventIds({ body }), ALL_EVENTS);
   assert.match(cut.log.join(''), /Passing the request on to a peer/);
   assert.ok(listRuns(group, requestId).length <= 2);
 });
--- a/tests/peers-given-up.test.ts
+++ b/tests/peers-given-up.test.ts
@@ -12,6 +12,7 @@
 import {
   createRequestId,
   getFirstInstance,
+  readEventIds,
   sendCallerRequest,
   startGroup,
 } from '../tools/serving-group.js';
@@ -39,10 +40,6 @@
   return group.servers.flatMap(({ runs }) => runs.filter((run) => run.requestId === requestId));
 }
 
-function readEventIds({ body }: ReceivedResponse): number[] {
-  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-}
-
 function findPeer({ instances }: PlatformGroup, cut: PlatformInstance, requestId: string) {
   const pattern = new RegExp(`"requestId":"${requestId}","peer":"([^"]+)"`);
   const name = pattern.exec(cut.log.join(''))?.[1];
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -23,14 +23,11 @@
   createRequestId,
   getFirstInstance,
   LAYER_COUNT,
+  readEventIds,
   sendCallerRequest,
   startGroup,
 } from '../tools/serving-group.js';
 
-function readEventIds(answer: ReceivedResponse): number[] {
-  return [...answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-}
-
 function findRuns(group: PlatformGroup, id: string | undefined) {
   return group.servers.flatMap(({ runs }) => runs).filter(({ requestId }) => requestId === id);
 }
--- a/tests/silent-servers.test.ts
+++ b/tests/silent-servers.test.ts
@@ -3,7 +3,12 @@
 import { test, type TestContext } from 'node:test';
 import { sleep } from '../src/common/clock.js';
 import type { PlatformGroup, ReceivedResponse } from '../tools/platform-group.js';
-import { getFirstInstance, sendCallerRequest, startGroup } from '../tools/serving-group.js';
+import {
+  getFirstInstance,
+  readEventIds,
+  sendCallerRequest,
+  startGroup,
+} from '../tools/serving-group.js';
 import type { ServerFaults } from '../tools/stand-ins/platform-server.js';
 
 const ALL_EVENTS = [1, 2, 3, 4, 5, 6, 7, 8];
@@ -12,10 +17,6 @@
   group.servers.forEach((server) => Object.assign(server.faults, faults));
 }
 
-function readEventIds({ body }: ReceivedResponse): number[] {
-  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-}
-
 function countRuns(group: PlatformGroup): number {
   return group.servers.reduce((sum, { runs }) => sum + runs.length, 0);
 }
--- a/tests/unframed-answers.test.ts
+++ b/tests/unframed-answers.test.ts
@@ -3,7 +3,12 @@
 import { test, type TestContext } from 'node:test';
 import type { PlatformGroup, ReceivedResponse } from '../tools/platform-group.js';
 import type { UnframedEnd } from '../tools/stand-ins/platform-server.js';
-import { getFirstInstance, sendCallerRequest, startGroup } from '../tools/serving-group.js';
+import {
+  getFirstInstance,
+  readEventIds,
+  sendCallerRequest,
+  startGroup,
+} from '../tools/serving-group.js';
 
 async function startUnframedGroup(
   context: TestContext,
@@ -25,10 +30,6 @@
   return getFirstInstance(group).log.join('');
 }
 
-function readEventIds({ body }: ReceivedResponse): number[] {
-  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-}
-
 // It was taken for cut off, and its server for one that had ended.
 test('unframed answer: a call whose connection ends in order is whole, and its server is not at fault', async (context) => {
   const group = await startUnframedGroup(context, 'whole');
--- a/tools/serving-group.ts
+++ b/tools/serving-group.ts
@@ -108,3 +108,12 @@
   assert.ok(instance);
   return instance;
 }
+
+/**
+ * Reads the ids of the events that a caller has received, in order.
+ *
+ * @param response - The response, of which only the body is looked at.
+ */
+export function readEventIds({ body }: Pick<ReceivedResponse, 'body'>): number[] {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+}
