--- a/tests/unframed-answers.test.ts
+++ b/tests/unframed-answers.test.ts
@@ -1,7 +1,7 @@
 /** Tests answers that have neither a length nor chunks and end with their connection. */
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
-import type { PlatformGroup, ReceivedResponse } from '../tools/platform-group.js';
+import type { PlatformGroup } from '../tools/platform-group.js';
 import type { UnframedEnd } from '../tools/stand-ins/platform-server.js';
 import {
   getFirstInstance,
