An engine's end under a request counts also when it is shown later

What callers saw: one request may end a third engine.

Cause (suspected from the code, not shown to be that run's): an end counted under a request only if the check right after the break showed it. Where the end was confirmed later (another server or the peer couldn't be asked at once), or the check of an engine that had been asked beside a silent one was still under way, it counted neither as an end nor, once shown, as a run, so that a third engine was chosen.

Fix: EndsAtBegin keeps the processes at which the request broke off as it began. Ends are counted when the decision is made, after all checks under way; ends still to be confirmed keep the request from a further engine without proving anything, and a begun stream that waits ends once its proof is there.

Two process tests tried (late confirmation; a second engine asked beside) also passed on the code before and are not kept.

--- a/src/entry/relay-stream.ts
+++ b/src/entry/relay-stream.ts
@@ -10,6 +10,7 @@
 import { CallerStream } from './caller-stream.js';
 import { ChainSelector } from './chain-selector.js';
 import { decideOnEndedRun, type EndedRunDecision } from './ended-run.js';
+import { EndsAtBegin } from './ends-at-begin.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
 import type { EngineProfile } from './serving-configuration.js';
@@ -54,6 +55,8 @@
 
   readonly #exchange: StreamExchange;
 
+  readonly #endsAtBegin: EndsAtBegin;
+
   readonly #limits: StreamLimits;
 
   readonly #wayFinder: StreamWayFinder;
@@ -82,12 +85,24 @@
       context,
       request,
       profile,
-      (entry) => this.#runs.allows(getProcessKey(entry)) && context.serverLimits.hasRoom(entry.id),
+      (entry) =>
+        !this.#endsAtBegin.isLikely &&
+        this.#runs.allows(getProcessKey(entry)) &&
+        context.serverLimits.hasRoom(entry.id),
     );
     this.#caller = new CallerStream(request);
     this.#ending = new StreamEnding({ context, request, caller: this.#caller, runs: this.#runs });
     this.#exchange = new StreamExchange({ context, request, caller: this.#caller });
-    this.#limits = new StreamLimits({ request, runs: this.#runs, crashBlame: context.crashBlame });
+    this.#endsAtBegin = new EndsAtBegin({
+      hasEnded: (processKey) => context.fleet.hasEnded(processKey),
+      isEndUnconfirmed: (processKey) => context.endCheck.isUnconfirmed(processKey),
+    });
+    this.#limits = new StreamLimits({
+      request,
+      runs: this.#runs,
+      crashBlame: context.crashBlame,
+      endsAtBegin: this.#endsAtBegin,
+    });
     this.#wayFinder = new StreamWayFinder({
       context,
       request,
@@ -224,10 +239,9 @@
   }
 
   async #checkForEnd(firstEngine: ServerEntry): Promise<void> {
-    const { stallDetector, fleet } = this.#context;
-    await stallDetector.checkEngine(firstEngine.id);
-    const hasEnded = fleet.hasEnded(getProcessKey(firstEngine));
-    if (hasEnded && !this.#exchange.wasWritten) this.#limits.recordEndAtBegin();
+    const { stallDetector } = this.#context;
+    if (!this.#exchange.wasWritten) this.#endsAtBegin.record(getProcessKey(firstEngine));
+    await this.#endsAtBegin.settle(stallDetector.checkEngine(firstEngine.id));
   }
 
   #endWithoutChain(): string {
--- a/src/entry/stream-limits.test.ts
+++ b/src/entry/stream-limits.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { ServerEntry } from '../fleet/server-entry.js';
+import { EndsAtBegin } from './ends-at-begin.js';
 import type { EntryRequest } from './entry-request.js';
 import { StreamLimits } from './stream-limits.js';
 import { StreamRuns } from './stream-runs.js';
@@ -12,7 +13,9 @@
     route: { kind: 'streaming', isResumable, maximumAttempts: maximumServers },
   } as unknown as EntryRequest;
   const crashBlame = { isBlocked: () => isBlocked };
-  return { runs, limits: new StreamLimits({ request, runs, crashBlame }) };
+  const endsAtBegin = new EndsAtBegin({ hasEnded: () => true, isEndUnconfirmed: () => false });
+  const limits = new StreamLimits({ request, runs, crashBlame, endsAtBegin });
+  return { runs, limits, endsAtBegin };
 }
 
 // Pauses of sound engines used up the attempts that a failure needed later.
@@ -42,10 +45,10 @@
 });
 
 test('stream limits: two engines that end as they begin the request are the last ones', () => {
-  const { limits } = createLimits();
-  limits.recordEndAtBegin();
+  const { limits, endsAtBegin } = createLimits();
+  endsAtBegin.record('a');
   assert.deepEqual([limits.proof, limits.allowsBeside('a')], [undefined, true]);
-  limits.recordEndAtBegin();
+  endsAtBegin.record('b');
   assert.deepEqual([limits.proof, limits.allowsBeside('a')], ['endsServers', false]);
 });
 
@@ -76,7 +79,12 @@
     hasEnded: () => false,
     mayHaveEnded: (processKey) => inDoubt.has(processKey),
   });
-  const limits = new StreamLimits({ request, runs, crashBlame: { isBlocked: () => false } });
+  const limits = new StreamLimits({
+    request,
+    runs,
+    crashBlame: { isBlocked: () => false },
+    endsAtBegin: new EndsAtBegin({ hasEnded: () => false, isEndUnconfirmed: () => false }),
+  });
   limits.recordRun('a');
   assert.equal(limits.proof, undefined);
   assert.equal(runs.allows('b'), false);
--- a/src/entry/stream-limits.ts
+++ b/src/entry/stream-limits.ts
@@ -6,6 +6,7 @@
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import type { CrashBlame } from './crash-blame.js';
 import type { EndedRunProof } from './ended-run.js';
+import type { EndsAtBegin } from './ends-at-begin.js';
 import { isIdempotent, type EntryRequest } from './entry-request.js';
 import type { StreamRuns } from './stream-runs.js';
 
@@ -14,14 +15,13 @@
   readonly request: Pick<EntryRequest, 'content' | 'route'>;
   readonly runs: StreamRuns;
   readonly crashBlame: Pick<CrashBlame, 'isBlocked'>;
+  readonly endsAtBegin: EndsAtBegin;
 }
 
 /** Limit on attempts that engines refuse; these do not count towards the route's maximum. */
 const MAXIMUM_REFUSED_ATTEMPTS = 4;
 /** Limit on attempts that may have run, whatever the route allows. */
 const MAXIMUM_ATTEMPTS = 4;
-/** A request under which so many engines ended as they began it is not sent to another one. */
-const MAXIMUM_ENDS_AT_BEGIN = 2;
 /** Doubles with each further refusal, whatever the engines say of their room. */
 const INITIAL_REFUSAL_PAUSE_MILLISECONDS = 100;
 const MAXIMUM_REFUSAL_PAUSE_MILLISECONDS = 1600;
@@ -40,8 +40,6 @@
 
   #cancelledBeside = 0;
 
-  #endsAtBegin = 0;
-
   #lateRetries = 0;
 
   /** Whether the request is blocked, and runs to find out whether it should be. */
@@ -82,11 +80,6 @@
     this.#options.runs.record(getProcessKey(engine), false);
   }
 
-  /** Counts an engine that ended as it began the request. */
-  recordEndAtBegin(): void {
-    this.#endsAtBegin += 1;
-  }
-
   /** Takes the one retry for a late first event; false if it has been taken. */
   tryTakeLateRetry(): boolean {
     if (this.#lateRetries >= MAXIMUM_LATE_RETRIES) return false;
@@ -96,12 +89,12 @@
 
   /** Why the request can't be attempted again, if it can't for good. */
   get proof(): EndedRunProof | undefined {
-    const { request, runs, crashBlame } = this.#options;
+    const { request, runs, crashBlame, endsAtBegin } = this.#options;
     const hasNotRun = runs.total === 0;
     if (!isIdempotent(request.route) && !hasNotRun) return 'notRepeatable';
     if (crashBlame.isBlocked(request.content) && !(this.isTrial && hasNotRun))
       return 'blockedContent';
-    if (this.#endsAtBegin >= MAXIMUM_ENDS_AT_BEGIN) return 'endsServers';
+    if (endsAtBegin.isShown) return 'endsServers';
     return this.#attempts >= MAXIMUM_ATTEMPTS || runs.isExhaustedForGood ? 'runLimit' : undefined;
   }
 
@@ -123,11 +116,11 @@
    * @param processKey - The process of the first engine of the open one.
    */
   allowsBeside(processKey: string): boolean {
-    const { request, runs, crashBlame } = this.#options;
+    const { request, runs, crashBlame, endsAtBegin } = this.#options;
     return (
       isIdempotent(request.route) &&
       !crashBlame.isBlocked(request.content) &&
-      this.#endsAtBegin < MAXIMUM_ENDS_AT_BEGIN &&
+      !endsAtBegin.isLikely &&
       this.#attempts + 1 < MAXIMUM_ATTEMPTS &&
       this.#refusalsBeside <= MAXIMUM_REFUSED_ATTEMPTS &&
       runs.allowsAnotherAfter(processKey)
@@ -136,12 +129,12 @@
 
   /** The counts, for the log. */
   get counts(): Readonly<Record<string, number | readonly string[]>> {
-    const { runs } = this.#options;
+    const { runs, endsAtBegin } = this.#options;
     return {
       attempts: runs.total,
       runs: runs.countedServers,
       endedServers: runs.endedProcessKeys,
-      endsAtBegin: this.#endsAtBegin,
+      endsAtBegin: endsAtBegin.shown,
       refusedTries: this.#refusals,
     };
   }
--- a/src/fleet/end-check.ts
+++ b/src/fleet/end-check.ts
@@ -111,6 +111,15 @@
     return question.next;
   }
 
+  /**
+   * Whether a server's process has refused a connection, and that is still to be confirmed as its end.
+   *
+   * @param processKey - As `getProcessKey` returns it.
+   */
+  isUnconfirmed(processKey: string): boolean {
+    return this.#unconfirmed.has(processKey);
+  }
+
   #askLife(entry: ServerEntry): Promise<ServerLife> {
     const processKey = getProcessKey(entry);
     const running = this.#probeLife(entry).finally(() => this.#lifeQuestions.delete(processKey));
