Layout: src/entry split into src/relay, src/evidence and src/entry

Moves and imports only, no change of behaviour: src/relay holds what carries a request (calls, streams, peers), src/evidence who saw what of which process (what an answer proves, ends, records of crashes, suspicion), src/entry what listens, admits and routes.

--- a/src/common/patient-timer.test.ts
+++ b/src/common/patient-timer.test.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { sendBackendRequest } from '../entry/backend-request.js';
+import { sendBackendRequest } from '../relay/backend-request.js';
 import { fetchResponse } from './http-client.js';
 import { startPatientTimer } from './patient-timer.js';
 
--- a/src/daemon/instance-registration.test.ts
+++ b/src/daemon/instance-registration.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { CrashBlame } from '../entry/crash-blame.js';
-import { CrashRecords } from '../entry/crash-records.js';
+import { CrashBlame } from '../evidence/crash-blame.js';
+import { CrashRecords } from '../evidence/crash-records.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
-import { PromptPartRecords } from '../entry/prompt-part-records.js';
+import { PromptPartRecords } from '../evidence/prompt-part-records.js';
 import type { ObjectStore, StoredObject } from '../store/object-store.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import { InstanceRegistration } from './instance-registration.js';
--- a/src/daemon/instance-registration.ts
+++ b/src/daemon/instance-registration.ts
@@ -6,8 +6,8 @@
  */
 import { z } from 'zod';
 import { sleep } from '../common/clock.js';
-import type { Blocks, CrashBlame } from '../entry/crash-blame.js';
-import { CRASH_RETENTION_MILLISECONDS } from '../entry/crash-records.js';
+import type { Blocks, CrashBlame } from '../evidence/crash-blame.js';
+import { CRASH_RETENTION_MILLISECONDS } from '../evidence/crash-records.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
 import { PeerRecord } from '../gossip/peer-record.js';
 import { parseTolerantly } from '../gossip/tolerant-parse.js';
--- a/src/daemon/server-components.ts
+++ b/src/daemon/server-components.ts
@@ -5,12 +5,12 @@
 import type { Address } from '../common/address.js';
 import { probeConnection } from '../common/connection-probe.js';
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
-import { CrashBlame } from '../entry/crash-blame.js';
-import { CrashRecords } from '../entry/crash-records.js';
-import { EngineReports } from '../entry/engine-reports.js';
-import { PromptPartRecords } from '../entry/prompt-part-records.js';
+import { CrashBlame } from '../evidence/crash-blame.js';
+import { CrashRecords } from '../evidence/crash-records.js';
+import { EngineReports } from '../evidence/engine-reports.js';
+import { PromptPartRecords } from '../evidence/prompt-part-records.js';
 import type { ProtocolAdapter } from '../entry/protocol-adapter.js';
-import { StallDetector } from '../entry/stall-detector.js';
+import { StallDetector } from '../evidence/stall-detector.js';
 import { BackendFleet } from '../fleet/backend-fleet.js';
 import { CallTimes } from '../fleet/call-times.js';
 import { EndCheck } from '../fleet/end-check.js';
--- a/src/entry/admission.ts
+++ b/src/entry/admission.ts
@@ -1,5 +1,5 @@
 /** Decides whether a request is run, by what is known of the servers that ended under its like. */
-import type { Admission } from './crash-blame.js';
+import type { Admission } from '../evidence/crash-blame.js';
 import type { EntryContext } from './entry-context.js';
 import type { EntryRequest } from './entry-request.js';
 
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -8,14 +8,14 @@
 import type { StatementRecorder } from '../fleet/server-statements.js';
 import type { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import type { LoggerFactory } from '../telemetry/log.js';
-import type { CrashBlame } from './crash-blame.js';
+import type { CrashBlame } from '../evidence/crash-blame.js';
 import type { ProtocolAdapter } from './protocol-adapter.js';
 import type { EntryMetrics } from './entry-metrics.js';
-import type { PeerRelay } from './peer-relay.js';
+import type { PeerRelay } from '../relay/peer-relay.js';
 import type { RefusalPacing } from './refusal-pacing.js';
-import type { RetryBudget } from './retry-budget.js';
-import type { StallDetector } from './stall-detector.js';
-import type { WaitingStreams } from './waiting-streams.js';
+import type { RetryBudget } from '../relay/retry-budget.js';
+import type { StallDetector } from '../evidence/stall-detector.js';
+import type { WaitingStreams } from '../relay/waiting-streams.js';
 
 /** The parts of an instance that all requests share. */
 export interface EntryContext {
--- a/src/entry/entry-request.ts
+++ b/src/entry/entry-request.ts
@@ -1,8 +1,8 @@
 /** A caller's request, as it is handed to a relay once its route and service are known. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { RequestContent } from './blocked-parts.js';
+import type { RequestContent } from '../evidence/blocked-parts.js';
 import type { RequestMetadata } from './protocol-adapter.js';
-import type { RelayedRequest } from './relayed-request.js';
+import type { RelayedRequest } from '../relay/relayed-request.js';
 import type { ClientAccount, Route, Service } from './serving-configuration.js';
 
 /** A caller's request that has been read completely and matched to a route. */
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -8,7 +8,11 @@
 import type { EntryContext } from './entry-context.js';
 import { getAbortReason, type AbortReason, type EntryRequest } from './entry-request.js';
 import type { ProtocolAdapter, RequestMetadata } from './protocol-adapter.js';
-import { decodeRelayedRequest, RELAY_HEADER, type RelayedRequest } from './relayed-request.js';
+import {
+  decodeRelayedRequest,
+  RELAY_HEADER,
+  type RelayedRequest,
+} from '../relay/relayed-request.js';
 import { readBody, UnreadBodyError } from './request-body.js';
 import {
   BAD_RELAY,
@@ -22,8 +26,8 @@
   UNKNOWN_KEY,
 } from './request-rejections.js';
 import { parseRequestTarget, type RequestTarget } from './request-target.js';
-import { relayCall } from './relay-call.js';
-import { relayStream } from './relay-stream.js';
+import { relayCall } from '../relay/relay-call.js';
+import { relayStream } from '../relay/relay-stream.js';
 import { isRefusedByStop } from './stop-admission.js';
 import type { ActiveConfiguration } from './active-configuration.js';
 import { pickService, type Route } from './serving-configuration.js';
--- a/src/entry/engine-reports.ts
+++ b/src/evidence/engine-reports.ts
@@ -2,7 +2,7 @@
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import type { StatementRecorder } from '../fleet/server-statements.js';
 import { NoEngineReportError } from './no-engine-report-error.js';
-import type { EngineReport, ProtocolAdapter } from './protocol-adapter.js';
+import type { EngineReport, ProtocolAdapter } from '../entry/protocol-adapter.js';
 
 /** Options of {@link EngineReports}. */
 export interface EngineReportsOptions {
--- a/src/entry/stall-detector.test.ts
+++ b/src/evidence/stall-detector.test.ts
@@ -7,7 +7,7 @@
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import type { EngineReports } from './engine-reports.js';
-import type { EngineReport } from './protocol-adapter.js';
+import type { EngineReport } from '../entry/protocol-adapter.js';
 import { StallDetector, type WatchedStream } from './stall-detector.js';
 
 const CHECK_INTERVAL_MILLISECONDS = 70;
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -5,7 +5,7 @@
 import { sleep } from '../common/clock.js';
 import { getErrorMessage } from '../common/http-client.js';
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
-import type { EngineReports } from '../entry/engine-reports.js';
+import type { EngineReports } from '../evidence/engine-reports.js';
 import type { ProtocolAdapter } from '../entry/protocol-adapter.js';
 import type { EntryMetrics } from '../entry/entry-metrics.js';
 import type { EngineProfile } from '../entry/serving-configuration.js';
--- a/src/entry/attempt-beside.ts
+++ b/src/relay/attempt-beside.ts
@@ -4,9 +4,9 @@
  */
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import type { ChainSelector, EngineChain } from './chain-selector.js';
-import type { EntryContext } from './entry-context.js';
-import type { EntryRequest } from './entry-request.js';
-import { decideOnSuspicion, type SuspicionDecision } from './exchange-suspicion.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import type { EntryRequest } from '../entry/entry-request.js';
+import { decideOnSuspicion, type SuspicionDecision } from '../evidence/exchange-suspicion.js';
 import type { PeerAnswer } from './peer-answer.js';
 import type { StreamExchange } from './stream-exchange.js';
 import type { StreamLimits } from './stream-limits.js';
--- a/src/entry/backend-answer-fuzz.test.ts
+++ b/src/relay/backend-answer-fuzz.test.ts
@@ -7,7 +7,7 @@
 import { createRandom, type Random } from '../../tools/random.js';
 import { sleep } from '../common/clock.js';
 import { readAnswer, sendBackendRequest } from './backend-request.js';
-import { appendHeaders, getEndToEndHeaders } from './entry-response.js';
+import { appendHeaders, getEndToEndHeaders } from '../entry/entry-response.js';
 
 const RUNS = Number(process.env.RUNS ?? 400);
 const SEED = Number(process.env.SEED ?? 11);
--- a/src/entry/backend-request.ts
+++ b/src/relay/backend-request.ts
@@ -4,7 +4,7 @@
 import type { Address } from '../common/address.js';
 import { HttpRequestError, type RequestPhase } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
-import { isRelayable } from './entry-response.js';
+import { isRelayable } from '../entry/entry-response.js';
 
 /** A request to a backend server. */
 export interface BackendRequest {
--- a/src/entry/call-ending.ts
+++ b/src/relay/call-ending.ts
@@ -1,14 +1,14 @@
 /** Ends a call to a plain service: passes an answer on, refuses it or fails it, and records its outcome. */
-import { ABORT_RESPONSES } from './abort-response.js';
+import { ABORT_RESPONSES } from '../entry/abort-response.js';
 import { readAnswer } from './backend-request.js';
-import type { EntryContext } from './entry-context.js';
-import { getAbortReason, type EntryRequest } from './entry-request.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import { getAbortReason, type EntryRequest } from '../entry/entry-request.js';
 import {
   appendHeaders,
   getEndToEndHeaders,
   sendLocalResponse,
   type LocalResponse,
-} from './entry-response.js';
+} from '../entry/entry-response.js';
 import { getErrorMessage } from '../common/http-client.js';
 import { assertWholeFromPeer } from '../evidence/whole-answer.js';
 import type { PeerAnswer } from './peer-answer.js';
--- a/src/entry/call-exchange.ts
+++ b/src/relay/call-exchange.ts
@@ -13,11 +13,11 @@
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { readAnswer } from './backend-request.js';
 import type { BufferedResponse } from './call-ending.js';
-import type { EntryContext } from './entry-context.js';
-import { isIdempotent, type EntryRequest } from './entry-request.js';
-import { getEndToEndHeaders } from './entry-response.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import { isIdempotent, type EntryRequest } from '../entry/entry-request.js';
+import { getEndToEndHeaders } from '../entry/entry-response.js';
 import { sendRelayedRequest } from './relay-request.js';
-import { ForeignResponseError } from './response-origin.js';
+import { ForeignResponseError } from '../evidence/response-origin.js';
 
 /** The result of one exchange. */
 export type CallResult =
--- a/src/entry/caller-stream.ts
+++ b/src/relay/caller-stream.ts
@@ -1,6 +1,6 @@
 /** The caller's side of a stream: its response, and the times at which events were written to it. */
-import { appendHeaders } from './entry-response.js';
-import type { EntryRequest } from './entry-request.js';
+import { appendHeaders } from '../entry/entry-response.js';
+import type { EntryRequest } from '../entry/entry-request.js';
 
 export class CallerStream {
   readonly #request: EntryRequest;
--- a/src/entry/chain-selector.ts
+++ b/src/relay/chain-selector.ts
@@ -5,10 +5,10 @@
 import type { Chain, ChainCandidate, ChainStage } from '../layers/chain-choice.js';
 import { chooseChainByObjectives } from '../layers/objective-choice.js';
 import type { RequestTokens } from '../layers/engine-estimates.js';
-import type { StageAddress } from './protocol-adapter.js';
-import type { EntryContext } from './entry-context.js';
-import type { EntryRequest } from './entry-request.js';
-import type { EngineProfile } from './serving-configuration.js';
+import type { StageAddress } from '../entry/protocol-adapter.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import type { EntryRequest } from '../entry/entry-request.js';
+import type { EngineProfile } from '../entry/serving-configuration.js';
 
 /** Which engines a chain may use besides those that are available without restriction. */
 interface SelectionLimits {
--- a/src/entry/peer-answer.ts
+++ b/src/relay/peer-answer.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { z } from 'zod';
 import { readAnswer } from './backend-request.js';
-import type { LocalResponse } from './entry-response.js';
+import type { LocalResponse } from '../entry/entry-response.js';
 
 /** What became of a request that was passed on. */
 export type PeerAnswer =
--- a/src/entry/peer-relay.test.ts
+++ b/src/relay/peer-relay.test.ts
@@ -7,10 +7,10 @@
 import { createProtocolAdapter } from '../../platform/protocol-adapter.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import { createSilentLogger } from '../telemetry/log.js';
-import type { EntryRequest } from './entry-request.js';
+import type { EntryRequest } from '../entry/entry-request.js';
 import type { PeerAnswer } from './peer-answer.js';
 import { PeerRelay } from './peer-relay.js';
-import type { Route } from './serving-configuration.js';
+import type { Route } from '../entry/serving-configuration.js';
 
 /** Starts a peer that refuses each request with a code. */
 async function startRefusingPeer(context: TestContext, code: string) {
--- a/src/entry/peer-relay.ts
+++ b/src/relay/peer-relay.ts
@@ -6,16 +6,16 @@
 import type { PeerRecord } from '../gossip/peer-record.js';
 import type { Logger } from '../telemetry/log.js';
 import { sendBackendRequest } from './backend-request.js';
-import type { RequestContent } from './blocked-parts.js';
-import { isIdempotent, type EntryRequest } from './entry-request.js';
-import { decideOnSuspicion } from './exchange-suspicion.js';
+import type { RequestContent } from '../evidence/blocked-parts.js';
+import { isIdempotent, type EntryRequest } from '../entry/entry-request.js';
+import { decideOnSuspicion } from '../evidence/exchange-suspicion.js';
 import { isDeclined, isRefusal, readLocalResponse, type PeerAnswer } from './peer-answer.js';
 import { choosePeer } from './peer-choice.js';
-import { watchSilence } from './peer-silence.js';
-import { decideOnPeer, type PeerDecision } from './peer-suspicion.js';
-import type { ProtocolAdapter } from './protocol-adapter.js';
+import { watchSilence } from '../evidence/peer-silence.js';
+import { decideOnPeer, type PeerDecision } from '../evidence/peer-suspicion.js';
+import type { ProtocolAdapter } from '../entry/protocol-adapter.js';
 import { encodeRelayedRequest, RELAY_HEADER, type RelayedRequest } from './relayed-request.js';
-import { listEndToEndHeaders } from './request-headers.js';
+import { listEndToEndHeaders } from '../entry/request-headers.js';
 
 /** Options of {@link PeerRelay}. */
 export interface PeerRelayOptions {
--- a/src/entry/peer-stream.ts
+++ b/src/relay/peer-stream.ts
@@ -6,10 +6,10 @@
 import { getErrorMessage } from '../common/http-client.js';
 import type { Logger } from '../telemetry/log.js';
 import type { CallerStream } from './caller-stream.js';
-import type { EntryRequest } from './entry-request.js';
+import type { EntryRequest } from '../entry/entry-request.js';
 import type { PeerAnswer } from './peer-answer.js';
 import type { PeerRelay, RelayProgress } from './peer-relay.js';
-import { watchSilence } from './peer-silence.js';
+import { watchSilence } from '../evidence/peer-silence.js';
 import type { AttemptResult, StreamExchange } from './stream-exchange.js';
 import {
   discard,
--- a/src/entry/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -8,12 +8,12 @@
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
-import { admitRequest } from './admission.js';
+import { admitRequest } from '../entry/admission.js';
 import { CallEnding, readPeerAnswer, type BufferedResponse } from './call-ending.js';
 import { CallExchange, FIRST_SERVER_FAILURE, type CallResult } from './call-exchange.js';
-import type { EntryContext } from './entry-context.js';
-import { isIdempotent, type EntryRequest } from './entry-request.js';
-import { decideOnSuspicion, type SuspicionDecision } from './exchange-suspicion.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import { isIdempotent, type EntryRequest } from '../entry/entry-request.js';
+import { decideOnSuspicion, type SuspicionDecision } from '../evidence/exchange-suspicion.js';
 import type { PeerAnswer } from './peer-answer.js';
 
 /**
--- a/src/entry/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -5,9 +5,9 @@
 import { interpretResponse, type ResponseMeaning } from '../evidence/response-meaning.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import { sendBackendRequest, type BackendRequest } from './backend-request.js';
-import type { EntryContext } from './entry-context.js';
-import type { EntryRequest } from './entry-request.js';
-import type { ResponseMetadata, StageAddress } from './protocol-adapter.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import type { EntryRequest } from '../entry/entry-request.js';
+import type { ResponseMetadata, StageAddress } from '../entry/protocol-adapter.js';
 
 /** Options of {@link sendRelayedRequest}. */
 export interface RelayedRequestOptions {
--- a/src/entry/retry-budget.ts
+++ b/src/relay/retry-budget.ts
@@ -3,7 +3,7 @@
  * its own retries and those last reported by its peers. This protects the backend servers when a
  * fault fails many requests at once, which every instance would otherwise send again.
  */
-import type { RetryBudgetSettings } from './entry-settings.js';
+import type { RetryBudgetSettings } from '../entry/entry-settings.js';
 
 /** First attempts and retries of one service within the window. */
 export type RetryCounts = [firstAttempts: number, retries: number];
--- a/src/entry/stream-at-peer.ts
+++ b/src/relay/stream-at-peer.ts
@@ -1,8 +1,8 @@
 /** Lets a peer serve a stream while this instance reaches no backend server. */
 import { sleep } from '../common/clock.js';
 import type { CallerStream } from './caller-stream.js';
-import type { EntryContext } from './entry-context.js';
-import type { EntryRequest } from './entry-request.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import type { EntryRequest } from '../entry/entry-request.js';
 import type { PeerAnswer } from './peer-answer.js';
 import { relayPeerStream } from './peer-stream.js';
 import type { StreamEnding } from './stream-ending.js';
--- a/src/entry/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -7,10 +7,10 @@
 import type { FleetServer } from '../fleet/backend-fleet.js';
 import type { CallerStream } from './caller-stream.js';
 import type { ChainSelector, EngineChain } from './chain-selector.js';
-import type { EntryContext } from './entry-context.js';
-import type { EntryRequest } from './entry-request.js';
-import type { SuspicionDecision } from './exchange-suspicion.js';
-import type { WatchedStream } from './stall-detector.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import type { EntryRequest } from '../entry/entry-request.js';
+import type { SuspicionDecision } from '../evidence/exchange-suspicion.js';
+import type { WatchedStream } from '../evidence/stall-detector.js';
 import type { AttemptResult, RelayedStream, StreamExchange } from './stream-exchange.js';
 import {
   discard,
--- a/src/entry/stream-ending.ts
+++ b/src/relay/stream-ending.ts
@@ -1,9 +1,9 @@
 /** Ends a streaming request: completes, refuses or fails it, and records its outcome. */
-import { ABORT_RESPONSES } from './abort-response.js';
+import { ABORT_RESPONSES } from '../entry/abort-response.js';
 import type { CallerStream } from './caller-stream.js';
-import type { EntryContext } from './entry-context.js';
-import { getAbortReason, type EntryRequest } from './entry-request.js';
-import { sendLocalResponse, type LocalResponse } from './entry-response.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import { getAbortReason, type EntryRequest } from '../entry/entry-request.js';
+import { sendLocalResponse, type LocalResponse } from '../entry/entry-response.js';
 import type { StreamRuns } from './stream-runs.js';
 
 /** Options of {@link StreamEnding}. */
--- a/src/entry/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -17,13 +17,13 @@
 import { readAnswer, readChunks } from './backend-request.js';
 import type { CallerStream } from './caller-stream.js';
 import { listStageAddresses, type EngineChain } from './chain-selector.js';
-import type { EntryContext } from './entry-context.js';
-import type { EntryRequest } from './entry-request.js';
-import { appendHeaders, getEndToEndHeaders } from './entry-response.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import type { EntryRequest } from '../entry/entry-request.js';
+import { appendHeaders, getEndToEndHeaders } from '../entry/entry-response.js';
 import { EventSplitter } from './event-splitter.js';
 import { PeekableChunks } from './peekable-chunks.js';
 import { sendRelayedRequest } from './relay-request.js';
-import { ForeignResponseError } from './response-origin.js';
+import { ForeignResponseError } from '../evidence/response-origin.js';
 
 /** The result of one attempt. */
 export type AttemptResult =
--- a/src/entry/stream-limits.test.ts
+++ b/src/relay/stream-limits.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import { EndsAtBegin } from './ends-at-begin.js';
-import type { EntryRequest } from './entry-request.js';
+import type { EntryRequest } from '../entry/entry-request.js';
 import { StreamLimits } from './stream-limits.js';
 import { StreamRuns } from './stream-runs.js';
 
--- a/src/entry/stream-limits.ts
+++ b/src/relay/stream-limits.ts
@@ -4,10 +4,10 @@
  * that refuse, break off or end, one after the other, under one request.
  */
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
-import type { CrashBlame } from './crash-blame.js';
+import type { CrashBlame } from '../evidence/crash-blame.js';
 import type { EndedRunProof } from './ended-run.js';
 import type { EndsAtBegin } from './ends-at-begin.js';
-import { isIdempotent, type EntryRequest } from './entry-request.js';
+import { isIdempotent, type EntryRequest } from '../entry/entry-request.js';
 import type { StreamRuns } from './stream-runs.js';
 
 /** Options of {@link StreamLimits}. */
--- a/src/entry/stream-reroute.ts
+++ b/src/relay/stream-reroute.ts
@@ -1,7 +1,7 @@
 /** Leads a running stream around faulty engines, keeping its first stage. */
 import type { ChainSelector, EngineChain } from './chain-selector.js';
 import { listStageAddresses } from './chain-selector.js';
-import type { EntryContext } from './entry-context.js';
+import type { EntryContext } from '../entry/entry-context.js';
 
 /** A running stream, and the engines that it has to avoid. */
 export interface StreamToReroute {
--- a/src/entry/stream-way.ts
+++ b/src/relay/stream-way.ts
@@ -5,8 +5,8 @@
  */
 import type { CallerStream } from './caller-stream.js';
 import type { ChainSelector, EngineChain } from './chain-selector.js';
-import type { EntryContext } from './entry-context.js';
-import type { EntryRequest } from './entry-request.js';
+import type { EntryContext } from '../entry/entry-context.js';
+import type { EntryRequest } from '../entry/entry-request.js';
 import type { StreamLimits } from './stream-limits.js';
 
 /** A chain, which is reserved. */
--- a/tests/endless-answers.test.ts
+++ b/tests/endless-answers.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import { fetchResponse } from '../src/common/http-client.js';
-import { sendBackendRequest } from '../src/entry/backend-request.js';
+import { sendBackendRequest } from '../src/relay/backend-request.js';
 import { checkHealth } from '../src/fleet/health-check.js';
 import { createProtocolAdapter } from '../platform/protocol-adapter.js';
 import { waitUntil } from '../tools/platform-group.js';
--- a/tests/passed-on-requests.test.ts
+++ b/tests/passed-on-requests.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import http from 'node:http';
-import { RELAY_HEADER } from '../src/entry/relayed-request.js';
+import { RELAY_HEADER } from '../src/relay/relayed-request.js';
 import {
   cutFromServers,
   waitUntil,
--- a/tools/crash-replay.ts
+++ b/tools/crash-replay.ts
@@ -2,10 +2,10 @@
  * Replays, over the blame records of several instances, requests that end each engine which begins to run
  * them, among sound streams that are sent on from an ended engine to another one.
  */
-import type { RequestContent } from '../src/entry/blocked-parts.js';
-import { CrashBlame } from '../src/entry/crash-blame.js';
-import { CrashRecords } from '../src/entry/crash-records.js';
-import { PromptPartRecords } from '../src/entry/prompt-part-records.js';
+import type { RequestContent } from '../src/evidence/blocked-parts.js';
+import { CrashBlame } from '../src/evidence/crash-blame.js';
+import { CrashRecords } from '../src/evidence/crash-records.js';
+import { PromptPartRecords } from '../src/evidence/prompt-part-records.js';
 import { createSilentLogger } from '../src/telemetry/log.js';
 import { createRandom, type Random } from './random.js';
 
