A stream that peers serve runs on no more servers than its route allows

Cause: a peer ran a stream that was passed on to it on as many servers as the route allows, while the instance that passed it on counted the peer as one. When all of them broke the stream off, the next peer got one more.

Fix: a peer runs what was passed on to it on one server; runs elsewhere are kept apart from its own. What becomes of the stream then is decided where it came from, which counts one for each peer, takes a retry of its own budget and passes it on again; also where the peer answers 502 before the first event, which was final until now.

Ruled out: passing the peer's servers back, which a broken connection can't carry. Price: a second attempt of a passed-on stream takes one more exchange between instances.

--- a/src/relay/relay-stream.ts
+++ b/src/relay/relay-stream.ts
@@ -73,6 +73,7 @@
     this.#request = request;
     this.#runs = new StreamRuns({
       maximumServers: request.route.maximumAttempts,
+      elsewhere: request.relayed?.processKeys,
       hasEnded: (processKey) => context.fleet.hasEnded(processKey),
       mayHaveEnded: (processKey) =>
         context.fleet.servers.some(
@@ -80,7 +81,6 @@
             getProcessKey(entry) === processKey && context.outlierEjection.isEjected(entry.id),
         ),
     });
-    request.relayed?.processKeys.forEach((key) => this.#runs.record(key, true));
     this.#chainSelector = new ChainSelector(
       context,
       request,
--- a/src/relay/stream-at-peer.ts
+++ b/src/relay/stream-at-peer.ts
@@ -25,6 +25,8 @@
 
 /** Callers come back to any instance, and others may reach the servers. */
 const RETRY_AFTER_CUT_SECONDS = 0.2;
+/** With which a peer says that the request may have run. */
+const MAY_HAVE_RUN_STATUS = 502;
 const PEER_RETRY_INTERVAL_MILLISECONDS = 300;
 
 export class StreamAtPeer {
@@ -47,12 +49,20 @@
     if (request.signal.aborted) return ending.sendTimeout();
     if (answer.kind === 'served') return this.relay(answer);
     if (answer.kind === 'none') return this.#handleNoPeer();
-    if (!caller.hasStarted)
-      return answer.kind === 'ended'
-        ? ending.sendPeerResponse(answer.response)
-        : ending.sendPeerLost();
-    const message = answer.kind === 'ended' ? answer.response.message : answer.message;
-    return this.#handleFault([answer.peer], message);
+    if (answer.kind === 'ended') return this.#handlePeerResponse(answer);
+    if (!caller.hasStarted) return ending.sendPeerLost();
+    return this.#handleFault([answer.peer], answer.message);
+  }
+
+  /** Goes on after a failure of the one server on which the peer ran the request; passes other answers on. */
+  #handlePeerResponse({
+    peer,
+    response,
+  }: Extract<PeerAnswer, { kind: 'ended' }>): string | undefined {
+    const { caller, ending } = this.#options;
+    if (!caller.hasStarted && response.status !== MAY_HAVE_RUN_STATUS)
+      return ending.sendPeerResponse(response);
+    return this.#handleFault([peer], response.message, () => ending.sendPeerResponse(response));
   }
 
   /**
@@ -104,9 +114,13 @@
   }
 
   /** Decides on a request that peers, or servers that they used, may have run in part. */
-  #handleFault(peers: readonly string[], message: string): string | undefined {
-    const { ending, runs, mayGoOn } = this.#options;
+  #handleFault(
+    peers: readonly string[],
+    message: string,
+    end: () => string = () => this.#options.ending.sendPeerLost(),
+  ): string | undefined {
+    const { runs, mayGoOn } = this.#options;
     peers.forEach((peer) => runs.record(peer, true));
-    return mayGoOn({ after: 'peerLost', message, peers }) ? undefined : ending.sendPeerLost();
+    return mayGoOn({ after: 'peerLost', message, peers }) ? undefined : end();
   }
 }
--- a/src/relay/stream-runs.test.ts
+++ b/src/relay/stream-runs.test.ts
@@ -41,3 +41,24 @@
   assert.ok(runs.allowsAnotherAfter('a'));
   assert.ok(!runs.allowsAnotherAfter('b'));
 });
+
+// A peer's runs counted as one, whatever servers it used.
+test('stream runs: what a peer has passed on runs on one server, whatever has ended elsewhere', () => {
+  const ended = new Set<string>();
+  const runs = new StreamRuns({
+    maximumServers: 3,
+    elsewhere: ['a'],
+    hasEnded: (id) => ended.has(id),
+  });
+  assert.ok(runs.allows('b') && !runs.allowsAnotherAfter('b'));
+  runs.record('b', true);
+  ended.add('a');
+  assert.deepEqual([runs.allows('c'), runs.isExhausted, runs.countedServers], [false, true, 1]);
+  ended.add('b');
+  assert.ok(runs.allows('c'));
+});
+
+test('stream runs: what has run elsewhere counts against the limit of the route', () => {
+  const runs = new StreamRuns({ maximumServers: 2, elsewhere: ['a', 'b'], hasEnded: () => false });
+  assert.deepEqual([runs.allows('c'), runs.isExhaustedForGood, runs.total], [false, true, 2]);
+});
