A leaving server stays out through every list of an older copy

What callers saw: after the store came back from a copy some seconds old, requests went to a server whose draining had been acknowledged, from the second list of the new era on (a watch answered 410 or that failed, a second return, a list of a peer).

Cause: leaving was carried over into the first list of an era only, from entries that were still registered; the next list replaced it by what the copy says, and a server that had left and was removed came back as ready.

Evidence: src/fleet/older-store.test.ts, "any number of lists" and "a copy brings it back" failed on the code before (the server was usable) and pass now. Ruled out: forgetting only at the end of the process would keep out for good a server whose operator has put it back.

Why it works: the fleet remembers by process that its entry last said leaving, also past the entry's removal, and an entry carries the revision at which it was written. In a new era only an entry written after the era's first list withdraws it, by a change or a list, also one of a peer (the revision travels in the list; an entry without one counts as of the copy).

--- a/src/daemon/fleet-document.ts
+++ b/src/daemon/fleet-document.ts
@@ -19,6 +19,7 @@
   isLeaving: z.boolean(),
   kind: z.string().optional(),
   layers: Layers.optional(),
+  revision: z.number().int().min(0).optional().catch(undefined),
 });
 
 const EntryLayers = z.object({ layers: z.unknown() }).catch({ layers: undefined });
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -57,6 +57,15 @@
   /** Keys of processes that are shown to have ended, also when they are no longer registered. */
   readonly #endedProcesses = new LruMap<string, true>(MAXIMUM_ENDED_PROCESSES);
 
+  /**
+   * Processes whose entries said last that they leave. Outlasts the entries, which an older copy of the store
+   * may bring back as they were before.
+   */
+  readonly #leaving = new LruMap<string, true>(MAXIMUM_OWN_WORDS);
+
+  /** Revision of the first list of this era; an entry that was written later is none of the older copy. */
+  #eraRevision = -1;
+
   /** By process. */
   readonly #ownWords = new LruMap<string, OwnWord>(MAXIMUM_OWN_WORDS);
 
@@ -194,7 +203,7 @@
 
   /**
    * Replaces all entries by those of a store that is back from an older copy, in which entries may be missing
-   * that are written again. A process that was leaving still is, whatever the copy says.
+   * that are written again. A process that was leaving still is, until its entry is written again.
    *
    * @param entries - All entries in the store.
    * @param revision - Revision of the store that the entries reflect.
@@ -205,16 +214,8 @@
     this.era = era;
     this.revision = 0;
     this.storeBackAt = this.#now();
-    const leaving = new Set(
-      this.servers.filter(({ entry }) => entry.isLeaving).map(({ entry }) => getProcessKey(entry)),
-    );
-    this.replaceAll(
-      entries.map((entry) => ({
-        ...entry,
-        isLeaving: entry.isLeaving || leaving.has(getProcessKey(entry)),
-      })),
-      revision,
-    );
+    this.#eraRevision = revision;
+    this.replaceAll(entries, revision);
   }
 
   /**
@@ -225,7 +226,7 @@
    */
   put(entry: ServerEntry, revision: number): void {
     this.revision = Math.max(this.revision, revision);
-    this.#applyEntry(entry);
+    this.#applyEntry({ ...entry, revision: entry.revision ?? revision });
   }
 
   /**
@@ -270,7 +271,18 @@
     return ownWord;
   }
 
-  #applyEntry(entry: ServerEntry): void {
+  /** Corrects an entry that an older copy of the store gives as it was before its process left. */
+  #keepLeaving(entry: ServerEntry): ServerEntry {
+    const processKey = getProcessKey(entry);
+    if (entry.isLeaving) this.#leaving.set(processKey, true);
+    if (entry.isLeaving || this.#leaving.get(processKey) !== true) return entry;
+    if ((entry.revision ?? 0) <= this.#eraRevision) return { ...entry, isLeaving: true };
+    this.#leaving.delete(processKey);
+    return entry;
+  }
+
+  #applyEntry(read: ServerEntry): void {
+    const entry = this.#keepLeaving(read);
     const known = this.#servers.get(entry.id);
     if (!known) {
       this.#recordReplacedServers(entry);
--- /dev/null
+++ b/src/fleet/older-store.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { createSilentLogger } from '../telemetry/log.js';
+import { BackendFleet } from './backend-fleet.js';
+import type { ServerEntry } from './server-entry.js';
+
+function createEntry(id: string, port: number, fields: Partial<ServerEntry> = {}): ServerEntry {
+  return {
+    id,
+    service: 'service',
+    address: { host: '127.0.0.1', port },
+    dataCentre: 'one',
+    slots: 1,
+    isLeaving: false,
+    kind: undefined,
+    layers: undefined,
+    ...fields,
+  };
+}
+
+function createFleet(now: () => number = () => 0): BackendFleet {
+  return new BackendFleet({ log: createSilentLogger(), now });
+}
+
+function listUsable(fleet: BackendFleet): string[] {
+  return fleet.listForService('service').map(({ entry }) => entry.id);
+}
+
+const READY = createEntry('a', 1, { incarnation: '7', revision: 10 });
+const LEAVING = { ...READY, isLeaving: true, revision: 50 };
+
+// The second list of the copy took the leaving back, while the server's own entry was not written again yet.
+test('older store: a leaving server still is after any number of lists of the copy', () => {
+  const fleet = createFleet();
+  fleet.replaceAll([READY], 10);
+  fleet.put(LEAVING, 50);
+  fleet.replaceAllInEra([READY], 40, 2);
+  assert.deepEqual(listUsable(fleet), []);
+  fleet.replaceAll([READY], 41);
+  assert.deepEqual(listUsable(fleet), []);
+  fleet.replaceAllInEra([READY], 30, 3);
+  assert.deepEqual(listUsable(fleet), []);
+});
+
+// The copy of a server's entry that had been removed made the server usable again.
+test('older store: a server that left and was removed is not used when a copy brings it back', () => {
+  const fleet = createFleet();
+  fleet.replaceAll([READY], 10);
+  fleet.put(LEAVING, 50);
+  fleet.remove('a', 60);
+  fleet.replaceAllInEra([READY], 40, 2);
+  assert.deepEqual(listUsable(fleet), []);
+});
+
+test('older store: a leaving server is used again once its entry says so in the new era', () => {
+  for (const isChange of [true, false]) {
+    const fleet = createFleet();
+    fleet.replaceAll([READY], 10);
+    fleet.put(LEAVING, 50);
+    fleet.replaceAllInEra([READY], 40, 2);
+    const written = { ...READY, revision: 42 };
+    if (isChange) fleet.put(written, 42);
+    else fleet.replaceAll([written], 42);
+    assert.deepEqual(listUsable(fleet), ['a']);
+  }
+});
+
+test('older store: another process of a leaving server is used', () => {
+  const fleet = createFleet();
+  fleet.replaceAll([READY], 10);
+  fleet.put(LEAVING, 50);
+  fleet.replaceAllInEra([{ ...READY, incarnation: '8' }], 40, 2);
+  assert.deepEqual(listUsable(fleet), ['a']);
+});
--- a/src/fleet/server-entry.ts
+++ b/src/fleet/server-entry.ts
@@ -24,6 +24,8 @@
   readonly kind: string | undefined;
   /** The layers that it holds; undefined if it holds none or is not a model engine. */
   readonly layers: LayerRange | undefined;
+  /** Revision of the store at which the entry was last written. Absent in lists of older builds. */
+  readonly revision?: number | undefined;
 }
 
 /**
