Own interface: a record that cannot be read costs only itself, not the exchange

Seen: an exchange with one record of an unknown kind, or one whose fields do not match, was refused with INVALID_ARGUMENT; an answer with such a record counted as a failed exchange. Each later exchange of the two instances failed alike, and after two failures the peer was marked as suspect. So a kind of record that a newer build adds would cut every older instance off from it. Cause: the records were validated together with the message. Fix: the message takes the records as they are, and the table reads each by itself. One that does not match is left out and not passed on; the first one of each peer's table is logged. The index is confirmed all the same: a build that knows the kind starts with a new table and is sent everything. Ruled out: storing and passing on unknown kinds. Their scope is not known, and a kind meant for a region would be sent to all.

--- a/src/peer/link-task.ts
+++ b/src/peer/link-task.ts
@@ -3,7 +3,7 @@
 import { sleep } from '../common/clock.js';
 import type { ExchangeMessage } from './messages.js';
 import { PeerClient } from './peer-client.js';
-import { RECORD_SCOPES, type RecordKind } from './record.js';
+import { RECORD_SCOPES, type PeerRecord, type RecordKind } from './record.js';
 import type { RecordTable } from './record-table.js';
 
 /** The identity and the record table of this instance, shared by all its links. */
@@ -82,10 +82,13 @@
  * @param message - The peer's message.
  * @returns The answer to send to the peer.
  */
-export function answerExchange(context: LinkContext, message: ExchangeMessage): ExchangeMessage {
+export function answerExchange(
+  context: LinkContext,
+  message: ExchangeMessage,
+): ExchangeMessage & { records: PeerRecord[] } {
   const { table, tableId, instance, region } = context;
   const sourceId = formatSourceId(message.instance, message.table);
-  message.records.forEach((record) => table.put(record, sourceId));
+  table.putReceived(message.records, sourceId);
   const confirmedIndex = message.confirmedTable === tableId ? message.confirmed : 0;
   const isInScope = createScopeFilter(region, message.region);
   const batch = table.collectUnconfirmed(confirmedIndex, sourceId, isInScope, BATCH_LIMIT);
@@ -104,7 +107,7 @@
   const { progress, context } = options;
   const isNewTable = answer.table !== progress.peerTableId;
   const sourceId = formatSourceId(answer.instance, answer.table);
-  answer.records.forEach((record) => context.table.put(record, sourceId));
+  context.table.putReceived(answer.records, sourceId);
   progress.peerTableId = answer.table;
   progress.receivedIndex = answer.index;
   // A restarted peer has an empty table: nothing that it confirmed earlier is in it.
--- a/src/peer/membership.ts
+++ b/src/peer/membership.ts
@@ -30,11 +30,15 @@
 
   readonly #events = new EventEmitter();
 
+  /** The sources whose records could not all be read; a line is logged for the first record of each. */
+  readonly #unreadableSources = new Set<string>();
+
   #state: MemberState = 'joining';
 
   constructor(options: MembershipOptions) {
     this.#options = options;
     options.table.onRecord('member', (record) => this.#applyRecord(record));
+    options.table.onUnreadable((reason, source) => this.#noteUnreadable(reason, source));
     this.#publishOwnState();
   }
 
@@ -132,6 +136,15 @@
     table.put(createOwnRecord({ ...self, state: this.#state }, incarnation, counter), '', true);
   }
 
+  #noteUnreadable(reason: string, source: string): void {
+    if (this.#unreadableSources.has(source)) return;
+    this.#unreadableSources.add(source);
+    this.#options.log.warn('Left out a record of a peer that does not match the schema.', {
+      source,
+      reason,
+    });
+  }
+
   #applyRecord(record: PeerRecord): void {
     const { self, incarnation, log } = this.#options;
     const parsed = Member.safeParse(record.value);
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -1,7 +1,6 @@
 /** The schemas of the messages between instances, and their MessagePack encoding. */
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
-import { PeerRecord } from './record.js';
 
 /** Request and answer of an exchange: the records that the receiver has not confirmed yet. */
 export const ExchangeMessage = z.object({
@@ -15,7 +14,8 @@
   confirmed: z.number().int().min(0),
   /** The index in the sender's table up to which the receiver is up to date with these records. */
   index: z.number().int().min(0),
-  records: z.array(PeerRecord),
+  /** Each is read by itself: one of a kind that a newer build has added costs no other record. */
+  records: z.array(z.unknown()),
 });
 export type ExchangeMessage = z.infer<typeof ExchangeMessage>;
 
--- a/src/peer/record-table.ts
+++ b/src/peer/record-table.ts
@@ -3,7 +3,7 @@
  * so that a peer can be sent just the records that it has not confirmed yet.
  */
 import { EventEmitter } from 'node:events';
-import { isNewer, type PeerRecord, type RecordKind } from './record.js';
+import { isNewer, PeerRecord, type RecordKind } from './record.js';
 
 interface TableEntry {
   readonly record: PeerRecord;
@@ -67,6 +67,29 @@
     return true;
   }
 
+  /**
+   * Stores the newer ones among the records that a peer sent. One that does not match the schema,
+   * for example of a kind that a newer build has added, is left out and not passed on.
+   *
+   * @param source - The id of the peer's table that sent them.
+   */
+  putReceived(records: readonly unknown[], source: string): void {
+    records.forEach((record) => {
+      const parsed = PeerRecord.safeParse(record);
+      if (parsed.success) this.put(parsed.data, source);
+      else this.#events.emit('unreadable', parsed.error.message, source);
+    });
+  }
+
+  /**
+   * Registers a listener that is called for each received record that does not match the schema.
+   *
+   * @param listener - Receives the reason and the record's source, see {@link put}.
+   */
+  onUnreadable(listener: (reason: string, source: string) => void): void {
+    this.#events.on('unreadable', listener);
+  }
+
   /** Returns the stored record of a kind and key, if there is one. */
   get(kind: RecordKind, key: string): PeerRecord | undefined {
     return this.#entries.get(`${kind}/${key}`)?.record;
