Own interface: a lease keeps the fields that are not known when another build writes it

Seen: a field that a newer holder had put into `leases/<model>` was gone after an older build had taken the lease over or renewed it, so that a build that was upgraded, taken back and upgraded again did not find its own field. Cause: takeover and renewal wrote a new object, and the schema dropped unknown fields on reading, also for a release. Fix: the schema keeps them, and each write starts from the stored lease, without fields that are nested too deeply to be written. Ruled out: holder, number, duration, renewals and token can't come from the stored lease, since each write still sets all five.

--- a/src/placement/lease-manager.ts
+++ b/src/placement/lease-manager.ts
@@ -7,6 +7,7 @@
 import type { PlatformConnection } from '../platform/connection.js';
 import { ABSENT_VERSION, type ReadResult } from '../platform/object.js';
 import { readObject } from '../platform/queries/read-objects.js';
+import { keepWritableFields } from '../store/writable-fields.js';
 import { hasExpired, Lease, LEASE_PREFIX, type LeaseObservation } from './lease.js';
 
 /** Options of {@link LeaseManager}. */
@@ -108,7 +109,7 @@
     const lease = Lease.safeParse(result.object.value);
     if (!lease.success || lease.data.holder !== this.#options.holder) return;
     const released: Lease = {
-      ...lease.data,
+      ...keepWritableFields(lease.data),
       holder: '',
       durationMilliseconds: 1,
       token: randomUUID(),
@@ -138,6 +139,7 @@
     const isRenewal = stored.lease?.holder === holder;
     const previousFencingNumber = stored.lease?.fencingNumber ?? 0;
     const next: Lease = {
+      ...keepWritableFields(stored.lease ?? {}),
       holder,
       fencingNumber: isRenewal ? previousFencingNumber : previousFencingNumber + 1,
       durationMilliseconds,
--- a/src/placement/lease.ts
+++ b/src/placement/lease.ts
@@ -5,8 +5,8 @@
  */
 import { z } from 'zod';
 
-/** A lease as it is stored. */
-export const Lease = z.object({
+/** A lease as it is stored. Fields of a newer build are kept by each write. */
+export const Lease = z.looseObject({
   /** The incarnation of the instance that holds the lease; empty after a release. */
   holder: z.string(),
   /** Raised by every change of holder, so that engines can refuse orders of an earlier holder. */
