Own interface: a change keeps the fields of a branch that are not known

Seen: a field of a newer build beside the settings of a branch, or in an entry of its history, was gone from the object API after an operator's change on an older build, and from the copies that older builds pass on and write back after a loss of data. Cause: the schemas of the branch and of an accepted change dropped unknown fields on reading, and a change wrote a new object. Fix: both schemas keep them, without those that are nested too deeply to be written or sent to a peer, and a change starts from the stored branch. Ruled out: the settings stay strict, as before: a setting that is not known is still a reason to keep the branch in force, since ignoring it could put a wrong setting into effect.

--- a/src/configuration/branch.ts
+++ b/src/configuration/branch.ts
@@ -4,6 +4,7 @@
  * merged.
  */
 import { z } from 'zod';
+import { keepWritableFields } from '../store/writable-fields.js';
 
 const Name = z
   .string()
@@ -59,27 +60,34 @@
 });
 export type TeamSettings = z.infer<typeof TeamSettings>;
 
-/** One accepted change, as it is kept in the history of the branch. */
-export const AcceptedChange = z.object({
-  id: z.string(),
-  revision: z.number().int(),
-  author: z.string(),
-  acceptedAt: z.number(),
-  paths: z.array(z.string()),
-});
+/** One accepted change, as it is kept in the history of the branch, also with fields of a newer build. */
+export const AcceptedChange = z
+  .looseObject({
+    id: z.string(),
+    revision: z.number().int(),
+    author: z.string(),
+    acceptedAt: z.number(),
+    paths: z.array(z.string()),
+  })
+  .transform(keepWritableFields);
 export type AcceptedChange = z.infer<typeof AcceptedChange>;
 
-/** A branch as it is stored in the object API and sent to peers. */
-export const Branch = z.object({
-  team: Name,
-  revision: z.number().int().min(0),
-  /** The revision that last set each field. The key is the field's path, joined with slashes. */
-  fieldRevisions: z.record(z.string(), z.number().int()),
-  /** Changes based on a revision older than this can no longer be merged. */
-  mergeFloor: z.number().int().min(0),
-  recentChanges: z.array(AcceptedChange),
-  settings: TeamSettings,
-});
+/**
+ * A branch as it is stored in the object API and sent to peers. A change keeps the fields of a newer
+ * build beside the settings.
+ */
+export const Branch = z
+  .looseObject({
+    team: Name,
+    revision: z.number().int().min(0),
+    /** The revision that last set each field. The key is the field's path, joined with slashes. */
+    fieldRevisions: z.record(z.string(), z.number().int()),
+    /** Changes based on a revision older than this can no longer be merged. */
+    mergeFloor: z.number().int().min(0),
+    recentChanges: z.array(AcceptedChange),
+    settings: TeamSettings,
+  })
+  .transform(keepWritableFields);
 export type Branch = z.infer<typeof Branch>;
 
 /** The key prefix of branches in the object API. */
--- a/src/configuration/change.ts
+++ b/src/configuration/change.ts
@@ -97,6 +97,7 @@
     paths,
   };
   return {
+    ...branch,
     team: branch.team,
     revision,
     fieldRevisions: {
