An older copy of the store shows no end of a process

In the fleet, the first list of a copy that holds the entry of an ended server at an address given away since marked the live server there as ended, as did an earlier start whose name is no number. An end that is shown lets a request run again elsewhere while the live server still runs it. A third one: an address given away after the return was not seen as an end, as the revision known from the era before was higher.

Cause: the order of lists and revisions was taken for the order of processes across the return of the store.

Evidence: three tests in src/fleet/older-store.test.ts ("does not end the live one", "does not end the later one", "at a lower revision than before"), which failed on the code before and pass now.

Why it works: the first list of an era concludes no end, except from starts that are numbers; revisions since which servers are known become that of this list. Later writes of the era show ends as before.

--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -66,6 +66,9 @@
   /** Revision of the first list of this era; an entry that was written later is none of the older copy. */
   #eraRevision = -1;
 
+  /** Whether entries are those of an older copy of the store, whose order says nothing of which process is newer. */
+  #isReadingCopy = false;
+
   /** By process. */
   readonly #ownWords = new LruMap<string, OwnWord>(MAXIMUM_OWN_WORDS);
 
@@ -203,7 +206,8 @@
 
   /**
    * Replaces all entries by those of a store that is back from an older copy, in which entries may be missing
-   * that are written again. A process that was leaving still is, until its entry is written again.
+   * that are written again. A process that was leaving still is, until its entry is written again; none has ended
+   * because the copy has an earlier one in its place.
    *
    * @param entries - All entries in the store.
    * @param revision - Revision of the store that the entries reflect.
@@ -215,7 +219,12 @@
     this.revision = 0;
     this.storeBackAt = this.#now();
     this.#eraRevision = revision;
+    this.#isReadingCopy = true;
     this.replaceAll(entries, revision);
+    this.#isReadingCopy = false;
+    this.#servers.forEach((server) => {
+      server.knownSinceRevision = revision;
+    });
   }
 
   /**
@@ -299,7 +308,7 @@
       return;
     }
     if (getProcessKey(known.entry) !== getProcessKey(entry)) {
-      if (isLaterStart(known.entry, entry))
+      if (isLaterStart(known.entry, entry, !this.#isReadingCopy))
         this.recordEnd(known.entry, `it started again, incarnation ${entry.incarnation}`);
       Object.assign(known, STATE_OF_NEW_PROCESS, { ownWord: this.#getOwnWord(entry) });
       this.#onRestarted(entry.id);
@@ -316,6 +325,7 @@
   }
 
   #recordReplacedServers(entry: ServerEntry): void {
+    if (this.#isReadingCopy) return;
     this.#servers.forEach((server) => {
       if (isReplacedBy(server, entry, this.revision))
         this.recordEnd(server.entry, `its address was given to ${entry.id}`);
--- a/src/fleet/fleet-server.ts
+++ b/src/fleet/fleet-server.ts
@@ -31,8 +31,8 @@
 /** A registered server and its current state. Times are on the monotonic clock. */
 export interface FleetServer {
   entry: ServerEntry;
-  /** Revision of the list or change with which it became known. */
-  readonly knownSinceRevision: number;
+  /** Revision of the list or change with which it became known, of the current era of the store. */
+  knownSinceRevision: number;
   ownWord: OwnWord;
   /** Requests sent by this instance. */
   readonly ownLoad: ServerLoad;
--- a/src/fleet/newer-process.ts
+++ b/src/fleet/newer-process.ts
@@ -13,15 +13,18 @@
  *
  * @param before - The entry of the process that is known.
  * @param after - The entry that was found in its place.
+ * @param isInOrder - Whether the store reports them in their order, as an older copy of it doesn't.
  * @returns False also where either doesn't say which start it is.
  */
 export function isLaterStart(
   { incarnation: before }: ServerEntry,
   { incarnation: after }: ServerEntry,
+  isInOrder = true,
 ): boolean {
   if (before === undefined || after === undefined || before === after) return false;
   const [earlier, later] = [Number(before), Number(after)];
-  return Number.isNaN(earlier) || Number.isNaN(later) || later > earlier;
+  if (Number.isNaN(earlier) || Number.isNaN(later)) return isInOrder;
+  return later > earlier;
 }
 
 /**
--- a/src/fleet/older-store.test.ts
+++ b/src/fleet/older-store.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { createSilentLogger } from '../telemetry/log.js';
 import { BackendFleet } from './backend-fleet.js';
-import type { ServerEntry } from './server-entry.js';
+import { getProcessKey, type ServerEntry } from './server-entry.js';
 
 function createEntry(id: string, port: number, fields: Partial<ServerEntry> = {}): ServerEntry {
   return {
@@ -72,3 +72,37 @@
   fleet.replaceAllInEra([{ ...READY, incarnation: '8' }], 40, 2);
   assert.deepEqual(listUsable(fleet), ['a']);
 });
+
+// A live server was taken for ended, and what it ran was run again elsewhere.
+test('older store: the entry of an ended process in the copy does not end the live one at its address', () => {
+  const [ended, live] = [createEntry('old', 1), createEntry('new', 1)];
+  const fleet = createFleet();
+  fleet.replaceAll([ended], 10);
+  fleet.remove('old', 20);
+  fleet.put(live, 30);
+  fleet.replaceAllInEra([ended], 60, 2);
+  assert.ok(!fleet.hasEnded(getProcessKey(live)));
+  fleet.put(createEntry('newest', 1), 70);
+  assert.ok(fleet.hasEnded(getProcessKey(live)), 'a write of the new era shows it');
+});
+
+// Names of starts that are no numbers have only the order in which the store reports them.
+test('older store: an earlier start in the copy does not end the later one', () => {
+  const [before, after] = ['x1', 'x2'].map((incarnation) => createEntry('a', 1, { incarnation }));
+  assert.ok(before && after);
+  const fleet = createFleet();
+  fleet.replaceAll([before], 10);
+  fleet.put(after, 20);
+  fleet.replaceAllInEra([before], 15, 2);
+  assert.ok(!fleet.hasEnded(getProcessKey(after)));
+});
+
+// A revision of the era before hid for good that an address had been given to another server.
+test('older store: an address that is given away at a lower revision than before shows an end', () => {
+  const known = createEntry('known', 1);
+  const fleet = createFleet();
+  fleet.replaceAll([known], 500);
+  fleet.replaceAllInEra([known], 100, 2);
+  fleet.put(createEntry('next', 1), 110);
+  assert.ok(fleet.hasEnded(getProcessKey(known)));
+});
