The report of another server at an engine's address is not the engine's

Callers saw: after an address had been given to another server whose predecessor's entry had not lapsed, the layers, the slowdown and the stalled requests that the new server reports counted as those of the engine that was asked; runs on that engine went on counting as runs on a live process. Cause: EngineReports looked at the name in an answer only for the statements (limit, leave, pause), not for the report. Health checks compared it already.

Now an answer that names another server id is refused as a report (ForeignResponseError: the planner and the stall detector treat it as no report) and as health. It also shows the end of the server that was asked, if the other one is registered at the same address: an address is given to another server only after the first has ended, the question went over a new connection, and the entry was known before it. A name alone, or of a server registered elsewhere, records nothing: it may come from spoiled bytes. Answers without a name count as before.

Ruled out: kept connections (reports and health checks use a new connection each); statements (StatementRecorder compares the name).

--- a/src/daemon/server-components.ts
+++ b/src/daemon/server-components.ts
@@ -88,7 +88,7 @@
     });
     const { fleet, serverLimits } = this;
     this.statements = new StatementRecorder({ fleet, serverLimits, log: logs('routing') });
-    this.engineReports = new EngineReports({ protocol, statements: this.statements });
+    this.engineReports = new EngineReports({ protocol, statements: this.statements, fleet });
     this.crashBlame = this.#createCrashBlame();
     this.stallDetector = this.#createStallDetector();
     this.serverHealth = this.#createServerHealth();
--- a/src/daemon/server-health.test.ts
+++ b/src/daemon/server-health.test.ts
@@ -35,15 +35,21 @@
   };
 }
 
-/** Checks the health of an ejected server whose process has ended, at whose address another one may answer. */
-async function checkEndedServer(context: TestContext, answererId: string | undefined) {
+/** Checks the health of an ejected server, at whose address another one may answer or be registered. */
+async function checkEjectedServer(
+  context: TestContext,
+  answererId: string | undefined,
+  { isKnownToHaveEnded = true, otherId = '' } = {},
+) {
   const log = createSilentLogger();
   let now = 0;
   const fleet = new BackendFleet({ log });
   const outlierEjection = new OutlierEjection({ log, now: () => now });
   const entry = await startHealthyServer(context, answererId);
+  // One revision: the list doesn't tell which of the two is the newer.
+  if (otherId !== '') fleet.put({ ...entry, id: otherId }, 1);
   fleet.put(entry, 1);
-  fleet.recordEnd(entry, 'refused');
+  if (isKnownToHaveEnded) fleet.recordEnd(entry, 'refused');
   outlierEjection.eject(entry.id, 'refused');
   now += HOLD_MILLISECONDS;
   const health = new ServerHealth({
@@ -61,17 +67,28 @@
 }
 
 test('server health: a server that answers itself is alive and readmitted', async (context) => {
-  const { hasEnded, isEjected } = await checkEndedServer(context, 'known');
+  const { hasEnded, isEjected } = await checkEjectedServer(context, 'known');
   assert.deepEqual({ hasEnded, isEjected }, { hasEnded: false, isEjected: false });
 });
 
 // The health of a server that had taken over the address withdrew the end of the one before it.
 test('server health: the answer of another server at the address says nothing of the one that is checked', async (context) => {
-  const { hasEnded, isEjected } = await checkEndedServer(context, 'another');
+  const { hasEnded, isEjected } = await checkEjectedServer(context, 'another');
   assert.deepEqual({ hasEnded, isEjected }, { hasEnded: true, isEjected: true });
 });
 
 test('server health: an answer without an id readmits a server, but does not show that its process lives', async (context) => {
-  const { hasEnded, isEjected } = await checkEndedServer(context, undefined);
+  const { hasEnded, isEjected } = await checkEjectedServer(context, undefined);
   assert.deepEqual({ hasEnded, isEjected }, { hasEnded: true, isEjected: false });
 });
+
+// Runs on it counted as runs on a live server until its entry lapsed.
+test('server health: the answer of another server shows the end of the one that is checked if it is registered there', async (context) => {
+  const isKnownToHaveEnded = false;
+  const registered = { isKnownToHaveEnded, otherId: 'another' };
+  assert.ok((await checkEjectedServer(context, 'another', registered)).hasEnded);
+  const unknown = { isKnownToHaveEnded, otherId: 'a third one' };
+  assert.ok(!(await checkEjectedServer(context, 'another', unknown)).hasEnded);
+  assert.ok(!(await checkEjectedServer(context, undefined, registered)).hasEnded);
+  assert.ok(!(await checkEjectedServer(context, 'known', registered)).hasEnded);
+});
--- a/src/daemon/server-health.ts
+++ b/src/daemon/server-health.ts
@@ -8,6 +8,7 @@
 import { getAvailability } from '../fleet/server-availability.js';
 import type { StatementRecorder } from '../fleet/server-statements.js';
 import type { ProtocolAdapter } from '../entry/protocol-adapter.js';
+import { isAnothersAnswer, recordAnothersAnswer } from '../evidence/address-owner.js';
 import type { ServerLimits } from '../fleet/server-limits.js';
 
 /** Options of {@link ServerHealth}. */
@@ -49,12 +50,13 @@
     const path = configuration.current?.services.get(entry.service)?.healthPath;
     const { health, answer } = await checkHealth(entry.address, path ?? DEFAULT_HEALTH_PATH);
     const said = answer && protocol.parseServerStatements(answer.headers);
+    if (said && isAnothersAnswer(entry, said)) {
+      recordAnothersAnswer(fleet, entry, said);
+      return;
+    }
     if (said) statements.record({ entry, status: answer.status, statements: said });
     if (health === 'refused') await endCheck.recordRefusal(entry, 'a health check was refused');
     if (health !== 'healthy') return;
-    // Another server may have taken over the address.
-    const isAnothers = said?.serverId !== undefined && said.serverId !== id;
-    if (isAnothers) return;
     if (said?.serverId === id) fleet.recordLife(entry);
     outlierEjection.readmitIfHoldElapsed(id);
   }
