A peer that is gone is dead also for an instance that is always late

Cause: an instance whose check of its peers came late took the whole delay for its own and discounted it from the silence of each peer. One that is always late, as under overload, never took a peer for dead.

Fix: the silence is also measured by what the other peers send: once each of them has renewed its record more often than the limit of heartbeats, on average, and the limit is over by the clock too, delays are no longer discounted. A process that stood still reads nothing meanwhile, and still takes nobody for dead.

The log line of a lost peer tells what was discounted.

--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -2,6 +2,7 @@
 import { getOwnValue } from '../common/own-value.js';
 import type { Logger } from '../telemetry/log.js';
 import type { PeerRecord } from './peer-record.js';
+import { PeerRounds, type RenewalMark } from './peer-rounds.js';
 import { getHeartbeatInterval, getRemoteRecordInterval } from './record-interval.js';
 
 /** Options of {@link PeerTable}. */
@@ -19,6 +20,9 @@
   record: PeerRecord;
   /** When a newer record last arrived, in milliseconds on the monotonic clock. */
   updatedAt: number;
+  /** The same, without what is discounted for the delays of this process. */
+  readonly arrivedAt: number;
+  readonly mark: RenewalMark;
   isAlive: boolean;
 }
 
@@ -35,6 +39,11 @@
 const RETRY_COUNTS_MAX_AGE_MILLISECONDS = 10_000;
 const FORGET_AFTER_MILLISECONDS = 60_000;
 
+/** Records of other data centres come less often. */
+const LOCAL_GROUP = 'local';
+const REMOTE_GROUP = 'remote';
+type PeerGroup = typeof LOCAL_GROUP | typeof REMOTE_GROUP;
+
 export class PeerTable {
   readonly #instance: string;
 
@@ -50,6 +59,10 @@
 
   readonly #peers = new Map<string, PeerState>();
 
+  readonly #rounds = new PeerRounds();
+
+  #heartbeat = getHeartbeatInterval(0);
+
   constructor(options: PeerTableOptions) {
     this.#instance = options.instance;
     this.#dataCentre = options.dataCentre;
@@ -71,20 +84,25 @@
     if (known && !isNewer(record, known.record)) return false;
     const wasAlive = known?.isAlive ?? false;
     const isAlive = record.counter > 0;
-    this.#peers.set(record.instance, { record, updatedAt: this.#now(), isAlive });
+    const now = this.#now();
+    const time = { now, heartbeat: this.#heartbeat };
+    const mark = this.#rounds.record(this.#getGroup(record), known?.mark, time);
+    this.#peers.set(record.instance, { record, updatedAt: now, arrivedAt: now, mark, isAlive });
     if (isAlive && !wasAlive) this.#log.info('Peer is alive.', { peer: record.instance });
     return true;
   }
 
   /**
    * Marks peers that have gone silent as dead, and forgets them after a minute of silence. Time in
-   * which this process itself stood still or was late is not counted as silence of its peers.
+   * which this process itself stood still or was late is not counted as silence of its peers, unless the others
+   * have renewed their records meanwhile.
    */
   expireSilentPeers(): void {
     const now = this.#now();
     const sinceLastCheck = now - (this.#lastCheckAt ?? now);
     this.#lastCheckAt = now;
     const heartbeat = getHeartbeatInterval(this.aliveCount);
+    this.#heartbeat = heartbeat;
     if (sinceLastCheck > CHECK_DELAY_HEARTBEATS * heartbeat) {
       this.#peers.forEach((known) => {
         known.updatedAt = Math.min(now, known.updatedAt + sinceLastCheck);
@@ -93,14 +111,20 @@
     const localLimit = SILENCE_LIMIT_HEARTBEATS * heartbeat;
     const heldBackHeartbeats = getRemoteRecordInterval(this.aliveCount) - 1;
     const remoteLimit = localLimit + HELD_BACK_HEARTBEATS * heldBackHeartbeats * heartbeat;
+    const others = this.#countOthers();
     this.#peers.forEach((known, instance) => {
       const silence = now - known.updatedAt;
-      const isLocal = known.record.dataCentre === this.#dataCentre;
-      if (known.isAlive && silence > (isLocal ? localLimit : remoteLimit)) {
+      const group = this.#getGroup(known.record);
+      const limit = group === LOCAL_GROUP ? localLimit : remoteLimit;
+      const rounds = this.#rounds.countSince(group, known.mark, others[group]);
+      const isOutlived = now - known.arrivedAt > limit && rounds > SILENCE_LIMIT_HEARTBEATS;
+      if (known.isAlive && (silence > limit || isOutlived)) {
         known.isAlive = false;
         this.#log.warn('No newer record from the peer; considered dead.', {
           peer: instance,
-          silenceMilliseconds: Math.round(silence),
+          silenceMilliseconds: Math.round(now - known.arrivedAt),
+          discountedMilliseconds: Math.round(known.updatedAt - known.arrivedAt),
+          roundsOfOthers: Math.round(rounds),
         });
         this.#onPeerLost(instance);
       }
@@ -108,6 +132,17 @@
     });
   }
 
+  #getGroup({ dataCentre }: PeerRecord): PeerGroup {
+    return dataCentre === this.#dataCentre ? LOCAL_GROUP : REMOTE_GROUP;
+  }
+
+  /** For each group, the peers that are alive, but for the one that is looked at. */
+  #countOthers(): Readonly<Record<PeerGroup, number>> {
+    const alive = this.aliveRecords;
+    const local = alive.filter((record) => this.#getGroup(record) === LOCAL_GROUP).length;
+    return { [LOCAL_GROUP]: local - 1, [REMOTE_GROUP]: alive.length - local - 1 };
+  }
+
   /** Number of peers that are alive. */
   get aliveCount(): number {
     let count = 0;
