An answer of the store without its era is of the era that is known

What callers would see: while the header Store-Era is missing or can't be read, each watch would list anew, and each list would be ignored as older than what is known, so that servers that leave or come stay unknown.

Cause: an absent era was compared as era 0.

Evidence: "an answer without an era" in src/store/follow-objects.test.ts failed on the code before and passes now. Left: an older copy that comes back while the header is missing is compared by revision alone.

--- a/src/store/follow-objects.test.ts
+++ b/src/store/follow-objects.test.ts
@@ -17,7 +17,10 @@
  * Follows a store whose watches return the scripted results in order; stops after the last one or
  * at 'hang'. Returns the calls and callbacks in order.
  */
-async function follow(script: readonly (WatchObjectsResult | 'hang')[]): Promise<string[]> {
+async function follow(
+  script: readonly (WatchObjectsResult | 'hang')[],
+  eras: (number | undefined)[] = [],
+): Promise<string[]> {
   const calls: string[] = [];
   const end = new AbortController();
   const remaining = [...script];
@@ -25,7 +28,12 @@
     ...UNEXPECTED_CALLS,
     list: () => {
       calls.push('list');
-      return Promise.resolve({ kind: 'listed', objects: [], revision: 10 + calls.length });
+      return Promise.resolve({
+        kind: 'listed',
+        objects: [],
+        revision: 10 + calls.length,
+        era: eras.shift(),
+      });
     },
     watch: (_kind, { since }) => {
       calls.push(`watch ${since}`);
@@ -45,7 +53,9 @@
       calls.push('pause');
       return 0;
     },
-    onList: () => undefined,
+    onList: (_objects, _revision, era) => {
+      if (era > 0) calls.push(`era ${era}`);
+    },
     onChanges: (changes) => calls.push(`changes ${changes.length}`),
     onStoreAnswer: () => undefined,
     log: createSilentLogger(),
@@ -94,3 +104,17 @@
   } as const;
   assert.deepEqual(await follow([changed, 'hang']), ['list', 'watch 11', 'list', 'watch 13']);
 });
+
+// Lists without an era were taken for older than all that is known, as long as the header was missing.
+test('follow: an answer without an era that can be read is taken for one of the known era', async () => {
+  const unread = { kind: 'changed', changes: [], revision: 20, era: 0 } as const;
+  assert.deepEqual(await follow([unread, { kind: 'historyLost' }, 'hang'], [3, 0]), [
+    'list',
+    'era 3',
+    'watch 11',
+    'watch 20',
+    'list',
+    'era 3',
+    'watch 15',
+  ]);
+});
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -72,6 +72,11 @@
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
 }
 
+/** Whether an answer is of another era; not if it doesn't tell one that can be read, which counts as 0. */
+function isOtherEra(told = 0, known: number): boolean {
+  return told !== 0 && told !== known;
+}
+
 async function waitWhilePaused(isPaused: () => boolean, signal: AbortSignal): Promise<void> {
   while (isPaused() && !signal.aborted) await sleep(PAUSE_POLL_MILLISECONDS, signal);
 }
@@ -125,7 +130,8 @@
       if (listed.kind === 'listed') {
         recordAnswer(performance.now() - startedAt);
         revision = listed.revision;
-        era = listed.era ?? 0;
+        // Without an era the list is taken for one of the era that is known.
+        if (isOtherEra(listed.era, era)) era = listed.era ?? era;
         onPosition({ era, revision });
         onList(listed.objects, revision, era);
       } else {
@@ -143,7 +149,7 @@
         isOnNewConnection,
         signal: ended,
       });
-      if (watched.kind === 'changed' && (watched.era ?? 0) !== era) {
+      if (watched.kind === 'changed' && isOtherEra(watched.era, era)) {
         // Its revision says nothing of what the older copy lacks.
         log.warn('Object store is back from an older copy; listing all objects.', {
           objectKind,
