--- a/src/claims/claim-writer.ts
+++ b/src/claims/claim-writer.ts
@@ -41,6 +41,13 @@
   pending: PendingOperation[];
 }
 
+/** What a read of a shard shows about the copy from which a change was computed. */
+type CopyState = 'current' | 'outdated' | 'unreadable';
+
+const UNREADABLE_SHARD: ClaimAnswer = {
+  kind: 'unavailable',
+  message: 'The stored shard of claims does not match the schema.',
+};
 const ABSENT_SHARD: StoredShard = { shard: { entries: {} }, version: ABSENT_VERSION };
 const MAXIMUM_CACHED_SHARDS = 256;
 const RETRY_MILLISECONDS = 20;
@@ -160,8 +167,9 @@
     const { shard: next, answers, isChanged } = applyClaims(stored.shard, messages);
     if (!isChanged) {
       // No write will check the version, so a read must confirm that the cached copy is current.
-      const isCurrent = await this.#refresh(shard, stored.version);
-      return isCurrent ? answers : 'The shard was read anew.';
+      const state = await this.#refresh(shard, stored.version);
+      if (state === 'unreadable') return messages.map(() => UNREADABLE_SHARD);
+      return state === 'current' ? answers : 'The shard was read anew.';
     }
     const result = await writeObject(this.#options.connection, shard, next, stored.version);
     if (result.kind === 'written') {
@@ -171,20 +179,26 @@
     if (result.kind === 'unavailable') return result.message;
     // Another instance wrote the shard, or it is unknown whether this write was stored. Read the
     // shard, so that the next attempt starts from what is stored.
-    await this.#refresh(shard, stored.version);
+    const state = await this.#refresh(shard, stored.version);
+    if (state === 'unreadable') return messages.map(() => UNREADABLE_SHARD);
     return result.kind === 'conflict' ? 'Another instance wrote first.' : result.message;
   }
 
-  /** Reads the shard into the cache; returns whether its version is still the given one. */
-  async #refresh(shard: string, version: number): Promise<boolean> {
+  /** Reads the shard into the cache, and compares its version with the given one. */
+  async #refresh(shard: string, version: number): Promise<CopyState> {
     const result = await readObject(this.#options.connection, shard);
-    if (result.kind === 'unavailable') return false;
+    if (result.kind === 'unavailable') return 'outdated';
     if (result.kind === 'absent') {
       this.#cache.delete(shard);
-      return version === ABSENT_VERSION;
+      return version === ABSENT_VERSION ? 'current' : 'outdated';
     }
     const { object } = result;
-    this.#cache.set(shard, { shard: ClaimShard.parse(object.value), version: object.version });
-    return object.version === version;
+    const parsed = ClaimShard.safeParse(object.value);
+    if (!parsed.success) {
+      this.#cache.delete(shard);
+      return 'unreadable';
+    }
+    this.#cache.set(shard, { shard: parsed.data, version: object.version });
+    return object.version === version ? 'current' : 'outdated';
   }
 }
