A peer's answer counts only with the id of the request

Callers saw: an answer of a peer that belonged to another request (or to none) was used as it came: its refusal became the promise that the request had not run, its signed answer the request's own. Cause: PeerRelay looked at the signature only; what servers answer is compared with the request id, what peers answer was not.

Now an answer that lacks the id of the request is lost: the request may have run, and goes on only where it may run again; the connection is ended. Instances write the id into all their own answers and pass on that of the server, since Request-Id was first written, and refuse requests without one, so that no sound answer lacks it.

Evidence: the new test in peer-relay.test.ts fails with the former code ('ended' and 'served' in place of 'lost') and passes now, as do the 5 others and the 4 of tests/passed-on-requests. The peer of the tests that refuses now writes the id, as instances do; what these tests check is unchanged.

--- a/src/relay/peer-relay.test.ts
+++ b/src/relay/peer-relay.test.ts
@@ -12,13 +12,17 @@
 import { PeerRelay } from './peer-relay.js';
 import type { Route } from '../entry/serving-configuration.js';
 
-/** Starts a peer that refuses each request with a code. */
-async function startRefusingPeer(context: TestContext, code: string) {
+/** Starts a peer that refuses each request with a code, under the id of the request unless another is given. */
+async function startRefusingPeer(
+  context: TestContext,
+  code: string,
+  headers: Readonly<Record<string, string>> = { 'request-id': 'request' },
+) {
   let received = 0;
   const server = http.createServer((request, response) => {
     received += 1;
     request.resume();
-    response.writeHead(503, { 'retry-after': '0.5' });
+    response.writeHead(503, { 'retry-after': '0.5', ...headers });
     response.end(JSON.stringify({ error: { code, message: 'Not run.' } }));
   });
   context.after(() => server.close());
@@ -170,3 +174,20 @@
   assert.equal(decide([other], 'safe'), 'tryBeside');
   assert.equal(decide([other], 'unsafe'), 'wait');
 });
+
+// A refusal of another request was passed on as the promise that this one has not run.
+test('peer relay: an answer that lacks the id of the request is lost, and the request may have run', async (context) => {
+  const foreignHeaders: readonly Record<string, string>[] = [
+    {},
+    { 'request-id': 'earlier' },
+    { 'response-signature': 's' },
+    { 'request-id': 'earlier', 'response-signature': 's' },
+  ];
+  for (const headers of foreignHeaders) {
+    for (const code of ['crashes_servers', 'stopping']) {
+      const { record } = await startRefusingPeer(context, code, headers);
+      const { kind } = await relayThrough([record], [], { kind: 'unsafe', maximumAttempts: 3 });
+      assert.equal(kind, 'lost', JSON.stringify({ code, headers }));
+    }
+  }
+});
--- a/src/relay/peer-relay.ts
+++ b/src/relay/peer-relay.ts
@@ -11,6 +11,7 @@
 import { decideOnSuspicion } from '../evidence/exchange-suspicion.js';
 import { isDeclined, isRefusal, readLocalResponse, type PeerAnswer } from './peer-answer.js';
 import { choosePeer } from './peer-choice.js';
+import { ForeignResponseError } from '../evidence/response-origin.js';
 import { watchSilence } from '../evidence/peer-silence.js';
 import { decideOnPeer, type PeerDecision } from '../evidence/peer-suspicion.js';
 import type { ProtocolAdapter } from '../entry/protocol-adapter.js';
@@ -277,7 +278,10 @@
         signal,
       });
       const status = message.statusCode ?? 0;
-      if (protocol.parseResponseHeaders(message.headers, status).isSigned)
+      const answered = protocol.parseResponseHeaders(message.headers, status);
+      if (answered.requestId !== requestId)
+        throw new ForeignResponseError('The answer of the peer lacks the id of the request.');
+      if (answered.isSigned)
         return {
           kind: 'served',
           peer: peer.instance,
