--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -73,8 +73,8 @@
 }
 
 /** Whether an answer is of another era; not if it doesn't tell one that can be read, which counts as 0. */
-function isOtherEra(told = 0, known: number): boolean {
-  return told !== 0 && told !== known;
+function isOtherEra(told: number | undefined, known: number): boolean {
+  return told !== undefined && told !== 0 && told !== known;
 }
 
 async function waitWhilePaused(isPaused: () => boolean, signal: AbortSignal): Promise<void> {
