--- a/src/claims/claim-compatibility.test.ts
+++ b/src/claims/claim-compatibility.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
+import { assertEarlierBuildReads, readSample } from '../../tools/earlier-build.js';
 import { createNested } from '../../tools/odd-values.js';
 import { startObjectApi } from '../../tools/stand-ins/object-api.js';
 import type { ClaimAnswer, ClaimMessage } from '../peer/messages.js';
@@ -99,3 +100,17 @@
   assert.deepEqual(Object.keys(applied.shard.entries), ['k1', 'k2', 'k3']);
   assert.ok(JSON.stringify(applied.shard));
 });
+
+test('claim of an earlier build: its outcome is replayed, and it can read the shard as it is written', async (context) => {
+  const sample = readSample<{ entries: Record<string, typeof ENTRY> }>('claims');
+  const [[key, entry] = ['', ENTRY]] = Object.entries(sample.entries);
+  const { writer, read } = await startWriter(context, sample);
+  const repeat = createMessage(key, 't2', { content: entry.content });
+  const body = '{"booked":1,"echo":"{}"}';
+  const outcome = { status: 200, contentType: 'application/json', body };
+  assert.deepEqual(await writer.submit(repeat), { kind: 'held', instance: 'entry-1', outcome });
+  await writer.submit(createMessage('k2'));
+  await writer.submit(createMessage('k2', 't2', { operation: 'record', outcome: OUTCOME }));
+  assertEarlierBuildReads('claims', read());
+  assert.deepEqual(Object.keys(read().entries as object), [key, 'k2']);
+});
--- a/src/configuration/branch-compatibility.test.ts
+++ b/src/configuration/branch-compatibility.test.ts
@@ -1,11 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { assertEarlierBuildReads, readSample } from '../../tools/earlier-build.js';
 import { createNested } from '../../tools/odd-values.js';
 import { startObjectApi } from '../../tools/stand-ins/object-api.js';
 import { writeObject } from '../platform/commands/write-objects.js';
 import { createPlatformConnection } from '../platform/connection.js';
 import { ABSENT_VERSION } from '../platform/object.js';
 import { Branch } from './branch.js';
+import { mergeChange } from './change.js';
 import { applyChange } from './commands/apply-change.js';
 
 const ACCEPTED = { id: 'change-1', revision: 4, author: 'a', acceptedAt: 1, paths: ['priority'] };
@@ -48,3 +50,15 @@
   assert.equal(branch.format, 2);
   assert.deepEqual(JSON.parse(JSON.stringify(branch)), branch);
 });
+
+test('branch of an earlier build: it is read whole, and that build can read it after a change', () => {
+  const sample = readSample('branch');
+  const branch = Branch.parse(sample);
+  assert.deepEqual(branch, sample);
+  const edits = [{ path: ['priority'], value: 8 }];
+  const change = { id: 'change-2', author: 'b', baseRevision: 1, edits };
+  const merged = mergeChange(branch, change, 1).unsafeCoerce();
+  assert.deepEqual([merged.revision, merged.settings.priority], [2, 8]);
+  assert.equal(merged.settings.accounts.dealer?.class, 'batch');
+  assertEarlierBuildReads('branch', merged);
+});
