KNOWN-RED: a test shows how instances together exceed a server's limit

Callers see nothing. A server that names 0.75 requests a second may get 10 in 4 s, where 9.5 are allowed, in a window that ends 3 s after it first said so.

Cause: each instance counts only what it has sent itself. One whose own last request leaves the window 3 s after the limit was named sends its part, beside what the others sent in the second before they knew (src/fleet/server-limits.ts, roomInMilliseconds). The new test replays that with three instances on one clock: 9 requests of two instances in the second before, 1 of the third; it fails each time with "10 of 9.5 at 3050 ms".

--- a/src/fleet/server-limits.test.ts
+++ b/src/fleet/server-limits.test.ts
@@ -85,6 +85,38 @@
   assert.ok(limits.hasRoom('server'));
 });
 
+// An instance with room of its own added to what others had sent before the limit was named.
+test('server limit: what other instances sent just before it was named counts, from 3 s after that on', () => {
+  const requestsPerSecond = 0.75;
+  const allowed = (1.5 * requestsPerSecond * WINDOW_MILLISECONDS) / 1000 + 5;
+  const { clock, instances } = createInstances(3);
+  const namedAt = clock.now;
+  const sentAt: number[] = [];
+  const sendWhereRoom = (instance: number, milliseconds: number): void => {
+    clock.now = namedAt + milliseconds;
+    const limits = instances[instance] as ServerLimits;
+    if (!limits.hasRoom('server')) return;
+    limits.recordSend('server');
+    sentAt.push(clock.now);
+  };
+  sendWhereRoom(0, -980);
+  [-930, -830, -730, -630, -530, -430, -330, -230, -130].forEach((at, index) =>
+    sendWhereRoom(1 + (index % 2), at),
+  );
+  clock.now = namedAt;
+  instances.forEach((limits) => limits.recordAnswer('server', requestsPerSecond));
+  for (let at = 50; at <= 8000; at += 50) {
+    instances.forEach((_, instance) => sendWhereRoom(instance, at));
+    instances.forEach((limits) => limits.recordAnswer('server', requestsPerSecond));
+  }
+  const ends = sentAt.filter((end) => end >= namedAt + 3000);
+  assert.ok(ends.length > 0, 'the limit is used');
+  ends.forEach((end) => {
+    const sent = sentAt.filter((time) => time > end - WINDOW_MILLISECONDS && time <= end);
+    assert.ok(sent.length <= allowed, `${sent.length} of ${allowed} at ${end - namedAt} ms`);
+  });
+});
+
 test('server limit: it ends when an answer no longer names it, also by word of a peer', () => {
   const { clock, instances } = createInstances(2);
   const [first, second] = instances;
