Layout: an instance's record state and its requests' context get modules of their own

Moves only, no change of behaviour: entry-components.ts (373 lines, now 326) keeps what the components tell each other; record-state.ts describes the state for the instance's record, request-components.ts creates what requests share. Both are functions of components that exist already. The factories that refer to components made later (gossip, store follower, registration) stay: apart from the class they would need as many callbacks as they have lines.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -7,28 +7,24 @@
 import { ConfigurationCheck } from '../entry/configuration-check.js';
 import type { EngineReports } from '../evidence/engine-reports.js';
 import type { EntryContext } from '../entry/entry-context.js';
-import { EntryMetrics } from '../entry/entry-metrics.js';
 import { type EntryServer } from '../entry/entry-server.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
 import { PeerRelay } from '../relay/peer-relay.js';
-import { RefusalPacing } from '../entry/refusal-pacing.js';
 import { RELAY_HEADER } from '../relay/relayed-request.js';
-import { RetryBudget } from '../relay/retry-budget.js';
-import { WaitingStreams } from '../relay/waiting-streams.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
-import { collectServerObservations } from '../fleet/server-observations.js';
 import { Gossip, type GossipOptions } from '../gossip/gossip.js';
 import { PeerTable } from '../gossip/peer-table.js';
-import { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import { PlannerLease } from '../layers/planner-lease.js';
 import type { LoggerFactory } from '../telemetry/log.js';
 import type { EntryPlatform } from './entry-platform.js';
 import { InstanceRegistration } from './instance-registration.js';
-import { OwnRecord, type RecordState } from './own-record.js';
+import { OwnRecord } from './own-record.js';
 import { CONNECTION_PATH, describeConnection } from './peer-inquiry.js';
 import { PeerObservations } from './peer-observations.js';
 import { isHolderGone, isPlanner } from './planner-role.js';
+import { describeRecordState } from './record-state.js';
+import { createEntryContext } from './request-components.js';
 import { ServerComponents } from './server-components.js';
 import type { ServerHealth } from './server-health.js';
 import { createStatusDocuments } from './status-documents.js';
@@ -95,12 +91,26 @@
       storeFollower: this.storeFollower,
     });
     this.gossip = this.#createGossip();
-    this.context = this.#createContext();
+    this.context = createEntryContext({
+      ...options,
+      servers: this.#servers,
+      peers: this.peers,
+      peerRelay: this.peerRelay,
+    });
     this.registration = this.#createRegistration();
     this.ownRecord = new OwnRecord({
       settings,
       incarnation: this.incarnation,
-      describeState: () => this.#describeState(),
+      describeState: () =>
+        describeRecordState({
+          isReady: this.isReady,
+          isStopping: options.isStopping(),
+          configuration: this.configuration,
+          storeFollower: this.storeFollower,
+          lease: this.lease,
+          servers: this.#servers,
+          retryBudget: this.context.retryBudget,
+        }),
     });
   }
 
@@ -295,40 +305,6 @@
     };
   }
 
-  #createContext(): EntryContext {
-    const { settings, platform, logs } = this.#options;
-    const { fleet, outlierEjection, callTimes, endCheck, crashBlame } = this.#servers;
-    const { serverLimits, statements, serverReach, stallDetector } = this.#servers;
-    return {
-      dataCentre: settings.dataCentre,
-      protocol: platform.protocol,
-      fleet,
-      outlierEjection,
-      callTimes,
-      endCheck,
-      crashBlame,
-      serverLimits,
-      statements,
-      serverReach,
-      peerRelay: this.peerRelay,
-      refusalPacing: new RefusalPacing(),
-      retryBudget: this.#createRetryBudget(),
-      linkLoad: new DataCentreLinkLoad({ instanceCount: () => this.peers.aliveCount + 1 }),
-      stallDetector,
-      waitingStreams: new WaitingStreams({ fleetRevision: () => fleet.revision }),
-      metrics: new EntryMetrics(),
-      logs,
-    };
-  }
-
-  #createRetryBudget(): RetryBudget {
-    return new RetryBudget({
-      settings: this.#options.settings.retryBudget,
-      peerCount: () => this.peers.allRecords.length,
-      peerCountsOf: (service) => this.peers.sumRetries(service),
-    });
-  }
-
   #createRegistration(): InstanceRegistration {
     const { settings, platform, logs, signal } = this.#options;
     return new InstanceRegistration({
@@ -347,27 +323,4 @@
     this.ownRecord.refresh();
     void this.gossip.pushRecord();
   }
-
-  #describeState(): RecordState {
-    const { fleet, outlierEjection, serverReach, crashBlame, serverLimits } = this.#servers;
-    return {
-      urgent: {
-        isReady: this.isReady,
-        isStopping: this.#options.isStopping(),
-        configurationVersion: this.configuration.current?.version ?? -1,
-        isStoreReachable: this.storeFollower.isStoreReachable,
-        isCutFromServers: serverReach.isCut,
-        suspects: outlierEjection.ownEjections,
-        ejections: outlierEjection.ownEjectionCauses,
-        plannerTerm: this.lease.isHolder ? this.lease.term : 0,
-        ...crashBlame.contents.reported,
-        promptParts: crashBlame.promptParts.reported,
-      },
-      fleetRevision: fleet.revision,
-      fleetEra: fleet.era,
-      ...collectServerObservations(fleet),
-      retries: this.context.retryBudget.counts,
-      limits: serverLimits.reported,
-    };
-  }
 }
--- /dev/null
+++ b/src/daemon/request-components.ts
@@ -0,0 +1,63 @@
+/** Creates what the requests of an instance share, from the components that it already has. */
+import type { EntryContext } from '../entry/entry-context.js';
+import { EntryMetrics } from '../entry/entry-metrics.js';
+import type { EntrySettings } from '../entry/entry-settings.js';
+import { RefusalPacing } from '../entry/refusal-pacing.js';
+import type { PeerTable } from '../gossip/peer-table.js';
+import { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
+import type { PeerRelay } from '../relay/peer-relay.js';
+import { RetryBudget } from '../relay/retry-budget.js';
+import { WaitingStreams } from '../relay/waiting-streams.js';
+import type { LoggerFactory } from '../telemetry/log.js';
+import type { EntryPlatform } from './entry-platform.js';
+import type { ServerComponents } from './server-components.js';
+
+/** Options of {@link createEntryContext}. */
+export interface EntryContextOptions {
+  readonly settings: EntrySettings;
+  readonly platform: Pick<EntryPlatform, 'protocol'>;
+  readonly servers: ServerComponents;
+  readonly peers: PeerTable;
+  readonly peerRelay: PeerRelay;
+  readonly logs: LoggerFactory;
+}
+
+function createRetryBudget(settings: EntrySettings, peers: PeerTable): RetryBudget {
+  return new RetryBudget({
+    settings: settings.retryBudget,
+    peerCount: () => peers.allRecords.length,
+    peerCountsOf: (service) => peers.sumRetries(service),
+  });
+}
+
+/**
+ * Creates what the requests of an instance share.
+ *
+ * @param options - The components that it is made of.
+ * @returns The context that every request is served with.
+ */
+export function createEntryContext(options: EntryContextOptions): EntryContext {
+  const { settings, platform, servers, peers, peerRelay, logs } = options;
+  const { fleet, outlierEjection, callTimes, endCheck, crashBlame } = servers;
+  const { serverLimits, statements, serverReach, stallDetector } = servers;
+  return {
+    dataCentre: settings.dataCentre,
+    protocol: platform.protocol,
+    fleet,
+    outlierEjection,
+    callTimes,
+    endCheck,
+    crashBlame,
+    serverLimits,
+    statements,
+    serverReach,
+    peerRelay,
+    refusalPacing: new RefusalPacing(),
+    retryBudget: createRetryBudget(settings, peers),
+    linkLoad: new DataCentreLinkLoad({ instanceCount: () => peers.aliveCount + 1 }),
+    stallDetector,
+    waitingStreams: new WaitingStreams({ fleetRevision: () => fleet.revision }),
+    metrics: new EntryMetrics(),
+    logs,
+  };
+}
