One function decides what delimits an answer's body

What callers could have seen (from reading the code): half of an answer passed on as whole. The end of a body was judged in two places: with `Transfer-Encoding: chunked, gzip` the connection delimits it (RFC 9112, 6.3), but the place that looks for a reset took it for chunked, so that a reset which came with the last bytes counted as an orderly end. Now both ask findDelimiter.

--- a/src/relay/backend-request.test.ts
+++ b/src/relay/backend-request.test.ts
@@ -5,7 +5,8 @@
 import { waitUntil } from '../../tools/platform-group.js';
 import { sleep } from '../common/clock.js';
 import type { HttpRequestError } from '../common/http-client.js';
-import { isBodyDelimited, readAnswer, sendBackendRequest } from './backend-request.js';
+import { findDelimiter } from '../evidence/answer-end.js';
+import { readAnswer, sendBackendRequest } from './backend-request.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n';
 
@@ -15,12 +16,12 @@
 async function readUndelimitedBody(
   context: TestContext,
   end: (socket: net.Socket) => void,
-  delayMilliseconds = 50,
+  { delayMilliseconds = 50, head = HEAD } = {},
 ): Promise<string> {
   const server = net.createServer((socket) => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
-      socket.write(`${HEAD}half of it`);
+      socket.write(`${head}half of it`);
       if (delayMilliseconds === 0) setImmediate(end, socket);
       else setTimeout(() => end(socket), delayMilliseconds);
     });
@@ -41,7 +42,8 @@
   let text = '';
   for await (const part of response) text += String(part);
   assert.ok(response.complete);
-  assert.ok(!isBodyDelimited(response), 'the body has no stated end');
+  const { statusCode: status = 0, headers } = response;
+  assert.equal(findDelimiter({ method: 'GET', status, headers }), 'connection');
   return text;
 }
 
@@ -57,12 +59,29 @@
 // Node.js reports such a reset as an orderly end; a half answer was passed on as a whole one.
 test('backend request: a response without a length fails when the reset arrives with its last bytes', async (context) => {
   for (let run = 0; run < 20; run += 1)
-    await assert.rejects(readUndelimitedBody(context, (socket) => socket.resetAndDestroy(), 0));
+    await assert.rejects(
+      readUndelimitedBody(context, (socket) => socket.resetAndDestroy(), { delayMilliseconds: 0 }),
+    );
 });
 
 test('backend request: a response without a length is whole when the end arrives with its last bytes', async (context) => {
   for (let run = 0; run < 20; run += 1)
-    assert.equal(await readUndelimitedBody(context, (socket) => socket.end(), 0), 'half of it');
+    assert.equal(
+      await readUndelimitedBody(context, (socket) => socket.end(), { delayMilliseconds: 0 }),
+      'half of it',
+    );
+});
+
+// The end was judged twice: such a body counted as delimited here, so that its reset went unseen.
+test('backend request: a response whose chunks are not the last coding fails when the reset arrives with its last bytes', async (context) => {
+  const head = 'HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked, gzip\r\n\r\n';
+  for (let run = 0; run < 20; run += 1)
+    await assert.rejects(
+      readUndelimitedBody(context, (socket) => socket.resetAndDestroy(), {
+        delayMilliseconds: 0,
+        head,
+      }),
+    );
 });
 
 /** Starts a server that writes a text for each request and keeps the connection. */
--- a/src/relay/backend-request.ts
+++ b/src/relay/backend-request.ts
@@ -4,6 +4,7 @@
 import type { Address } from '../common/address.js';
 import { HttpRequestError, type RequestPhase } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
+import { findDelimiter } from '../evidence/answer-end.js';
 import { isRelayable } from '../entry/entry-response.js';
 
 /** A request to a backend server. */
@@ -69,7 +70,9 @@
       });
       // Before the listener that ends the body of a response without a length.
       socket.prependListener('end', () => {
-        if (!backendResponse || isBodyDelimited(backendResponse) || !wasReset(socket)) return;
+        if (!backendResponse || !wasReset(socket)) return;
+        const { statusCode: status = 0, headers: answerHeaders } = backendResponse;
+        if (findDelimiter({ method, status, headers: answerHeaders }) === 'answer') return;
         backendResponse.destroy(createResetError());
       });
     });
@@ -143,14 +146,3 @@
     throw new HttpRequestError('answering', message, code);
   }
 }
-
-/**
- * Tells whether a response states where its body ends. Otherwise its connection does: it is whole if the
- * connection was closed in order, and not if it was reset.
- *
- * @param response - The response.
- */
-export function isBodyDelimited(response: http.IncomingMessage): boolean {
-  const { 'content-length': length, 'transfer-encoding': encoding = '' } = response.headers;
-  return length !== undefined || /\bchunked\b/i.test(encoding);
-}
