Test: no fencing number to two holders after a store's return (fails)

An instance that takes the planner lease over after the store came back from a copy may give out a number that was given since the copy: term 1 to two holders where the copy has no lease, 2 where it has term 1.

--- a/src/layers/planner-lease.test.ts
+++ b/src/layers/planner-lease.test.ts
@@ -43,7 +43,7 @@
     state.era += 1;
     state.object = value === undefined ? undefined : { name: 'planner', revision, value };
   };
-  return { lease, backWith };
+  return { store, lease, backWith };
 }
 
 const never = (): boolean => false;
@@ -72,3 +72,16 @@
   assert.equal(await lease.acquireOrRenew(never), 'lost');
   assert.ok(!lease.isValid);
 });
+
+// The instance that takes the lease over knows no number that was given since the copy.
+test('planner lease: no fencing number is given to two holders when the store has lost the first one', async () => {
+  for (const copied of [undefined, { holder: 'entry-9/1', token: 'a', term: 1 }]) {
+    const { store, lease, backWith } = createDrill();
+    if (copied) backWith(copied, 1);
+    const other = new PlannerLease({ store, holder: 'entry-2/1', log: createSilentLogger() });
+    assert.equal(await lease.acquireOrRenew(() => true), 'held');
+    backWith(copied, 1);
+    assert.equal(await other.acquireOrRenew(() => true), 'held');
+    assert.notEqual(other.term, lease.term);
+  }
+});
