--- a/tests/older-store.test.ts
+++ b/tests/older-store.test.ts
@@ -2,7 +2,13 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import { sleep } from '../src/common/clock.js';
-import { PlatformGroup, sendRequest, waitUntil } from '../tools/platform-group.js';
+import {
+  PLATFORM_CONFIGURATION,
+  PlatformGroup,
+  sendRequest,
+  waitUntil,
+} from '../tools/platform-group.js';
+import { sendCallerRequest } from '../tools/serving-group.js';
 import type { PlatformServer } from '../tools/stand-ins/platform-server.js';
 import type { StoreCopy } from '../tools/stand-ins/platform-store.js';
 
@@ -82,3 +88,49 @@
     assert.ok(drill.group.store.read('instances', name), name),
   );
 });
+
+async function listStatuses({ group }: Drill, key: string): Promise<number[]> {
+  const answers = await Promise.all(
+    group.instances.map((instance) =>
+      sendCallerRequest(instance, '/lookups/1', { method: 'GET', key }),
+    ),
+  );
+  return answers.map(({ status }) => status);
+}
+
+test('older store: a key that was revoked after the copy was made stays revoked', async (context) => {
+  const drill = await startDrill(context);
+  const isRevoked = async (): Promise<boolean> =>
+    (await listStatuses(drill, 'key-3')).every((status) => status === 401 || status === 403);
+  assert.ok(!(await isRevoked()));
+  const [planner, dealer] = PLATFORM_CONFIGURATION.tenants;
+  const tenants = [planner, { ...dealer, 'api-keys': ['key-9'] }];
+  drill.group.store.put('config', 'main', { ...PLATFORM_CONFIGURATION, version: 2, tenants });
+  await waitUntil(isRevoked, 'the key is revoked');
+  await comeBack(drill);
+  const until = performance.now() + CONTACT_MILLISECONDS;
+  while (performance.now() < until) assert.ok(await isRevoked());
+});
+
+test('older store: two returns within a second leave what was leaving and find what comes', async (context) => {
+  const drill = await startDrill(context);
+  drill.server.register('draining');
+  await waitUntil(async () => (await countLeaving(drill)) === INSTANCES, 'its leaving is known');
+  drill.group.store.comeBackFrom(drill.copy);
+  await sleep(AWAY_MILLISECONDS / 2);
+  drill.group.store.comeBackFrom(drill.copy);
+  await sleep(CONTACT_MILLISECONDS);
+  assert.equal(await countLeaving(drill), INSTANCES);
+  await drill.group.addServer({ id: 'case-1', service: 'casebook' });
+  await sleep(DRAIN_MILLISECONDS);
+  const states = await Promise.all(
+    drill.group.instances.map(async ({ ports }) => {
+      const { body } = await sendRequest({ port: ports.control, path: '/v1/backends' });
+      return (JSON.parse(body) as { backends: unknown[] }).backends.length;
+    }),
+  );
+  assert.deepEqual(
+    states,
+    Array.from({ length: INSTANCES }, () => 2),
+  );
+});
