Soak: the store comes back from older copies, in series and beside other faults

A fault of tools/proper-request-soak.ts: the store is away for at most 1 s and comes back from one of its copies of the last 30 s; what the servers and the operator wrote is written again within 1.5 s. The soak keeps its one check, that no proper request is denied; it does not check that requests run once or that leaving servers get nothing.

--- a/tests/proper-requests.test.ts
+++ b/tests/proper-requests.test.ts
@@ -272,3 +272,26 @@
   assert.deepEqual(result.denied, [], result.faults.join('\n'));
   assert.ok(served > 200, `only ${served} requests were served`);
 });
+
+test('proper requests: none is denied while the store comes back from older copies beside other faults, from a seed', async (context) => {
+  const group = await startGroup(context, { instances: 4, plainServers: 3 });
+  const result = await runProperRequestSoak({
+    group,
+    random: createRandom(Number(process.env.SEED ?? 25)),
+    seconds: Number(process.env.SECONDS ?? 20),
+    callers: 16,
+    faultNames: [
+      'the store comes back from an older copy',
+      'the store comes back from an older copy',
+      'the store is down',
+      'the configuration changes',
+      'an instance freezes',
+      'an instance is killed',
+      'a server leaves',
+    ],
+  });
+  context.diagnostic(JSON.stringify(result.answers));
+  assert.ok(result.faults.some((fault) => fault.endsWith('an older copy')));
+  assert.deepEqual(result.denied, [], result.faults.join('\n'));
+  assert.ok((result.answers[200] ?? 0) > 200, JSON.stringify(result.answers));
+});
--- a/tools/proper-request-soak.ts
+++ b/tools/proper-request-soak.ts
@@ -13,6 +13,7 @@
 import type { Random } from './random.js';
 import { RawConnection, type RawResponse } from './raw-connection.js';
 import type { PlatformServer, ServerFaults } from './stand-ins/platform-server.js';
+import type { StoreCopy } from './stand-ins/platform-store.js';
 
 /** Options of {@link runProperRequestSoak}. */
 export interface SoakOptions {
@@ -20,6 +21,8 @@
   readonly random: Random;
   readonly seconds: number;
   readonly callers: number;
+  /** The faults to choose from; all by default. */
+  readonly faultNames?: readonly string[];
 }
 
 /** A proper request that was answered as if it were wrong. */
@@ -44,6 +47,12 @@
 const LONGEST_FAULT_MILLISECONDS = 5000;
 const LONGEST_SERVER_FAULT_MILLISECONDS = 1500;
 const LONGEST_PAUSE_BETWEEN_FAULTS_MILLISECONDS = 900;
+const COPY_INTERVAL_MILLISECONDS = 500;
+/** The oldest copy that the store comes back from is 30 s old. */
+const KEPT_COPIES = 60;
+const LONGEST_STORE_ABSENCE_MILLISECONDS = 1000;
+/** What others wrote is written again within this time of the store's return. */
+const LONGEST_REWRITE_MILLISECONDS = 1500;
 const GRACE_MILLISECONDS = 8500;
 const ANSWER_TIMEOUT_MILLISECONDS = 2500;
 const STRAY_BYTES = 'these bytes are no request\r\n\r\n';
@@ -67,10 +76,15 @@
 
   readonly #restarting = new Set<PlatformInstance>();
 
+  readonly #copies: StoreCopy[] = [];
+
   #requestCount = 0;
 
   #configurationVersion = PLATFORM_CONFIGURATION.version;
 
+  /** What the operator wrote last. */
+  #configuration: unknown = PLATFORM_CONFIGURATION;
+
   constructor(options: SoakOptions) {
     this.#options = options;
   }
@@ -78,6 +92,7 @@
   async run(): Promise<SoakResult> {
     const { callers, group } = this.#options;
     await Promise.all([
+      this.#copyStore(),
       this.#injectFaults(),
       ...Array.from({ length: callers }, () => this.#runCaller()),
     ]);
@@ -168,9 +183,8 @@
   }
 
   async #injectFaults(): Promise<void> {
-    const { random } = this.#options;
     const handlers = this.#faultHandlers;
-    const names = Object.keys(handlers);
+    const { random, faultNames: names = Object.keys(handlers) } = this.#options;
     const running: Promise<void>[] = [];
     while (!this.#isOver) {
       const name = random.pick(names);
@@ -189,6 +203,7 @@
       'the store is down': () => this.#disturbStore('status', 503, 0),
       'the store falls silent': () => this.#disturbStore('neverAnswers', true, false),
       'the store loses its history': () => Promise.resolve(this.#options.group.store.dropHistory()),
+      'the store comes back from an older copy': () => this.#comeBackFromCopy(),
       'the configuration changes': () => Promise.resolve(this.#changeConfiguration()),
       'a server refuses': () => this.#disturbServer('refusesAll', true, false),
       'a server falls silent': () => this.#disturbServer('neverAnswers', true, false),
@@ -229,13 +244,39 @@
     name: Name,
     faulty: PlatformGroup['store']['faults'][Name],
     normal: PlatformGroup['store']['faults'][Name],
+    longestMilliseconds = LONGEST_FAULT_MILLISECONDS,
   ): Promise<void> {
     const { group, random } = this.#options;
     group.store.faults[name] = faulty;
-    await sleep(random.next() * LONGEST_FAULT_MILLISECONDS);
+    await sleep(random.next() * longestMilliseconds);
     group.store.faults[name] = normal;
   }
 
+  async #copyStore(): Promise<void> {
+    while (!this.#isOver) {
+      this.#copies.push(this.#options.group.store.copy());
+      if (this.#copies.length > KEPT_COPIES) this.#copies.shift();
+      await sleep(COPY_INTERVAL_MILLISECONDS);
+    }
+  }
+
+  /** The store is away, comes back from a copy, and operators and servers write again what the copy lacks. */
+  async #comeBackFromCopy(): Promise<void> {
+    const { group, random } = this.#options;
+    const { store } = group;
+    const copy = random.pick(this.#copies);
+    await this.#disturbStore('status', 503, 0, LONGEST_STORE_ABSENCE_MILLISECONDS);
+    const written = new Map(group.servers.map(({ id }) => [id, store.read('servers', id)]));
+    store.comeBackFrom(copy);
+    const found = new Map(group.servers.map(({ id }) => [id, store.read('servers', id)]));
+    await sleep(random.next() * LONGEST_REWRITE_MILLISECONDS);
+    written.forEach((spec, id) => {
+      const isWrittenSince = store.read('servers', id) !== found.get(id);
+      if (!isWrittenSince && spec !== undefined) store.put('servers', id, spec);
+    });
+    store.put('config', 'main', this.#configuration);
+  }
+
   #pickPlainServer(): PlatformServer {
     const { group, random } = this.#options;
     return random.pick(group.servers.filter(({ kind }) => kind === undefined));
@@ -272,7 +313,7 @@
       name: `added-${version}-${index}`,
       'path-prefix': `/added-${version}-${index}/`,
     }));
-    group.store.put('config', 'main', {
+    this.#configuration = {
       ...PLATFORM_CONFIGURATION,
       version,
       routes: [...PLATFORM_CONFIGURATION.routes, ...addedRoutes],
@@ -280,7 +321,8 @@
         { ...planner, 'api-keys': random.next() < 0.5 ? ['key-1'] : ['key-1', 'key-2'] },
         { ...dealer, 'api-keys': ['key-3', `key-of-${version}`] },
       ],
-    });
+    };
+    group.store.put('config', 'main', this.#configuration);
   }
 }
 
