--- a/tests/silent-servers.test.ts
+++ b/tests/silent-servers.test.ts
@@ -9,7 +9,7 @@
   sendCallerRequest,
   startGroup,
 } from '../tools/serving-group.js';
-import type { ServerFaults } from '../tools/stand-ins/platform-server.js';
+import type { ServerFaults } from '../tools/stand-ins/server-faults.js';
 
 const ALL_EVENTS = [1, 2, 3, 4, 5, 6, 7, 8];
 
--- a/tests/unframed-answers.test.ts
+++ b/tests/unframed-answers.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import type { PlatformGroup } from '../tools/platform-group.js';
-import type { UnframedEnd } from '../tools/stand-ins/platform-server.js';
+import type { UnframedEnd } from '../tools/stand-ins/server-faults.js';
 import {
   getFirstInstance,
   readEventIds,
--- a/tools/proper-request-soak.ts
+++ b/tools/proper-request-soak.ts
@@ -12,8 +12,9 @@
 } from './platform-group.js';
 import type { Random } from './random.js';
 import { RawConnection, type RawResponse } from './raw-connection.js';
-import type { PlatformServer, ServerFaults } from './stand-ins/platform-server.js';
+import type { PlatformServer } from './stand-ins/platform-server.js';
 import type { StoreCopy } from './stand-ins/platform-store.js';
+import type { ServerFaults } from './stand-ins/server-faults.js';
 
 /** Options of {@link runProperRequestSoak}. */
 export interface SoakOptions {
