A call whose answer announces another protocol fails at once, and is no silence

What callers saw: nothing yet. For a 101 Node.js emits neither `response` nor `error` there, so that the call settled at its timeout only, and counted as a connection that went silent, for which the store's client drops all kept connections and both followers begin anew.

Evidence: http-client.test "an answer that announces another protocol fails at once and is no silence" failed before ("The call timed out.", which isConnectionSilent takes for silence), and passes now.

The peers' relay uses sendBackendRequest.

--- a/src/common/http-client.test.ts
+++ b/src/common/http-client.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { getEventListeners } from 'node:events';
 import http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import net, { type AddressInfo } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import type { Address } from './address.js';
-import { fetchResponse, fetchResponseStream, readBody } from './http-client.js';
+import { fetchResponse, fetchResponseStream, isConnectionSilent, readBody } from './http-client.js';
 
 async function startServer(context: TestContext): Promise<Address> {
   const server = http.createServer((request, response) => response.end('{}'));
@@ -55,3 +55,32 @@
   controller.abort();
   await assert.rejects(body);
 });
+
+/** Starts a server that announces another protocol in answer to each request, and keeps the connection. */
+async function startUpgradingServer(context: TestContext): Promise<Address> {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.once('data', () =>
+      socket.write(
+        'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n',
+      ),
+    );
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  return { host: '127.0.0.1', port: (server.address() as AddressInfo).port };
+}
+
+// Such a call settled at its timeout only, and its connection was taken for a silent one.
+test('http client: an answer that announces another protocol fails at once and is no silence', async (context) => {
+  const address = await startUpgradingServer(context);
+  const request = { address, method: 'GET', path: '/', timeoutMilliseconds: 2000 };
+  await assert.rejects(fetchResponse(request), (error) => !isConnectionSilent(error));
+});
--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -131,6 +131,11 @@
       }
     });
     clientRequest.on('error', (error: NodeJS.ErrnoException) => fail(error.message, error.code));
+    clientRequest.on('close', () => {
+      removeListeners();
+      // Without effect if there was a response or an error; an answer that announces another protocol is neither.
+      reject(new HttpRequestError(phase, 'The connection ended without a response.'));
+    });
     clientRequest.on('response', (response) => {
       removeListeners();
       // Without a listener, an error of the body would end the process; readers of the stream receive
