A call to a peer over a kept connection that went silent is made once more over a new one

What callers saw: nothing shown. With 39 instances in a data centre an instance calls two of them each 0.4 to 0.9 s, so that noticing every connection takes as long as calling every peer, while a peer without a newer record is dead after five heartbeats. Worked out, not observed.

Evidence: gossip.test "a round reaches a peer whose kept connections went silent" (to the peer, both ways) and "a document is read ..." (all three directions) failed before; "(fromServer)" of the round passed, since the peer reads the record although its answer vanishes. All pass now. A peer that is silent itself gets one call more, over one new connection (test).

Ruled out: dropping the connections to all peers, as the store's client does: there is one store, but a frozen peer would cost those of all others each heartbeat; keep-alive probes of the system, which take minutes at their default; a new connection for each call, whose price was not measured.

The wait of a document doubles where its kept connection is silent.

--- a/src/common/http-client.ts
+++ b/src/common/http-client.ts
@@ -16,11 +16,15 @@
   /** The system's error code, such as `ECONNRESET`, where the system reported the failure. */
   readonly code: string | undefined;
 
-  constructor(phase: RequestPhase, message: string, code?: string) {
+  /** Whether the request was sent over a connection that an earlier one had left open. */
+  readonly wasKeptConnection: boolean;
+
+  constructor(phase: RequestPhase, message: string, code?: string, wasKeptConnection = false) {
     super(message);
     this.name = 'HttpRequestError';
     this.phase = phase;
     this.code = code;
+    this.wasKeptConnection = wasKeptConnection;
   }
 }
 
@@ -89,6 +93,16 @@
   return error.code === TIMEOUT_CODE;
 }
 
+/**
+ * Tells whether a request failed because nothing was heard over a connection that had been open before: it may be the
+ * connection alone that is silent.
+ *
+ * @param error - The failure of a request.
+ */
+export function isKeptConnectionSilent(error: unknown): boolean {
+  return isConnectionSilent(error) && (error as HttpRequestError).wasKeptConnection;
+}
+
 const DEFAULT_MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 
 /**
@@ -112,7 +126,7 @@
     const fail = (message: string, code?: string): void => {
       removeListeners();
       clientRequest.destroy();
-      reject(new HttpRequestError(phase, message, code));
+      reject(new HttpRequestError(phase, message, code, clientRequest.reusedSocket));
     };
     const failOnAbort = (): void => fail('The call was cancelled.');
     const cancelTimer = startPatientTimer(request.timeoutMilliseconds, () =>
@@ -205,7 +219,14 @@
     return { status: response.statusCode ?? 0, headers: response.headers, body };
   } catch (error) {
     if (!isTimedOut) throw error;
-    throw new HttpRequestError('answering', 'The answer timed out.', TIMEOUT_CODE);
+    const { req } = response as http.IncomingMessage & { readonly req?: http.ClientRequest };
+    const wasKeptConnection = req?.reusedSocket ?? false;
+    throw new HttpRequestError(
+      'answering',
+      'The answer timed out.',
+      TIMEOUT_CODE,
+      wasKeptConnection,
+    );
   } finally {
     cancelTimer();
   }
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -2,6 +2,7 @@
 import { test, type TestContext } from 'node:test';
 import { createPeerRecord } from '../../tools/peer-record.js';
 import { findFreePort } from '../../tools/ports.js';
+import { SilencingProxy, type SilentDirection } from '../../tools/silencing-proxy.js';
 import { createSilentLogger } from '../telemetry/log.js';
 import { Gossip } from './gossip.js';
 import type { PeerRecord } from './peer-record.js';
@@ -31,7 +32,7 @@
     onRecord: () => undefined,
     onRecords: () => undefined,
     relay: { header: 'relayed', serve: (_, response) => response.destroy() },
-    documents: {},
+    documents: { '/number': () => ({ number: 1 }) },
     log: createSilentLogger(),
     signal: controller.signal,
   });
@@ -68,3 +69,42 @@
   assert.deepEqual(relayed?.loads, {});
   assert.equal(relayed?.dataCentreLoads, undefined);
 });
+
+const SILENT_DIRECTIONS: readonly SilentDirection[] = ['toServer', 'fromServer', 'both'];
+
+/** Starts two instances, of which the first reaches the second through a proxy, over connections that are kept. */
+async function startBehindProxy(context: TestContext) {
+  const here = await startInstance(context, 'a', 'here');
+  const there = await startInstance(context, 'b', 'here');
+  const proxy = new SilencingProxy();
+  context.after(() => proxy.close());
+  const peers = { host: '127.0.0.1', port: await proxy.listen(there.record.peers.port) };
+  here.table.accept({ ...there.record, peers });
+  await Promise.all([here.gossip.runRound(), here.gossip.fetchDocument(peers, '/number')]);
+  return { here, there, proxy, peers };
+}
+
+for (const direction of SILENT_DIRECTIONS) {
+  // Each call to each peer was lost once; in a fleet whose instances call each other seldom, peers were taken for dead.
+  test(`gossip: a round reaches a peer whose kept connections went silent (${direction})`, async (context) => {
+    const { here, there, proxy } = await startBehindProxy(context);
+    assert.ok(proxy.silence(direction) > 0);
+    here.record.counter += 1;
+    await here.gossip.runRound();
+    assert.equal(there.table.findAlive('a')?.counter, here.record.counter);
+  });
+
+  test(`gossip: a document is read from a peer whose kept connections went silent (${direction})`, async (context) => {
+    const { here, proxy, peers } = await startBehindProxy(context);
+    assert.ok(proxy.silence(direction) > 0);
+    assert.deepEqual(await here.gossip.fetchDocument(peers, '/number', 200), { number: 1 });
+  });
+}
+
+test('gossip: a peer that is silent itself is called no oftener than over one kept and one new connection', async (context) => {
+  const { here, proxy, peers } = await startBehindProxy(context);
+  proxy.silence('both');
+  proxy.silencesNew = 'both';
+  assert.equal(await here.gossip.fetchDocument(peers, '/number', 100), undefined);
+  assert.equal(proxy.connectionCount, 3);
+});
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -8,8 +8,9 @@
 import { z } from 'zod';
 import { isSameAddress, type Address } from '../common/address.js';
 import { sleep } from '../common/clock.js';
-import { fetchResponse, getErrorMessage } from '../common/http-client.js';
+import { getErrorMessage } from '../common/http-client.js';
 import type { Logger } from '../telemetry/log.js';
+import { PeerConnections } from './peer-connections.js';
 import type { PeerRecord, ServerLoads } from './peer-record.js';
 import { PeerRecordDecoder } from './peer-record-decoder.js';
 import { COMPRESSED_ENCODING, decodeDocument, encodeDocument } from './document-encoding.js';
@@ -94,7 +95,7 @@
 
   readonly #decoder: PeerRecordDecoder;
 
-  readonly #agent = new http.Agent({ keepAlive: true });
+  readonly #connections: PeerConnections;
 
   #server: http.Server | undefined;
 
@@ -103,6 +104,7 @@
   constructor(options: GossipOptions) {
     this.#options = options;
     this.#decoder = new PeerRecordDecoder(options.log);
+    this.#connections = new PeerConnections(options.log);
   }
 
   /** Starts the HTTP server that answers peers; rejects if the address cannot be bound. */
@@ -169,7 +171,7 @@
    *
    * @param address - Address on which the peer listens for its peers.
    * @param path - One of the paths in {@link GossipOptions.documents}, and the query.
-   * @param timeoutMilliseconds - The longest wait; 1 s by default.
+   * @param timeoutMilliseconds - The longest wait, 1 s by default; twice where a kept connection is silent.
    * @returns The parsed document, or undefined if the peer has none or does not answer in time.
    */
   async fetchDocument(
@@ -178,9 +180,8 @@
     timeoutMilliseconds = DOCUMENT_TIMEOUT_MILLISECONDS,
   ): Promise<unknown> {
     try {
-      const answer = await fetchResponse({
+      const answer = await this.#connections.fetch({
         address,
-        agent: this.#agent,
         method: 'GET',
         path,
         headers: { 'accept-encoding': COMPRESSED_ENCODING },
@@ -229,9 +230,8 @@
 
   async #exchange({ address, dataCentre }: ExchangeTarget, scope: DigestScope): Promise<void> {
     try {
-      const answer = await fetchResponse({
+      const answer = await this.#connections.fetch({
         address,
-        agent: this.#agent,
         method: 'POST',
         path: '/records',
         headers: { 'content-type': 'application/json' },
--- a/tools/silencing-proxy.ts
+++ b/tools/silencing-proxy.ts
@@ -23,6 +23,12 @@
 
   #server: net.Server | undefined;
 
+  /** Which bytes vanish on connections that are made from now on; none by default. */
+  silencesNew: SilentDirection | undefined;
+
+  /** Number of connections that were made. */
+  connectionCount = 0;
+
   /**
    * Starts a port that leads to the server.
    *
@@ -66,8 +72,10 @@
 
   #pass(near: net.Socket, serverPort: number): void {
     const far = net.connect({ host: '127.0.0.1', port: serverPort });
-    const connection: ProxiedConnection = { near, far, lastRequest: '', silence: undefined };
+    const silence = this.silencesNew;
+    const connection: ProxiedConnection = { near, far, lastRequest: '', silence };
     this.#connections.add(connection);
+    this.connectionCount += 1;
     near.on('data', (part) => {
       connection.lastRequest = REQUEST_LINE.exec(part.toString())?.[0] ?? connection.lastRequest;
       if (connection.silence === undefined || connection.silence === 'fromServer') far.write(part);
