A fencing number isn't given to two holders when the store has lost the first one

What could be seen: after the store's return from an older copy the planner lease's term counted on from what the copy held, so that two holders got the same number. On the platform orders carry no term; it decides between two instances that both believe they hold the lease, and stands in /v1/leases.

Cause: the next term was the highest that this instance had seen plus one; who takes over knows nothing of what was given since the copy. An absent lease didn't tell its era at all.

Now a term's upper part is the era, which rises with each return; the client tells the era also where an object is absent. A lease of its own that is of an earlier era gets a new term. A store without the header is of era 0, where terms count as before. Builds side by side: the term stays one number that grows (below 2 ** 53 for the largest era that is believed).

Ruled out: an object of its own for the highest term (the copy loses it too); the time of day (clocks jump).

--- a/src/layers/planner-lease.ts
+++ b/src/layers/planner-lease.ts
@@ -43,6 +43,8 @@
 /** Orders may be sent for this long after the start of a renewal. */
 const VALIDITY_MILLISECONDS = 1500;
 const MAXIMUM_MESSAGE_CHARACTERS = 200;
+/** More than there can be changes of the holder between two returns of the store from an older copy. */
+const TERMS_PER_ERA = 2 ** 32;
 
 export class PlannerLease {
   readonly #options: PlannerLeaseOptions;
@@ -56,8 +58,8 @@
   /** The highest term that this instance has seen; a store that is back from an older copy may hold a lower one. */
   #highestTerm = 0;
 
-  /** Era of the store that gave the revision; undefined before the first answer. */
-  #era: number | undefined;
+  /** Era of the store that gave the revision; see `store-position`. */
+  #era = 0;
 
   /** The lease as it was read, with what other builds wrote. */
   #found: Record<string, unknown> = {};
@@ -84,7 +86,7 @@
     return Math.max(0, Math.round(this.#validUntil - this.#now()));
   }
 
-  /** Number of the holder's term; increases by one with each change of holder. */
+  /** Number of the holder's term, which increases with each change of holder; none is given twice, in no era either. */
   get term(): number {
     return this.#term;
   }
@@ -117,10 +119,7 @@
     const result = await this.#write(value);
     if (result.kind === 'written') {
       const { revision, era = 0 } = result.object;
-      if (this.#era === undefined || era === this.#era) {
-        this.#era = era;
-        return this.#markHeld(revision, startedAt);
-      }
+      if (era === this.#era) return this.#markHeld(revision, startedAt);
       // The revision that was replaced may have been given out again, to another holder.
       this.#options.log.warn('Planner lease written to an older copy of the store; read again.', {
         term: this.#term,
@@ -163,8 +162,8 @@
     if (result.kind === 'unavailable') return 'unconfirmed';
     if (result.kind === 'absent') {
       this.#revision = 0;
-      this.#era = undefined;
-      this.#term = this.#highestTerm + 1;
+      this.#era = result.era ?? 0;
+      this.#term = this.#chooseNewTerm(this.#era);
       this.#found = {};
       return 'held';
     }
@@ -175,12 +174,18 @@
     this.#revision = result.object.revision;
     this.#era = result.object.era ?? 0;
     this.#found = keepWritableFields(held);
-    const isOwnTerm = held.holder === holder && held.term >= highestBefore;
-    this.#term = isOwnTerm ? held.term : this.#highestTerm + 1;
+    const lowestTerm = Math.max(highestBefore, this.#era * TERMS_PER_ERA);
+    const isOwnTerm = held.holder === holder && held.term >= lowestTerm;
+    this.#term = isOwnTerm ? held.term : this.#chooseNewTerm(this.#era);
     log.info('Taking the planner lease.', { before: held.holder, term: this.#term });
     return 'held';
   }
 
+  /** A store that came back from an older copy has lost the terms that were given since; those of its new era are higher. */
+  #chooseNewTerm(era: number): number {
+    return Math.max(this.#highestTerm, era * TERMS_PER_ERA) + 1;
+  }
+
   #write(value: LeaseValue): Promise<WriteObjectResult> {
     const { store } = this.#options;
     const revision = this.#revision ?? 0;
--- a/src/store/object-store.ts
+++ b/src/store/object-store.ts
@@ -54,7 +54,8 @@
 
 export type ReadObjectResult =
   | { readonly kind: 'found'; readonly object: StoredObject }
-  | { readonly kind: 'absent' }
+  /** With the era of the store that lacks the object; 0 by default. */
+  | { readonly kind: 'absent'; readonly era?: number }
   | StoreUnavailable;
 
 /**
