--- a/tools/planted-faults.ts
+++ b/tools/planted-faults.ts
@@ -147,6 +147,46 @@
     test: 'src/placement/lease-manager.test.js',
     pattern: 'two holders',
   },
+  {
+    name: 'a watch of the servers waits for 10 s, also on a connection that went silent',
+    file: 'store/confirmation.js',
+    find: 'waitMilliseconds: Math.round(WAIT_SHARE * contactMilliseconds)',
+    replace: 'waitMilliseconds: 10_000',
+    test: 'tests/silent-store.test.js',
+    pattern: 'servers, when its connection went silent',
+  },
+  {
+    name: 'a kept connection to a peer that went silent is waited for in vain',
+    file: 'gossip/peer-connections.js',
+    find: 'if (!isKeptConnectionSilent(error))',
+    replace: '',
+    test: 'src/gossip/gossip.test.js',
+    pattern: 'kept connections went silent',
+  },
+  {
+    name: 'revisions of a store are compared across its eras',
+    file: 'store/store-position.js',
+    find: 'return one.era > other.era',
+    replace: 'return one.revision > other.revision',
+    test: 'tests/older-store.test.js',
+    pattern: 'leaves after the store came back',
+  },
+  {
+    name: 'a term of the planner lease takes no account of the era',
+    file: 'layers/planner-lease.js',
+    find: 'era * TERMS_PER_ERA) + 1',
+    replace: '0) + 1',
+    test: 'src/layers/planner-lease.test.js',
+    pattern: 'two holders',
+  },
+  {
+    name: 'an answer that announces another protocol settles nothing',
+    file: 'relay/backend-request.js',
+    find: "reject(new HttpRequestError(phase, 'The connection ended without a response.'))",
+    replace: 'undefined',
+    test: 'src/relay/backend-request.test.js',
+    pattern: 'announces another protocol',
+  },
 ];
 
 /** Puts the fault in, runs its test and restores the file; returns whether the test failed. */
@@ -169,7 +209,8 @@
 }
 
 const filter = process.argv[2] ?? '';
-const missed = FAULTS.filter(({ name }) => name.includes(filter)).filter((fault) => {
+const planted = FAULTS.filter(({ name }) => name.includes(filter));
+const missed = planted.filter((fault) => {
   const found = isFound(fault);
   process.stdout.write(
     `${found ? 'found ' : 'MISSED'}  ${fault.name} (${fault.test}: ${fault.pattern})\n`,
@@ -177,6 +218,6 @@
   return !found;
 });
 process.stdout.write(
-  `${FAULTS.length - missed.length} of ${FAULTS.length} planted faults were found\n`,
+  `${planted.length - missed.length} of ${planted.length} planted faults were found\n`,
 );
 process.exit(missed.length === 0 ? 0 : 1);
