What ended a begun stream can be told from its last log line

"Request finished." of a begun stream that isn't whole has the time since its last event, the longest delay of the event loop since it came, the configuration's versions at its begin and end, its attempts and those whose servers have ended. No decision rests on it.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -96,6 +96,7 @@
       servers: this.#servers,
       peers: this.peers,
       peerRelay: this.peerRelay,
+      configurationVersion: () => this.configuration.current?.version ?? -1,
     });
     this.registration = this.#createRegistration();
     this.ownRecord = new OwnRecord({
@@ -289,6 +290,9 @@
         listPeerRecords: () => this.peers.aliveRecords,
         getServersAgeMilliseconds: () => this.storeFollower.serversAgeMilliseconds,
         countOpenRequests: () => server()?.openRequests() ?? 0,
+        eventLoopDelay: {
+          longestSince: (since) => this.context.eventLoopDelay.longestSince(since),
+        },
       }),
     };
   }
--- a/src/daemon/request-components.ts
+++ b/src/daemon/request-components.ts
@@ -8,6 +8,7 @@
 import type { PeerRelay } from '../relay/peer-relay.js';
 import { RetryBudget } from '../relay/retry-budget.js';
 import { WaitingStreams } from '../relay/waiting-streams.js';
+import { EventLoopDelay } from '../telemetry/event-loop-delay.js';
 import type { LoggerFactory } from '../telemetry/log.js';
 import type { EntryPlatform } from './entry-platform.js';
 import type { ServerComponents } from './server-components.js';
@@ -19,6 +20,8 @@
   readonly servers: ServerComponents;
   readonly peers: PeerTable;
   readonly peerRelay: PeerRelay;
+  readonly configurationVersion: () => number;
+  readonly signal: AbortSignal;
   readonly logs: LoggerFactory;
 }
 
@@ -37,9 +40,15 @@
  * @returns The context that every request is served with.
  */
 export function createEntryContext(options: EntryContextOptions): EntryContext {
-  const { settings, platform, servers, peers, peerRelay, logs } = options;
+  const { settings, platform, servers, peers, peerRelay, configurationVersion, signal, logs } =
+    options;
   const { fleet, outlierEjection, callTimes, endCheck, crashBlame } = servers;
   const { serverLimits, statements, serverReach, stallDetector } = servers;
+  const metrics = new EntryMetrics();
+  const eventLoopDelay = new EventLoopDelay({
+    onDelay: (milliseconds) => metrics.recordEventLoopDelay(milliseconds),
+  });
+  eventLoopDelay.start(signal);
   return {
     dataCentre: settings.dataCentre,
     protocol: platform.protocol,
@@ -57,7 +66,9 @@
     linkLoad: new DataCentreLinkLoad({ instanceCount: () => peers.aliveCount + 1 }),
     stallDetector,
     waitingStreams: new WaitingStreams({ fleetRevision: () => fleet.revision }),
-    metrics: new EntryMetrics(),
+    eventLoopDelay,
+    configurationVersion,
+    metrics,
     logs,
   };
 }
--- a/src/daemon/status-documents.ts
+++ b/src/daemon/status-documents.ts
@@ -9,6 +9,7 @@
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import type { PlannerLease } from '../layers/planner-lease.js';
+import type { EventLoopDelay } from '../telemetry/event-loop-delay.js';
 
 /** The components of an instance that its documents describe. */
 export interface StatusSources {
@@ -22,10 +23,14 @@
   /** Returns the records of the live peers. */
   readonly listPeerRecords: () => readonly PeerRecord[];
   readonly countOpenRequests: () => number;
+  readonly eventLoopDelay: Pick<EventLoopDelay, 'longestSince'>;
   /** Returns how long ago the store confirmed the list of servers; undefined while peers follow it instead. */
   readonly getServersAgeMilliseconds: () => number | undefined;
 }
 
+/** The longest delay within this time is shown. */
+const RECENT_DELAY_MILLISECONDS = 10_000;
+
 function getState({ isReady, isStopping }: PeerRecord): string {
   if (isStopping) return 'leaving';
   return isReady ? 'live' : 'joining';
@@ -36,7 +41,7 @@
 }
 
 function describeStatus(sources: StatusSources): unknown {
-  const { configuration, fleet, lease, countOpenRequests } = sources;
+  const { configuration, fleet, lease, countOpenRequests, eventLoopDelay } = sources;
   const { instance, dataCentre, incarnation, isStoreReachable, ...own } = sources.getOwnRecord();
   return {
     instance,
@@ -50,6 +55,9 @@
     isStoreReachable,
     isPlanner: lease.isHolder,
     openRequests: countOpenRequests(),
+    eventLoopDelayMilliseconds: eventLoopDelay.longestSince(
+      performance.now() - RECENT_DELAY_MILLISECONDS,
+    ),
   };
 }
 
--- a/src/entry/entry-metrics.ts
+++ b/src/entry/entry-metrics.ts
@@ -17,6 +17,7 @@
  */
 const MAXIMUM_NAMED_ACCOUNTS = 100;
 const OTHER_ACCOUNTS_LABEL = 'other';
+const DELAY_BUCKETS_SECONDS = [0.01, 0.03, 0.1, 0.3, 1, 3];
 const LATENCY_BUCKETS_SECONDS = [0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 5, 20];
 
 /** The metrics of one instance. */
@@ -47,6 +48,13 @@
     registers: [this.#registry],
   });
 
+  readonly #eventLoopDelay = new Histogram({
+    name: 'sesamedyke_event_loop_delay_seconds',
+    help: 'How late the process runs its timers.',
+    buckets: DELAY_BUCKETS_SECONDS,
+    registers: [this.#registry],
+  });
+
   readonly #gauges = new Gauge({
     name: 'sesamedyke_state',
     help: 'State of the instance.',
@@ -73,6 +81,11 @@
     this.#events.inc({ event });
   }
 
+  /** Counts how late the process ran a timer, in milliseconds. */
+  recordEventLoopDelay(milliseconds: number): void {
+    this.#eventLoopDelay.observe(milliseconds / 1000);
+  }
+
   /** Sets a gauge that describes the state of the instance. */
   setState(name: string, value: number): void {
     this.#gauges.set({ name }, value);
--- a/src/entry/entry-request.ts
+++ b/src/entry/entry-request.ts
@@ -14,6 +14,8 @@
   readonly path: string;
   readonly route: Route;
   readonly service: Service;
+  /** Version of the configuration that decided on the route and the service. */
+  readonly configurationVersion: number;
   /** Undefined for public routes and where no accounts are configured. */
   readonly account: ClientAccount | undefined;
   readonly body: Buffer;
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -205,6 +205,7 @@
         path: target.path,
         route,
         service,
+        configurationVersion: current.version,
         account,
         body,
         receivedAt,
--- a/src/relay/caller-stream.ts
+++ b/src/relay/caller-stream.ts
@@ -36,6 +36,11 @@
     return this.hasStarted ? this.#longestPauseMilliseconds : undefined;
   }
 
+  /** Since the last events were written; undefined while there is none. */
+  get silenceMilliseconds(): number | undefined {
+    return this.#lastEventAt === undefined ? undefined : performance.now() - this.#lastEventAt;
+  }
+
   /**
    * Starts the response, unless an earlier attempt has done so.
    *
--- a/src/relay/stream-ending.ts
+++ b/src/relay/stream-ending.ts
@@ -101,6 +101,21 @@
     return this.#sendLocalResponse(reason, ABORT_RESPONSES[reason]);
   }
 
+  /** For a stream that has begun and isn't finished: what tells whose delay or decision ended it. */
+  #describeEnd(outcome: string): Readonly<Record<string, unknown>> {
+    const { context, request, caller, runs } = this.#options;
+    if (!caller.hasStarted || outcome === 'completed') return {};
+    return {
+      isUnfinished: true,
+      silenceMilliseconds: roundMilliseconds(caller.silenceMilliseconds),
+      eventLoopDelayMilliseconds: context.eventLoopDelay.longestSince(request.receivedAt),
+      configurationVersionAtBegin: request.configurationVersion,
+      configurationVersion: context.configurationVersion(),
+      attempts: runs.total,
+      endedServers: runs.endedProcessKeys,
+    };
+  }
+
   #sendLocalResponse(outcome: string, localResponse: LocalResponse): string {
     const { response, metadata } = this.#options.request;
     // A stream that has started is destroyed without its last chunk, so it does not look complete.
@@ -131,6 +146,7 @@
       gapTargetMilliseconds: route.gapTargetMilliseconds,
       lastEventId: caller.lastEventId,
       runs: runs.countedServers,
+      ...this.#describeEnd(outcome),
     });
     return outcome;
   }
