A stream whose silent engine answers again is not begun elsewhere

Before another attempt is sent because of its first engine's silence, that engine is asked for a report as well, beside the candidate; if it comes, without naming the stream as stalled, within 60 ms of the candidate's, nothing is sent. A later engine's suspicion and a late first event are not refuted by such an answer.

Ruled out: a shorter hold time (an engine that flaps would be used); waiting for the whole report timeout (250 ms more for a stream whose engine is dead).

--- a/src/evidence/stall-detector.test.ts
+++ b/src/evidence/stall-detector.test.ts
@@ -205,3 +205,12 @@
   assert.deepEqual(askedEngineIds, ['a', 'a']);
   assert.ok(fleet.hasEnded('a'));
 });
+
+test('stall: an engine serves a silent stream if its report comes and does not name the stream as stalled', async () => {
+  const { detector } = createDetector({ a: WAITS_FOR_B, b: 'silent', c: REPORT_WITHOUT_STALLS });
+  assert.equal(await detector.isServing('a', 'one'), false);
+  assert.equal(await detector.isServing('a', 'two'), true);
+  assert.equal(await detector.isServing('b', 'one'), false);
+  assert.equal(await detector.isServing('c', 'one'), true);
+  assert.equal(await detector.isServing('unknown', 'one'), false);
+});
--- a/src/evidence/stall-detector.ts
+++ b/src/evidence/stall-detector.ts
@@ -16,6 +16,7 @@
 import type { ServerReach } from '../fleet/server-reach.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { Logger } from '../telemetry/log.js';
+import type { EngineReport } from '../entry/protocol-adapter.js';
 import type { EngineReports } from './engine-reports.js';
 import { NoEngineReportError } from './no-engine-report-error.js';
 
@@ -76,7 +77,7 @@
 
   readonly #lastRequestedAt = new Map<string, number>();
 
-  readonly #runningReports = new Map<string, Promise<void>>();
+  readonly #runningReports = new Map<string, Promise<EngineReport | undefined>>();
 
   #lastCheckAt: number | undefined;
 
@@ -159,6 +160,21 @@
     else await this.#shareReport(server);
   }
 
+  /**
+   * Asks the first engine of a stream that is silent for a report, not sent before now.
+   *
+   * @param id - The engine's id.
+   * @param requestId - The stream's request.
+   * @returns Whether it answers without naming the stream as stalled; false if it can't be asked.
+   */
+  async isServing(id: string, requestId: string): Promise<boolean> {
+    const server = this.#options.fleet.find(id);
+    if (!server || getAvailability(server, this.#now()) === 'closed') return false;
+    await this.#runningReports.get(id);
+    const report = await this.#shareReport(server);
+    return report !== undefined && !report.stalledRequests.some((it) => it.requestId === requestId);
+  }
+
   /**
    * Whether an engine that wants no requests now has been asked since it said so. One report tells which of
    * the streams that it runs are stalled.
@@ -197,7 +213,7 @@
   }
 
   /** Requests a report about stalls, unless one is under way, which is then waited for. */
-  #shareReport(server: FleetServer): Promise<void> {
+  #shareReport(server: FleetServer): Promise<EngineReport | undefined> {
     const { id } = server.entry;
     const running = this.#runningReports.get(id);
     if (running) return running;
@@ -206,7 +222,8 @@
     return report;
   }
 
-  async #refreshStalls(server: FleetServer): Promise<void> {
+  /** Returns the report; undefined if there is none. */
+  async #refreshStalls(server: FleetServer): Promise<EngineReport | undefined> {
     const { id } = server.entry;
     const { reports, fleet, outlierEjection, log } = this.#options;
     const requestedAt = this.#now();
@@ -228,9 +245,11 @@
         log.info('Stream is stalled at an engine.', { requestId, faultAddress, first: id });
         stream.routeAround(faultyServer ? [faultyServer.entry.id] : []);
       });
+      return report;
     } catch (error) {
       this.#ejectUnresponsive(server, requestedAt, error);
       await this.#checkForEnd(server.entry, error);
+      return undefined;
     }
   }
 
--- a/src/relay/attempt-beside.ts
+++ b/src/relay/attempt-beside.ts
@@ -2,6 +2,7 @@
  * Makes further attempts of one streaming request beside an attempt that is suspected of having stalled: at
  * another chain, or through a peer while this instance reaches no backend server.
  */
+import { sleep } from '../common/clock.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import type { ChainSelector, EngineChain } from './chain-selector.js';
 import type { EntryContext } from '../entry/entry-context.js';
@@ -14,6 +15,7 @@
   startEngineReplacement,
   startPeerReplacement,
   type FailedReplacement,
+  type ReplacementCheck,
   type StreamReplacement,
 } from './stream-replacement.js';
 import type { StreamRuns } from './stream-runs.js';
@@ -34,6 +36,9 @@
   readonly checkForEnd: (engine: ServerEntry) => Promise<void>;
 }
 
+/** How long the open attempt's engine may answer after the other one: an engine that answers does so in a few ms. */
+const OPEN_ANSWER_MILLISECONDS = 60;
+
 export class AttemptBeside {
   readonly #options: AttemptBesideOptions;
 
@@ -68,12 +73,17 @@
    * Starts another attempt.
    *
    * @param firstEngine - The first engine of the attempt that is open.
+   * @param suspectedEngineId - The engine that is suspected first; undefined if nothing is but a late first event.
    * @returns The other attempt; undefined if there is none after all.
    */
-  start(firstEngine: ServerEntry): StreamReplacement | undefined {
-    return this.#options.context.serverReach.isCut
-      ? this.#startAtPeer(getProcessKey(firstEngine))
-      : this.#startAtEngine();
+  start(
+    firstEngine: ServerEntry,
+    suspectedEngineId: string | undefined,
+  ): StreamReplacement | undefined {
+    if (this.#options.context.serverReach.isCut)
+      return this.#startAtPeer(getProcessKey(firstEngine));
+    // That a later engine is suspected isn't refuted by the first one's answer.
+    return this.#startAtEngine(suspectedEngineId === firstEngine.id ? firstEngine : undefined);
   }
 
   #startAtPeer(openProcessKey: string): StreamReplacement {
@@ -84,7 +94,8 @@
     );
   }
 
-  #startAtEngine(): StreamReplacement | undefined {
+  /** @param silent - The first engine of the open attempt, if it is the one that is suspected. */
+  #startAtEngine(silent: ServerEntry | undefined): StreamReplacement | undefined {
     const { context, request, chainSelector, exchange, limits, chooseChain } = this.#options;
     const chain = chooseChain();
     const firstEngine = chain?.stages[0]?.engine.server;
@@ -97,17 +108,24 @@
       chain,
       firstEngine,
       release: chainSelector.reserve(chain),
-      isAnswering: () => this.#isAnswering(firstEngine.entry),
+      check: () => this.#check(firstEngine.entry, silent),
       signal: request.signal,
       onCancelled: () => limits.recordCancelledBeside(firstEngine.entry),
       onFailed: (result) => this.#recordFailure(result, firstEngine.entry),
     });
   }
 
-  async #isAnswering({ id }: ServerEntry): Promise<boolean> {
-    const { stallDetector, outlierEjection } = this.#options.context;
+  /** Asks the first engine of the other attempt, and beside it that of the open one: both may go on together. */
+  async #check({ id }: ServerEntry, silent: ServerEntry | undefined): Promise<ReplacementCheck> {
+    const { context, request } = this.#options;
+    const { stallDetector, outlierEjection } = context;
+    const isOpenServing = silent
+      ? stallDetector.isServing(silent.id, request.metadata.requestId)
+      : Promise.resolve(false);
     await stallDetector.checkEngine(id);
-    return !outlierEjection.isEjected(id);
+    if (outlierEjection.isEjected(id)) return 'silent';
+    const isServing = await Promise.race([isOpenServing, sleep(OPEN_ANSWER_MILLISECONDS)]);
+    return isServing === true ? 'openOneAnswers' : 'useful';
   }
 
   #recordFailure(result: FailedReplacement, firstEngine: ServerEntry): void {
--- a/src/relay/relay-stream.ts
+++ b/src/relay/relay-stream.ts
@@ -278,7 +278,8 @@
       release,
       begun,
       decide: (suspectedEngineIds) => this.#beside.decide(firstEngine.entry, suspectedEngineIds),
-      startReplacement: () => this.#beside.start(firstEngine.entry),
+      startReplacement: (suspectedEngineId) =>
+        this.#beside.start(firstEngine.entry, suspectedEngineId),
       tryTakeLateRetry: () => this.#limits.tryTakeLateRetry(),
     });
     const result = await attempt.run();
--- a/src/relay/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -34,8 +34,13 @@
   readonly begun?: BegunStream | undefined;
   /** Decides on the suspicion that some engines have stalled. */
   readonly decide: (suspectedEngineIds: readonly string[]) => SuspicionDecision;
-  /** Starts another attempt, which avoids the suspected engines; undefined if there is none after all. */
-  readonly startReplacement: () => StreamReplacement | undefined;
+  /**
+   * Starts another attempt, which avoids the suspected engines; undefined if there is none after all. It is told the
+   * first suspected engine, unless nothing is suspected but a late first event.
+   */
+  readonly startReplacement: (
+    suspectedEngineId: string | undefined,
+  ) => StreamReplacement | undefined;
   /** Releases the chain's reservation. */
   readonly release: () => void;
   /** Takes the retry for a late first event; false if it has been taken. */
@@ -156,7 +161,10 @@
   retryElsewhere(): void {
     const { chain, tryTakeLateRetry } = this.#options;
     if (this.#isRerouting || this.#replacement || !tryTakeLateRetry()) return;
-    this.#actOnSuspicion(chain.stages.map(({ engine }) => engine.id));
+    this.#actOnSuspicion(
+      chain.stages.map(({ engine }) => engine.id),
+      undefined,
+    );
   }
 
   /**
@@ -187,7 +195,8 @@
     });
     if (this.#hasEnded) return;
     if (newChain) this.#useChain(newChain);
-    else if (this.lastProgressAt <= suspectedAt) this.#actOnSuspicion(suspectedEngineIds);
+    else if (this.lastProgressAt <= suspectedAt)
+      this.#actOnSuspicion(suspectedEngineIds, suspectedEngineIds[0]);
   }
 
   #useChain(chain: EngineChain): void {
@@ -198,7 +207,7 @@
     this.#recheckMilliseconds = FIRST_RECHECK_MILLISECONDS;
   }
 
-  #actOnSuspicion(suspectedEngineIds: readonly string[]): void {
+  #actOnSuspicion(suspectedEngineIds: readonly string[], silentEngineId: string | undefined): void {
     const { context, decide, caller, request } = this.#options;
     if (request.signal.aborted) return;
     const decision = decide(suspectedEngineIds);
@@ -216,13 +225,13 @@
     if (decision.kind === 'end') {
       this.#suspectedAtEnd = suspectedEngineIds;
       this.#controller.abort();
-    } else if (decision.kind === 'tryBeside') void this.#replace();
+    } else if (decision.kind === 'tryBeside') void this.#replace(silentEngineId);
     else this.#delayRecheck();
   }
 
   /** Tries another attempt beside this one, which ends once the other has begun to answer. */
-  async #replace(): Promise<void> {
-    const replacement = this.#options.startReplacement();
+  async #replace(silentEngineId: string | undefined): Promise<void> {
+    const replacement = this.#options.startReplacement(silentEngineId);
     this.#replacement = replacement;
     // So that another one can be tried while this attempt is still open.
     const cancelTimer = startPatientTimer(REPLACEMENT_TIMEOUT_MILLISECONDS, () => {
--- a/src/relay/stream-replacement.test.ts
+++ b/src/relay/stream-replacement.test.ts
@@ -9,10 +9,11 @@
   startEngineReplacement,
   startPeerReplacement,
   type FailedReplacement,
+  type ReplacementCheck,
 } from './stream-replacement.js';
 
 /** Starts a replacement at an engine that accepts it and then sends nothing until it is aborted. */
-function startSilentReplacement(signal: AbortSignal, isAnswering = true) {
+function startSilentReplacement(signal: AbortSignal, check: ReplacementCheck = 'useful') {
   let sends = 0;
   let releases = 0;
   let cancellations = 0;
@@ -41,7 +42,7 @@
     release: () => {
       releases += 1;
     },
-    isAnswering: () => Promise.resolve(isAnswering),
+    check: () => Promise.resolve(check),
     signal,
     onCancelled: () => {
       cancellations += 1;
@@ -74,7 +75,7 @@
 test('stream replacement: nothing is sent to an engine that does not answer', async () => {
   const { replacement, failures, countSends, countReleases } = startSilentReplacement(
     new AbortController().signal,
-    false,
+    'silent',
   );
   assert.equal(await replacement.begun, undefined);
   assert.equal(countSends(), 0);
@@ -85,6 +86,17 @@
   );
 });
 
+// Both engines went on at the same moment, and the stream ran twice.
+test('stream replacement: nothing is sent, and no engine blamed, when that of the open attempt answers again', async () => {
+  const { replacement, failures, countSends, countReleases, countCancellations } =
+    startSilentReplacement(new AbortController().signal, 'openOneAnswers');
+  assert.equal(await replacement.begun, undefined);
+  assert.equal(countSends(), 0);
+  assert.equal(countReleases(), 1);
+  assert.equal(countCancellations(), 0);
+  assert.deepEqual(failures, []);
+});
+
 // It went on at its engine after the caller had left.
 test('stream replacement: it ends with its request', async () => {
   const request = new AbortController();
--- a/src/relay/stream-replacement.ts
+++ b/src/relay/stream-replacement.ts
@@ -51,6 +51,12 @@
   }
 }
 
+/**
+ * Whether an attempt beside an open one is of use: not where its first engine is `silent` as well, nor where that of the
+ * open one `answers` again.
+ */
+export type ReplacementCheck = 'useful' | 'silent' | 'openOneAnswers';
+
 /** Options of {@link startEngineReplacement}. */
 export interface EngineReplacementOptions {
   readonly exchange: StreamExchange;
@@ -58,8 +64,8 @@
   readonly firstEngine: FleetServer;
   /** Releases the chain's reservation. */
   readonly release: () => void;
-  /** Asks the first engine whether it answers now; one that is silent as well can't help. */
-  readonly isAnswering: () => Promise<boolean>;
+  /** Finds out whether the attempt is of use now. */
+  readonly check: () => Promise<ReplacementCheck>;
   /** Ends it as well; the signal of the request. */
   readonly signal: AbortSignal;
   /** Called when it was cancelled after it had been sent, so that it may have run. */
@@ -74,13 +80,14 @@
 }
 
 async function beginAtEngine(
-  { exchange, chain, firstEngine, isAnswering }: EngineReplacementOptions,
+  { exchange, chain, firstEngine, check }: EngineReplacementOptions,
   signal: AbortSignal,
 ): Promise<AcceptedStream | FailedReplacement | CancelledReplacement> {
   const engineIdsToAvoid = [firstEngine.entry.id];
-  if (!(await isAnswering()))
+  const checked = await check();
+  if (checked === 'silent')
     return { kind: 'notRun', engineIdsToAvoid, message: 'The engine does not answer either.' };
-  if (signal.aborted) return { kind: 'cancelled', wasSent: false };
+  if (checked === 'openOneAnswers' || signal.aborted) return { kind: 'cancelled', wasSent: false };
   try {
     const opened = await exchange.open(chain, firstEngine, signal);
     if (opened.kind === 'notRun') return opened;
