A server's limit counts what others sent before they knew of it

Cause: an instance counts what it has sent itself; nobody knows what all had sent before the limit was named.

Now no instance of several sends to the server from 1 s before the limit must hold until what was sent before it was named has left the window of 4 s: from 2 s to 4 s after an instance first hears of it where contact-ms is 3 s, and hardly at all where it is 4 s or more. An instance without peers knows all that was sent, and doesn't wait. Price: such a server gets nothing for up to 2 s, once.

Ruled out: telling each other what was sent (another field in every record, for one second of one server); no pause, with smaller parts afterwards (what was sent before alone may exceed what is allowed).

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -209,6 +209,7 @@
     const { settings, platform, logs, signal } = this.#options;
     return new ServerComponents({
       instance: settings.instance,
+      contactMilliseconds: settings.contactMilliseconds,
       protocol: platform.protocol,
       configuration: this.configuration,
       peers: this.peers,
--- a/src/daemon/server-components.ts
+++ b/src/daemon/server-components.ts
@@ -27,6 +27,8 @@
 export interface ServerComponentsOptions {
   /** The id of this instance. */
   readonly instance: string;
+  /** How long after a disturbance of its connections this instance must know again what holds. */
+  readonly contactMilliseconds: number;
   readonly protocol: ProtocolAdapter;
   readonly configuration: ActiveConfiguration;
   readonly peers: PeerTable;
@@ -72,7 +74,7 @@
 
   constructor(options: ServerComponentsOptions) {
     this.#options = options;
-    const { instance, protocol, peers, logs } = options;
+    const { instance, contactMilliseconds, protocol, peers, logs } = options;
     this.fleet = this.#createFleet();
     this.outlierEjection = new OutlierEjection({
       log: logs('backend'),
@@ -84,6 +86,7 @@
     this.serverLimits = new ServerLimits({
       instance,
       listPeers: () => peers.allRecords.map((record) => record.instance),
+      contactMilliseconds,
       log: logs('backend'),
     });
     const { fleet, serverLimits } = this;
--- a/src/fleet/server-limits.ts
+++ b/src/fleet/server-limits.ts
@@ -23,6 +23,8 @@
   readonly instance: string;
   /** Names of the other instances that may be alive, including those that cannot be reached. */
   readonly listPeers: () => readonly string[];
+  /** From when on after it was named a limit must hold for all that was sent in the window before; 3 s by default. */
+  readonly contactMilliseconds?: number;
   readonly log: Logger;
   readonly now?: () => number;
 }
@@ -31,6 +33,8 @@
 interface ServerState {
   /** Undefined if the server's last answer named none. */
   requestsPerSecond: number | undefined;
+  /** When this instance first heard of the limit; kept while the server names one. */
+  namedAt: number;
   /** When the server last said so, to this instance or a peer. */
   heardAt: number;
   /** When this instance sent it requests; older ones than the longest window are dropped. */
@@ -63,6 +67,9 @@
 const UNCONFIRMED_STEP_MILLISECONDS = 2000;
 /** The shortest time between two requests with which one instance finds out. */
 const PROBE_INTERVAL_MILLISECONDS = 2000;
+const DEFAULT_CONTACT_MILLISECONDS = 3000;
+/** Peers hear of a limit so much later than the first instance. */
+const NEWS_MILLISECONDS = 1000;
 const MAXIMUM_UNCONFIRMED_STEPS = 15;
 const MAXIMUM_SENT_TIMES = 10_000;
 /** Ranks are hashes over all peers; within this time they are not computed again. */
@@ -156,6 +163,8 @@
     );
     const window = getWindow(requestsPerSecond);
     const { rank, instances } = this.#getPlace(id, state);
+    const untilSettled = instances > 1 ? this.#settlesIn(state, now) : 0;
+    if (untilSettled > 0) return untilSettled;
     const total = Math.floor((requestsPerSecond * window) / MILLISECONDS_PER_SECOND);
     const ownPart = Math.floor(total / instances) + (rank < total % instances ? 1 : 0);
     if (ownPart === 0) return untilProbe;
@@ -175,6 +184,18 @@
     [...this.#servers.keys()].filter((id) => !isRegistered(id)).forEach((id) => this.forget(id));
   }
 
+  /**
+   * What the others sent before they knew of the limit counts with what is sent once it must hold, and nobody knows
+   * how much that was: nothing is sent from then on until it has left the window.
+   */
+  #settlesIn({ namedAt }: ServerState, now: number): number {
+    const { contactMilliseconds = DEFAULT_CONTACT_MILLISECONDS } = this.#options;
+    const age = now - namedAt;
+    const isBetween =
+      age >= contactMilliseconds - NEWS_MILLISECONDS && age <= MINIMUM_WINDOW_MILLISECONDS;
+    return isBetween ? Math.max(1, MINIMUM_WINDOW_MILLISECONDS - age) : 0;
+  }
+
   #getPlace(id: string, state: ServerState): Place {
     const now = this.#now();
     if (state.place && now - state.place.computedAt < PLACE_LIFETIME_MILLISECONDS)
@@ -202,6 +223,7 @@
         before: state.requestsPerSecond,
         ageMilliseconds: Math.round(this.#now() - heardAt),
       });
+    if (state.requestsPerSecond === undefined) state.namedAt = heardAt;
     state.requestsPerSecond = requestsPerSecond;
     state.hasNamedLimit ||= requestsPerSecond !== undefined;
     state.heardAt = heardAt;
@@ -212,6 +234,7 @@
     if (known) return known;
     const state: ServerState = {
       requestsPerSecond: undefined,
+      namedAt: Number.NEGATIVE_INFINITY,
       heardAt: Number.NEGATIVE_INFINITY,
       sentAt: [],
       probedAt: Number.NEGATIVE_INFINITY,
