--- a/tests/peers-given-up.test.ts
+++ b/tests/peers-given-up.test.ts
@@ -34,6 +34,8 @@
   readonly peer: PlatformInstance;
   readonly requestId: string;
   readonly answer: Promise<ReceivedResponse>;
+  /** Whether the caller has a part of the answer. */
+  readonly hasBegun: () => boolean;
 }
 
 function listRuns(group: PlatformGroup, requestId: string) {
@@ -56,14 +58,18 @@
     return /the instance is cut from them/.test(cut.log.join(''));
   }, 'the cut is known');
   const requestId = createRequestId();
+  let parts = 0;
   const answer = sendCallerRequest(cut, STREAM_PATH, {
     headers: { 'request-id': requestId, 'deadline-ms': '15000' },
+    onPart: () => {
+      parts += 1;
+    },
   });
   await waitUntil(() => listRuns(group, requestId).length === 1, 'the stream runs');
   await waitUntil(() => findPeer(group, cut, requestId) !== undefined, 'its peer is known');
   const peer = findPeer(group, cut, requestId);
   assert.ok(peer);
-  return { group, cut, peer, requestId, answer };
+  return { group, cut, peer, requestId, answer, hasBegun: () => parts > 0 };
 }
 
 async function assertWhole({ group, requestId, answer }: OpenStream): Promise<void> {
@@ -126,7 +132,8 @@
 
 // What a frozen peer has begun can't be shown to have ended: it waits for as long as its route allows.
 test('peers given up: a stream whose only peer freezes ends as cut off at its own time', async (context) => {
-  const { peer, cut, requestId, answer } = await startPassedOnStream(context, 2);
+  const { peer, cut, requestId, answer, hasBegun } = await startPassedOnStream(context, 2);
+  await waitUntil(hasBegun, 'the caller has a part of the answer');
   peer.process.kill('SIGSTOP');
   context.after(() => peer.process.kill('SIGCONT'));
   const received = await answer;
--- a/tools/platform-group.ts
+++ b/tools/platform-group.ts
@@ -46,6 +46,8 @@
   readonly path: string;
   readonly headers?: http.OutgoingHttpHeaders;
   readonly body?: string;
+  /** Called with each part of the response's body as it arrives. */
+  readonly onPart?: (part: string) => void;
 }
 
 /**
@@ -55,7 +57,7 @@
  * @returns The response; status 0 if no complete one arrived. It never rejects.
  */
 export function sendRequest(options: RequestOptions): Promise<ReceivedResponse> {
-  const { port, method = 'GET', path: target, headers = {}, body = '' } = options;
+  const { port, method = 'GET', path: target, headers = {}, body = '', onPart } = options;
   return new Promise((resolve) => {
     const request = http.request(
       { host: '127.0.0.1', port, method, path: target, headers, agent: false },
@@ -64,6 +66,7 @@
         response.setEncoding('utf8');
         response.on('data', (part: string) => {
           text += part;
+          onPart?.(part);
         });
         const finish = (): void => {
           const status = response.complete ? (response.statusCode ?? 0) : 0;
--- a/tools/serving-group.ts
+++ b/tools/serving-group.ts
@@ -84,11 +84,13 @@
     readonly key?: string;
     readonly headers?: object;
     readonly body?: string;
+    readonly onPart?: (part: string) => void;
   } = {},
 ): Promise<ReceivedResponse> {
-  const { method = 'POST', key = 'key-1', headers = {}, body = '' } = options;
+  const { method = 'POST', key = 'key-1', headers = {}, body = '', onPart } = options;
   return sendRequest({
     body,
+    ...(onPart ? { onPart } : {}),
     port: instance.ports.front,
     method,
     path,
