An instance that is off is no longer named to callers once its own data centre has lost it

Cause, in the part that was left: records cross data centres at each fourth heartbeat only in a fleet of 71, so that a peer of another data centre is dead after 6.2 s of silence, and nothing shortens that: its neighbours know after 2.8 s and don't tell.

An instance's record now names the peers of its own data centre that it has lately taken for dead, with the incarnation and counter of their last records; peers act on it at once. Instances of other data centres take such a peer for dead, unless they have a newer record of it; the next record of the peer itself takes it back. In the same data centre each instance judges by its own silence, as before.

Evidence: peer-table "gone instance" (three tests): the first failed before for lack of the word, the others bound it. Other builds: an optional field, absent in older records, kept by older builds.

Ruled out: a shorter limit for other data centres (their records are held back by design: instances would flap); the word of one data centre on another's instances, or within one's own (an instance that is itself late would take live neighbours out).

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -109,6 +109,7 @@
           configuration: this.configuration,
           storeFollower: this.storeFollower,
           lease: this.lease,
+          peers: this.peers,
           servers: this.#servers,
           retryBudget: this.context.retryBudget,
         }),
--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -12,6 +12,7 @@
   | 'configurationVersion'
   | 'isStoreReachable'
   | 'isCutFromServers'
+  | 'lost'
   | 'suspects'
   | 'ejections'
   | 'plannerTerm'
--- a/src/daemon/record-state.ts
+++ b/src/daemon/record-state.ts
@@ -1,6 +1,7 @@
 /** Describes the state of an instance for its record, from what its components know. */
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import { collectServerObservations } from '../fleet/server-observations.js';
+import type { PeerTable } from '../gossip/peer-table.js';
 import type { PlannerLease } from '../layers/planner-lease.js';
 import type { RetryBudget } from '../relay/retry-budget.js';
 import type { RecordState } from './own-record.js';
@@ -14,6 +15,7 @@
   readonly configuration: Pick<ActiveConfiguration, 'current'>;
   readonly storeFollower: Pick<StoreFollower, 'isStoreReachable'>;
   readonly lease: Pick<PlannerLease, 'isHolder' | 'term'>;
+  readonly peers: Pick<PeerTable, 'reportedLost'>;
   readonly servers: ServerComponents;
   readonly retryBudget: Pick<RetryBudget, 'counts'>;
 }
@@ -25,7 +27,7 @@
  * @returns The state for the instance's record.
  */
 export function describeRecordState(sources: RecordStateSources): RecordState {
-  const { isReady, isStopping, configuration, storeFollower, lease, retryBudget } = sources;
+  const { isReady, isStopping, configuration, storeFollower, lease, peers, retryBudget } = sources;
   const { fleet, outlierEjection, serverReach, crashBlame, serverLimits } = sources.servers;
   return {
     urgent: {
@@ -34,6 +36,7 @@
       configurationVersion: configuration.current?.version ?? -1,
       isStoreReachable: storeFollower.isStoreReachable,
       isCutFromServers: serverReach.isCut,
+      lost: peers.reportedLost,
       suspects: outlierEjection.ownEjections,
       ejections: outlierEjection.ownEjectionCauses,
       plannerTerm: lease.isHolder ? lease.term : 0,
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -44,6 +44,11 @@
   fleetRevision: Amount,
   /** Era of the store to which that revision belongs. Absent in records of older builds. */
   fleetEra: Amount.optional(),
+  /**
+   * Instances of its data centre that it has lately taken for dead: incarnation and counter of their last records.
+   * Absent in records of older builds.
+   */
+  lost: z.record(z.string(), z.tuple([Amount, Amount])).optional(),
   /** Whether the store answered this instance recently. */
   isStoreReachable: z.boolean(),
   /** Whether it has lost its links to all backend servers. Absent in records of older builds. */
--- a/src/gossip/peer-table.test.ts
+++ b/src/gossip/peer-table.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { createPeerRecord } from '../../tools/peer-record.js';
 import { createSilentLogger } from '../telemetry/log.js';
+import type { PeerRecord } from './peer-record.js';
 import { PeerTable } from './peer-table.js';
 
 const LOCAL_PEERS = ['a', 'b', 'c', 'd'];
@@ -71,3 +72,54 @@
   }
   assert.equal(table.aliveCount, LOCAL_PEERS.length + FAR_PEERS.length);
 });
+
+/** Records of two instances of another data centre, the second of which tells that it has lost the first. */
+function createLostTable() {
+  const { table, clock } = createTable();
+  const accept = (instance: string, overrides: Partial<PeerRecord>): boolean =>
+    table.accept(createPeerRecord(instance, { dataCentre: 'there', ...overrides }));
+  accept('e', { counter: 7 });
+  accept('f', { counter: 1 });
+  return { table, clock, accept };
+}
+
+// Callers were told the address of an instance that was off until its silence was noticed in each data centre.
+test('gone instance: a peer that its own data centre has lost is dead at once, until a newer record of it comes', () => {
+  const { table, accept } = createLostTable();
+  accept('f', { counter: 2, lost: { e: [1, 7] } });
+  assert.equal(table.findAlive('e'), undefined);
+  accept('e', { counter: 8 });
+  assert.ok(table.findAlive('e'));
+  accept('f', { counter: 3, lost: { e: [1, 7] } });
+  assert.ok(table.findAlive('e'), 'an older word');
+  accept('e', { counter: 1, incarnation: 2 });
+  accept('f', { counter: 4, lost: { e: [1, 9] } });
+  assert.ok(table.findAlive('e'), 'the word is about the process before');
+});
+
+test('gone instance: only the word of its own data centre counts, and not within this one', () => {
+  const { table, accept } = createLostTable();
+  accept('x', { dataCentre: 'elsewhere', counter: 1, lost: { e: [1, 7] } });
+  assert.ok(table.findAlive('e'));
+  accept('a', { dataCentre: 'here', counter: 1 });
+  accept('b', { dataCentre: 'here', counter: 1, lost: { a: [1, 1] } });
+  assert.ok(table.findAlive('a'));
+});
+
+test('gone instance: what is lost in this data centre is told to others, for a while and until it is back', () => {
+  const { clock, table, renew } = createTable();
+  renew([...LOCAL_PEERS, ...FAR_PEERS]);
+  const pass = (): void => {
+    clock.now += HEARTBEAT_MILLISECONDS;
+    renew(['b', 'c', 'd', 'f', 'g', 'h']);
+    table.expireSilentPeers();
+  };
+  while (table.findAlive('a') || table.findAlive('e')) pass();
+  assert.deepEqual(table.reportedLost, { a: [1, 1] });
+  table.accept(createPeerRecord('a', { dataCentre: 'here', counter: 2 }));
+  assert.deepEqual(table.reportedLost, {});
+  while (table.findAlive('a')) pass();
+  assert.deepEqual(table.reportedLost, { a: [1, 2] });
+  for (let count = 0; count < 60; count += 1) pass();
+  assert.deepEqual(table.reportedLost, {});
+});
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -24,6 +24,8 @@
   readonly arrivedAt: number;
   readonly mark: RenewalMark;
   isAlive: boolean;
+  /** When its silence was noticed; undefined while it is alive. */
+  lostAt?: number;
 }
 
 /** A peer without a newer record for more heartbeats than this is considered dead. */
@@ -38,6 +40,9 @@
 /** The retry counts of a peer that has gone silent still count for this long. */
 const RETRY_COUNTS_MAX_AGE_MILLISECONDS = 10_000;
 const FORGET_AFTER_MILLISECONDS = 60_000;
+/** Other data centres are told of a lost peer for this long; by then they have noticed its silence themselves. */
+const REPORT_LOST_MILLISECONDS = 15_000;
+const MAXIMUM_REPORTED_LOST = 64;
 
 /** Records of other data centres come less often. */
 const LOCAL_GROUP = 'local';
@@ -89,9 +94,32 @@
     const mark = this.#rounds.record(this.#getGroup(record), known?.mark, time);
     this.#peers.set(record.instance, { record, updatedAt: now, arrivedAt: now, mark, isAlive });
     if (isAlive && !wasAlive) this.#log.info('Peer is alive.', { peer: record.instance });
+    this.#takeWordOfLost(record);
     return true;
   }
 
+  /**
+   * Takes over which of its neighbours an instance of another data centre has lost: it hears of them oftener. A newer
+   * record of such a peer takes that back.
+   */
+  #takeWordOfLost({ instance: reporter, dataCentre, lost = {} }: PeerRecord): void {
+    if (dataCentre === this.#dataCentre) return;
+    Object.entries(lost).forEach(([instance, [incarnation, counter]]) => {
+      const known = this.#peers.get(instance);
+      if (!known?.isAlive || known.record.dataCentre !== dataCentre) return;
+      if (isNewer(known.record, { incarnation, counter })) return;
+      known.isAlive = false;
+      const silenceMilliseconds = Math.round(this.#now() - known.arrivedAt);
+      this.#log.warn('A peer of its data centre has lost the peer; considered dead.', {
+        peer: instance,
+        reporter,
+        counter,
+        silenceMilliseconds,
+      });
+      this.#onPeerLost(instance);
+    });
+  }
+
   /**
    * Marks peers that have gone silent as dead, and forgets them after a minute of silence. Time in
    * which this process itself stood still or was late is not counted as silence of its peers, unless the others
@@ -120,6 +148,7 @@
       const isOutlived = now - known.arrivedAt > limit && rounds > SILENCE_LIMIT_HEARTBEATS;
       if (known.isAlive && (silence > limit || isOutlived)) {
         known.isAlive = false;
+        known.lostAt = now;
         this.#log.warn('No newer record from the peer; considered dead.', {
           peer: instance,
           silenceMilliseconds: Math.round(now - known.arrivedAt),
@@ -152,6 +181,18 @@
     return count;
   }
 
+  /** Peers of this data centre that this instance has lately taken for dead, with their last records' numbers. */
+  get reportedLost(): NonNullable<PeerRecord['lost']> {
+    const oldest = this.#now() - REPORT_LOST_MILLISECONDS;
+    const lost = [...this.#peers]
+      .filter(([, { isAlive, lostAt = Number.NEGATIVE_INFINITY }]) => !isAlive && lostAt >= oldest)
+      .filter(([, { record }]) => this.#getGroup(record) === LOCAL_GROUP)
+      .slice(-MAXIMUM_REPORTED_LOST);
+    return Object.fromEntries(
+      lost.map(([instance, { record }]) => [instance, [record.incarnation, record.counter]]),
+    );
+  }
+
   /** Records of the peers that are alive. */
   get aliveRecords(): PeerRecord[] {
     return [...this.#peers.values()].filter(({ isAlive }) => isAlive).map(({ record }) => record);
@@ -188,7 +229,9 @@
   }
 }
 
-function isNewer(candidate: PeerRecord, stored: PeerRecord): boolean {
+type RecordNumber = Pick<PeerRecord, 'incarnation' | 'counter'>;
+
+function isNewer(candidate: RecordNumber, stored: RecordNumber): boolean {
   if (candidate.incarnation !== stored.incarnation)
     return candidate.incarnation > stored.incarnation;
   return candidate.counter > stored.counter;
