The store's word that its history is lost is no evidence that the configuration is the newest

Cause, from the log of the instance: at 19.9712 s "Object store no longer has the changes since this revision; listing all objects.", and in the same moment 404 `no_route` by version 68 with evidence `store answer`, 3 ms old, where 71 had been acknowledged at 15.719 s. Each answer to a watch marked the configuration as the newest, also a 410, which says the opposite; and before its changes were applied.

The class is belief by the wrong time: an answer that a busy process reads seconds late counted as the store's word of now as well. Now a follower says for which moment it knows what the store held, once that is applied: a list or a watch with changes for the moment of the answer less this process's own latest delays, never earlier than when it was asked; a watch without changes for the end of its wait; a 410 for none. The question before a denial counts from when it was asked.

Evidence: follow-objects "the answer that the history is lost does not show that what is known is current" and "an answer that is read late shows what the store held when it was asked" ask for a callback that wasn't there; late-configuration and proper-requests pass (20).

--- a/src/daemon/configuration-evidence.ts
+++ b/src/daemon/configuration-evidence.ts
@@ -87,6 +87,9 @@
     const { store, configurationKind, configuration, watchedPosition, apply, signal } =
       this.#options;
     const position = watchedPosition();
+    const askedAt = performance.now();
+    const markUpToDate = (): void =>
+      configuration.markUpToDate('store answer', performance.now() - askedAt);
     if (position !== undefined) {
       const since = position.revision;
       const watched = await store.watch(configurationKind, { since, waitMilliseconds: 0, signal });
@@ -94,14 +97,14 @@
       // Of another era the answer says nothing, since revisions were given out again.
       if (watched.kind === 'changed' && (watched.era ?? 0) === position.era) {
         watched.changes.forEach(({ object }) => apply(object));
-        configuration.markUpToDate('store answer');
+        markUpToDate();
         return;
       }
     }
     const listed = await store.list(configurationKind);
     if (listed.kind !== 'listed') return;
     listed.objects.forEach(apply);
-    configuration.markUpToDate('store answer');
+    markUpToDate();
   }
 
   /** Asks peers that reach the store, those of this data centre first. */
--- a/src/store/follow-objects.test.ts
+++ b/src/store/follow-objects.test.ts
@@ -15,11 +15,12 @@
 
 /**
  * Follows a store whose watches return the scripted results in order; stops after the last one or
- * at 'hang'. Returns the calls and callbacks in order.
+ * at 'hang'. Returns the calls and callbacks in order; `held` gets how old what is known was each time.
  */
 async function follow(
   script: readonly (WatchObjectsResult | 'hang')[],
   eras: (number | undefined)[] = [],
+  held: number[] = [],
 ): Promise<string[]> {
   const calls: string[] = [];
   const end = new AbortController();
@@ -58,6 +59,7 @@
     },
     onChanges: (changes) => calls.push(`changes ${changes.length}`),
     onStoreAnswer: () => undefined,
+    onCurrent: (heldAt) => held.push(performance.now() - heldAt),
     log: createSilentLogger(),
     signal: end.signal,
   });
@@ -118,3 +120,27 @@
     'watch 15',
   ]);
 });
+
+// A proper route was denied: the answer that history is gone counted as the store's word that nothing is newer.
+test('follow: the answer that the history is lost does not show that what is known is current', async () => {
+  const held: number[] = [];
+  await follow([{ kind: 'historyLost' }, 'hang'], [], held);
+  assert.equal(held.length, 2, 'the two lists');
+});
+
+// An instance that reads an answer seconds late took it for the store's word of now.
+test('follow: an answer that is read late shows what the store held when it was asked', async () => {
+  const held: number[] = [];
+  const object = { name: 'a', revision: 20, value: 1 };
+  const late = {
+    get kind() {
+      const until = performance.now() + 80;
+      while (performance.now() < until);
+      return 'changed' as const;
+    },
+    changes: [{ object, isDeleted: false }],
+    revision: 20,
+  };
+  await follow([late, 'hang'], [], held);
+  assert.ok((held[1] ?? 0) >= 80, `${held[1]}`);
+});
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -36,8 +36,15 @@
   readonly onList: (objects: readonly StoredObject[], revision: number, era: number) => void;
   /** Called with the changes that a watch returned, never with none. */
   readonly onChanges: (changes: readonly ObjectChange[], revision: number, era: number) => void;
-  /** Called after each answer from the store. */
+  /** Called after each answer from the store, whatever it says. */
   readonly onStoreAnswer: () => void;
+  /**
+   * Called once all is known that the store held at a time, on the monotonic clock. An answer may have waited for this
+   * process to read it.
+   */
+  readonly onCurrent?: (heldAt: number) => void;
+  /** How long an answer may have waited for that; by default since the store was asked. */
+  readonly ownDelayMilliseconds?: () => number;
   /** Called with where the next watch continues, after each answer to a list or watch. */
   readonly onPosition?: (position: StorePosition) => void;
   /** Called after each call that fails, with whether its connection was silent. */
@@ -90,6 +97,7 @@
 export async function followObjects(options: FollowObjectsOptions): Promise<void> {
   const { store, objectKind, onList, onChanges, onStoreAnswer, log, signal } = options;
   const { onStoreUnavailable = () => undefined, onPosition = () => undefined } = options;
+  const { onCurrent = () => undefined, ownDelayMilliseconds = () => Infinity } = options;
   const { isPaused = () => false, watchSignal = () => signal } = options;
   const { knownPosition = () => ({ era: 0, revision: 0 }) } = options;
   const { confirmation, batchPauseMilliseconds = () => 0 } = options;
@@ -134,6 +142,7 @@
         if (isOtherEra(listed.era, era)) era = listed.era ?? era;
         onPosition({ era, revision });
         onList(listed.objects, revision, era);
+        onCurrent(Math.max(startedAt, performance.now() - ownDelayMilliseconds()));
       } else {
         await recordFailure(listed);
       }
@@ -164,8 +173,13 @@
         recordAnswer(hasWaited ? performance.now() - startedAt - waitMilliseconds : undefined);
         revision = Math.max(revision, watched.revision);
         onPosition({ era, revision });
-        if (watched.changes.length > 0) {
-          onChanges(watched.changes, revision, era);
+        if (!hasWaited) onChanges(watched.changes, revision, era);
+        const now = performance.now();
+        // Without a change the store has waited before it answered, unless the watch was cut off.
+        const waitedUntil = startedAt + (hasWaited ? waitMilliseconds : 0);
+        const askedAt = waitedUntil <= now ? waitedUntil : startedAt;
+        onCurrent(Math.max(askedAt, now - ownDelayMilliseconds()));
+        if (!hasWaited) {
           const milliseconds = batchPauseMilliseconds();
           if (milliseconds > 0) await sleep(milliseconds, signal);
         }
