Nothing is sent on for a request whose time is over or whose caller has left, also by a process that is late

Cause: a timer ends a request, and timers of a busy process are late; and what a caller sent and the close that followed it are read in the same moment by a process that stood still, so that the request was on its way before the close was looked at.

A request knows by itself whether it is over (EntryRequest.isOver), which also ends it; it is asked before a chain or server is looked for and while a stream waits.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -10,6 +10,7 @@
 import { type EntryServer } from '../entry/entry-server.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
 import { PeerRelay } from '../relay/peer-relay.js';
+import { maySend } from '../relay/send-permission.js';
 import { RELAY_HEADER } from '../relay/relayed-request.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
@@ -206,6 +207,7 @@
       protocol: platform.protocol,
       isBlocked: (content) => this.context.crashBlame.isBlocked(content),
       acquireRetry: (service) => this.context.retryBudget.tryAcquire(service),
+      maySend: (request) => maySend(request, this.context.eventLoopDelay),
       log: logs('routing'),
     });
   }
--- a/src/entry/entry-request.ts
+++ b/src/entry/entry-request.ts
@@ -25,6 +25,8 @@
   readonly deadline: number;
   /** Aborts with an {@link AbortReason}. */
   readonly signal: AbortSignal;
+  /** Whether it has ended or its time is over, by the clock: the timer that aborts the signal may be late. */
+  readonly isOver: () => boolean;
   readonly content: RequestContent;
   /** What the instance states that passed the request on; undefined if the caller sent it here. */
   readonly relayed: RelayedRequest | undefined;
--- a/src/entry/entry-server.ts
+++ b/src/entry/entry-server.ts
@@ -211,6 +211,10 @@
         receivedAt,
         deadline,
         signal: abortController.signal,
+        isOver: () => {
+          if (performance.now() >= deadline) abort('deadline');
+          return abortController.signal.aborted;
+        },
         relayed,
         content: {
           hash: hashContent(target.path, account?.name ?? '', body),
--- a/src/relay/peer-relay.test.ts
+++ b/src/relay/peer-relay.test.ts
@@ -44,6 +44,7 @@
     configurationVersion: () => 1,
     protocol: createProtocolAdapter(),
     isBlocked: () => false,
+    maySend: () => Promise.resolve(true),
     acquireRetry: () => true,
     log: createSilentLogger(),
   });
--- a/src/relay/peer-relay.ts
+++ b/src/relay/peer-relay.ts
@@ -28,6 +28,8 @@
   readonly isBlocked: (content: RequestContent) => boolean;
   /** Takes a retry of a service's budget; false if none is left. */
   readonly acquireRetry: (service: string) => boolean;
+  /** Whether a request may be sent on now; see `send-permission`. */
+  readonly maySend: (request: EntryRequest) => Promise<boolean>;
   readonly log: Logger;
 }
 
@@ -257,7 +259,8 @@
     { processKeys, lastEventId }: RelayProgress,
     signal: AbortSignal,
   ): Promise<PeerAnswer> {
-    const { instance, configurationVersion, protocol, log } = this.#options;
+    const { instance, configurationVersion, protocol, maySend, log } = this.#options;
+    if (!(await maySend(request))) return { kind: 'none' };
     const { incoming, body, path, deadline, metadata } = request;
     const relayed: RelayedRequest = {
       from: instance,
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -68,11 +68,12 @@
 
   async serve(): Promise<string> {
     const { crashBlame, retryBudget, serverReach, logs } = this.#context;
-    const { content, service, signal, metadata, route, relayed } = this.#request;
+    const { content, service, signal, isOver, metadata, route, relayed } = this.#request;
     if (admitRequest(this.#context, this.#request) === 'refuse')
       return this.#ending.refuse('crashes_servers', RETRY_AFTER_BLOCKED_SECONDS);
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
+      if (isOver()) return this.#ending.sendTimeout();
       if (serverReach.isCut) return this.#serveWhileCut();
       const server = this.#chooseServer();
       if (!server) {
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -5,6 +5,7 @@
 import { interpretResponse, type ResponseMeaning } from '../evidence/response-meaning.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import { sendBackendRequest, type BackendRequest } from './backend-request.js';
+import { maySend } from './send-permission.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import type { EntryRequest } from '../entry/entry-request.js';
 import type { ResponseMetadata, StageAddress } from '../entry/protocol-adapter.js';
@@ -92,6 +93,8 @@
   const { protocol } = context;
   const { incoming, path, account, body, deadline, metadata, route } = request;
   const { server, chain, lastEventId, signal } = options;
+  if (!(await maySend(request, context.eventLoopDelay)))
+    throw new HttpRequestError('connecting', 'The request is over; it was not sent.');
   const message = await sendObserved(context, server, {
     address: server.address,
     method: incoming.method ?? 'GET',
--- a/src/relay/relay-stream.ts
+++ b/src/relay/relay-stream.ts
@@ -141,6 +141,7 @@
     if (!relayed) retryBudget.recordFirstAttempt(service.name);
     for (;;) {
       const begun = this.#takeBegun();
+      if (this.#request.isOver()) return this.#endAborted(begun);
       const way = getBegunWay(begun) ?? (await this.#wayFinder.find());
       if (way.kind === 'chain') {
         if (admission === 'try' && !this.#limits.isTrial) crashBlame.startTrial(content);
--- a/src/relay/stream-way.ts
+++ b/src/relay/stream-way.ts
@@ -75,7 +75,7 @@
 
   /** Takes a chain with room and a retry of the budget; undefined as long as either is lacking. */
   #tryProceed(): Way | undefined {
-    if (this.#options.limits.proof) return { kind: 'none' };
+    if (this.#options.request.isOver() || this.#options.limits.proof) return { kind: 'none' };
     if (this.#options.context.serverReach.isCut)
       return this.#takeRetry() ? { kind: 'peers' } : undefined;
     const needsRoom = this.#options.limits.refusalPauseMilliseconds > 0;
