--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -105,6 +105,7 @@
   const { here, proxy, peers } = await startBehindProxy(context);
   proxy.silence('both');
   proxy.silencesNew = 'both';
+  const { connectionCount } = proxy;
   assert.equal(await here.gossip.fetchDocument(peers, '/number', 100), undefined);
-  assert.equal(proxy.connectionCount, 3);
+  assert.equal(proxy.connectionCount, connectionCount + 1);
 });
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -6,13 +6,19 @@
  */
 import http from 'node:http';
 import { z } from 'zod';
-import { isSameAddress, type Address } from '../common/address.js';
+import type { Address } from '../common/address.js';
 import { sleep } from '../common/clock.js';
 import { getErrorMessage } from '../common/http-client.js';
 import type { Logger } from '../telemetry/log.js';
 import { PeerConnections } from './peer-connections.js';
 import type { PeerRecord, ServerLoads } from './peer-record.js';
 import { PeerRecordDecoder } from './peer-record-decoder.js';
+import {
+  DEFAULT_FANOUT,
+  pickTargets,
+  URGENT_FANOUT,
+  type ExchangeTarget,
+} from './exchange-targets.js';
 import { COMPRESSED_ENCODING, decodeDocument, encodeDocument } from './document-encoding.js';
 import type { PeerTable } from './peer-table.js';
 import { getHeartbeatInterval, getRemoteRecordInterval } from './record-interval.js';
@@ -65,26 +71,6 @@
   scope: DigestScope.default('all').catch('all'),
 });
 
-/** A peer to exchange records with. */
-interface ExchangeTarget {
-  readonly address: Address;
-  /** Undefined for an address of which no record is known. */
-  readonly dataCentre: string | undefined;
-}
-
-/** Number of peers to exchange records with in one round. */
-interface Fanout {
-  /** Peers in this instance's data centre. */
-  readonly sameDataCentre: number;
-  /** Peers in all other data centres together. */
-  readonly otherDataCentres: number;
-}
-
-const DEFAULT_FANOUT: Fanout = { sameDataCentre: 2, otherDataCentres: 1 };
-/** Used when the own record has a change that peers should act on at once. */
-const URGENT_FANOUT: Fanout = { sameDataCentre: 2, otherDataCentres: 2 };
-/** Probability per round of contacting one more peer that may not be alive. */
-const PROBE_PROBABILITY = 0.3;
 const EXCHANGE_TIMEOUT_MILLISECONDS = 400;
 const DOCUMENT_TIMEOUT_MILLISECONDS = 1000;
 /** More than the longest head that instances accept from callers. */
@@ -151,7 +137,7 @@
       getRemoteRecordInterval(this.#options.table.aliveCount) / 2,
     );
     const isFullRound = this.#roundCount % fullRoundInterval === 0;
-    const targets = this.#pickTargets(isUrgent ? URGENT_FANOUT : DEFAULT_FANOUT);
+    const targets = pickTargets(this.#options, isUrgent ? URGENT_FANOUT : DEFAULT_FANOUT);
     await Promise.all(
       targets.map((target) => this.#exchange(target, this.#chooseScope(target, isFullRound))),
     );
@@ -162,7 +148,7 @@
    * next without waiting for rounds.
    */
   async pushRecord(): Promise<void> {
-    const targets = this.#pickTargets({ ...DEFAULT_FANOUT, otherDataCentres: 0 });
+    const targets = pickTargets(this.#options, { ...DEFAULT_FANOUT, otherDataCentres: 0 });
     await Promise.all(targets.map((target) => this.#exchange(target, 'own')));
   }
 
@@ -200,34 +186,6 @@
     }
   }
 
-  /**
-   * Chooses the peers for one round at random. If this data centre has too few, peers of the others
-   * take their place.
-   */
-  #pickTargets(fanout: Fanout): ExchangeTarget[] {
-    const { table, seeds, address, dataCentre } = this.#options;
-    const { aliveRecords } = table;
-    const localCandidates = shuffle(aliveRecords.filter((peer) => peer.dataCentre === dataCentre));
-    const remoteCandidates = shuffle(aliveRecords.filter((peer) => peer.dataCentre !== dataCentre));
-    const localPeers = localCandidates.slice(0, fanout.sameDataCentre);
-    const remoteCount = fanout.otherDataCentres + fanout.sameDataCentre - localPeers.length;
-    const toTarget = (record: PeerRecord): ExchangeTarget => ({
-      address: record.peers,
-      dataCentre: record.dataCentre,
-    });
-    const picked = [...localPeers, ...remoteCandidates.slice(0, remoteCount)].map(toTarget);
-    // Includes peers considered dead, so that both sides of a network partition find each other
-    // again.
-    const probeCandidates = [
-      ...table.allRecords.map(toTarget),
-      ...seeds.map((seed) => ({ address: seed, dataCentre: undefined })),
-    ].filter((target) => !isSameAddress(target.address, address));
-    const [probeTarget] = shuffle(probeCandidates);
-    if (probeTarget && (picked.length === 0 || Math.random() < PROBE_PROBABILITY))
-      picked.push(probeTarget);
-    return picked;
-  }
-
   async #exchange({ address, dataCentre }: ExchangeTarget, scope: DigestScope): Promise<void> {
     try {
       const answer = await this.#connections.fetch({
@@ -343,14 +301,3 @@
     }
   }
 }
-
-function shuffle<T>(values: readonly T[]): T[] {
-  const shuffled = [...values];
-  for (let index = shuffled.length - 1; index > 0; index -= 1) {
-    const other = Math.floor(Math.random() * (index + 1));
-    const value = shuffled[index] as T;
-    shuffled[index] = shuffled[other] as T;
-    shuffled[other] = value;
-  }
-  return shuffled;
-}
