--- a/src/daemon/status-documents.ts
+++ b/src/daemon/status-documents.ts
@@ -51,7 +51,8 @@
     configurationVersion: own.configurationVersion,
     configurationAgeMilliseconds: Math.round(configuration.ageMilliseconds()),
     fleetRevision: fleet.revision,
-    serversAgeMilliseconds: toWholeMilliseconds(sources.getServersAgeMilliseconds()),
+    // Null where peers follow the store instead: a field that is left out looks like one that was lost.
+    serversAgeMilliseconds: toWholeMilliseconds(sources.getServersAgeMilliseconds()) ?? null,
     isStoreReachable,
     isPlanner: lease.isHolder,
     openRequests: countOpenRequests(),
