--- a/src/daemon/status-documents.ts
+++ b/src/daemon/status-documents.ts
@@ -5,7 +5,8 @@
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import type { ServingConfiguration } from '../entry/serving-configuration.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
-import { getHeldLayers, type BackendFleet, type FleetServer } from '../fleet/backend-fleet.js';
+import type { BackendFleet } from '../fleet/backend-fleet.js';
+import { getHeldLayers, type FleetServer } from '../fleet/fleet-server.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { PeerRecord } from '../gossip/peer-record.js';
 import type { PlannerLease } from '../layers/planner-lease.js';
--- a/src/evidence/engine-reports.ts
+++ b/src/evidence/engine-reports.ts
@@ -1,5 +1,6 @@
 /** Asks engines for reports, and notes what their answers say of them. */
-import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
+import type { BackendFleet } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import type { StatementRecorder } from '../fleet/server-statements.js';
 import { isAnothersAnswer, recordAnothersAnswer } from './address-owner.js';
 import { NoEngineReportError } from './no-engine-report-error.js';
--- a/src/evidence/stall-detector.test.ts
+++ b/src/evidence/stall-detector.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { HttpRequestError } from '../common/http-client.js';
-import { BackendFleet, type FleetServer } from '../fleet/backend-fleet.js';
+import { BackendFleet } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import { EndCheck } from '../fleet/end-check.js';
 import { ServerReach } from '../fleet/server-reach.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
--- a/src/evidence/stall-detector.ts
+++ b/src/evidence/stall-detector.ts
@@ -9,7 +9,8 @@
   isConnectionLost,
   isConnectionRefused,
 } from '../common/http-client.js';
-import type { BackendFleet, FleetServer } from '../fleet/backend-fleet.js';
+import type { BackendFleet } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import type { EndCheck } from '../fleet/end-check.js';
 import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
--- a/src/fleet/backend-fleet.test.ts
+++ b/src/fleet/backend-fleet.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { createSilentLogger } from '../telemetry/log.js';
-import { BackendFleet, getHeldLayers } from './backend-fleet.js';
+import { BackendFleet } from './backend-fleet.js';
+import { getHeldLayers } from './fleet-server.js';
 import { recordRefusal } from './server-availability.js';
 import { getProcessKey, type ServerEntry } from './server-entry.js';
 
--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -8,15 +8,6 @@
 import { isLaterStart, isReplacedBy } from './newer-process.js';
 import { getProcessKey, type ServerEntry } from './server-entry.js';
 
-// What acts on the servers imports it from here.
-export {
-  getHeldLayers,
-  type FleetServer,
-  type LayerReport,
-  type OwnWord,
-  type ServerLoad,
-} from './fleet-server.js';
-
 /** Options of {@link BackendFleet}. */
 export interface BackendFleetOptions {
   readonly log: Logger;
--- a/src/fleet/expected-room.ts
+++ b/src/fleet/expected-room.ts
@@ -2,7 +2,7 @@
  * Tells when servers that take no request now will take one again. Handles a service whose servers all name
  * limits or ask for pauses: its callers are told a time at which there is room, and don't all return at once.
  */
-import type { FleetServer } from './backend-fleet.js';
+import type { FleetServer } from './fleet-server.js';
 import type { ServerLimits } from './server-limits.js';
 
 /** When there is room, and why there is none now. */
--- a/src/fleet/server-availability.ts
+++ b/src/fleet/server-availability.ts
@@ -4,7 +4,7 @@
  * or broken off. What a server says is kept to; what only suggests something gives way where no other server
  * can run the request.
  */
-import type { FleetServer } from './backend-fleet.js';
+import type { FleetServer } from './fleet-server.js';
 
 /** `closed` must get nothing; `avoided` gets a request only where no other server can run it. */
 export type Availability = 'open' | 'avoided' | 'closed';
--- a/src/relay/call-exchange.ts
+++ b/src/relay/call-exchange.ts
@@ -9,7 +9,7 @@
   isConnectionRefused,
 } from '../common/http-client.js';
 import { assertWhole, UnprovedAnswerError } from '../evidence/whole-answer.js';
-import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { readAnswer } from './backend-request.js';
 import type { BufferedResponse } from './call-ending.js';
--- a/src/relay/chain-selector.ts
+++ b/src/relay/chain-selector.ts
@@ -1,5 +1,5 @@
 /** Selects chains of engines for one streaming request and reserves its work at their engines. */
-import { getHeldLayers, type FleetServer } from '../fleet/backend-fleet.js';
+import { getHeldLayers, type FleetServer } from '../fleet/fleet-server.js';
 import { getAvailability } from '../fleet/server-availability.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import type { Chain, ChainCandidate, ChainStage } from '../layers/chain-choice.js';
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -4,7 +4,7 @@
  */
 import { getErrorMessage } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
-import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
--- a/src/relay/relay-stream.ts
+++ b/src/relay/relay-stream.ts
@@ -2,7 +2,7 @@
  * Serves a streaming request over a chain of engines. When an attempt fails, the stream resumes
  * over another chain after the last event that the caller received.
  */
-import { getHeldLayers } from '../fleet/backend-fleet.js';
+import { getHeldLayers } from '../fleet/fleet-server.js';
 import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { admitRequest } from '../entry/admission.js';
--- a/src/relay/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -4,7 +4,7 @@
  * stays open until that has begun to answer: whichever of the two answers first goes on.
  */
 import { startPatientTimer } from '../common/patient-timer.js';
-import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import type { CallerStream } from './caller-stream.js';
 import type { ChainSelector, EngineChain } from './chain-selector.js';
 import type { EntryContext } from '../entry/entry-context.js';
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -11,7 +11,7 @@
 } from '../common/http-client.js';
 import type { AnswerDelimiter } from '../evidence/answer-end.js';
 import { assertWhole, assertWholeFromPeer, UnprovedAnswerError } from '../evidence/whole-answer.js';
-import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import { recordAcceptance, recordRefusal } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { readAnswer, readChunks } from './backend-request.js';
--- a/src/relay/stream-replacement.test.ts
+++ b/src/relay/stream-replacement.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { setImmediate } from 'node:timers/promises';
-import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import type { EngineChain } from './chain-selector.js';
 import type { PeerAnswer } from './peer-answer.js';
 import type { StreamExchange } from './stream-exchange.js';
--- a/src/relay/stream-replacement.ts
+++ b/src/relay/stream-replacement.ts
@@ -2,7 +2,7 @@
  * Another attempt of a stream beside one whose engines are suspected of having stalled. It takes over once it
  * has begun to answer; until then the suspected one stays open, and anything that it sends cancels the replacement.
  */
-import type { FleetServer } from '../fleet/backend-fleet.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import type { EngineChain } from './chain-selector.js';
 import type { PeerAnswer } from './peer-answer.js';
 import type { AcceptedStream, AttemptResult, StreamExchange } from './stream-exchange.js';
