The store's answer shows what it held when it was asked, however late the process knows itself to be

In the log: version 47 at 33.868 s on evidence 1,514 ms old, where 50 had been acknowledged at 30.280: the answer, a large configuration, had been under way for over a second on a full link, which no delay of the event loop shows.

Now it counts from when the store was asked; a watch without changes still counts from the end of its wait. Price: a denial within a wait after a change asks the store once more.

Evidence: the two logs; follow-objects "an answer that is read late shows what the store held when it was asked" is the default now.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -44,10 +44,6 @@
   readonly server: () => EntryServer | undefined;
 }
 
-/** An answer that is read now came no earlier than the longest delay within this time. */
-const OWN_DELAY_WINDOW_MILLISECONDS = 1000;
-const OWN_DELAY_MARGIN_MILLISECONDS = 100;
-
 /** The components of one entry instance. */
 export class EntryComponents {
   readonly #options: EntryComponentsOptions;
@@ -257,7 +253,6 @@
         this.lease.forget();
         void this.registration.registerAgain();
       },
-      ownDelayMilliseconds: () => this.#getOwnDelay(),
       isIdle: () =>
         Object.values(this.context.retryBudget.counts).every(([requests]) => requests === 0),
       logs,
@@ -265,12 +260,6 @@
     });
   }
 
-  /** Including what the timer that measures it doesn't show. */
-  #getOwnDelay(): number {
-    const since = performance.now() - OWN_DELAY_WINDOW_MILLISECONDS;
-    return this.context.eventLoopDelay.longestSince(since) + OWN_DELAY_MARGIN_MILLISECONDS;
-  }
-
   #createGossip(): Gossip {
     const { settings, logs, signal } = this.#options;
     return new Gossip({
--- a/src/daemon/store-follower.test.ts
+++ b/src/daemon/store-follower.test.ts
@@ -77,7 +77,6 @@
       news += 1;
     },
     onEra: () => undefined,
-    ownDelayMilliseconds: () => 0,
     isIdle: () => false,
     logs: () => createSilentLogger(),
     signal: controller.signal,
--- a/src/daemon/store-follower.ts
+++ b/src/daemon/store-follower.ts
@@ -39,8 +39,6 @@
   readonly onNews: () => void;
   /** Called when the store is back from an older copy: what this instance wrote there since is gone. */
   readonly onEra: () => void;
-  /** How late this process has lately been. */
-  readonly ownDelayMilliseconds: () => number;
   /** Whether no request has arrived recently. */
   readonly isIdle: () => boolean;
   readonly logs: LoggerFactory;
@@ -217,7 +215,6 @@
 
   #watchConfiguration(): Promise<void> {
     const { platform, configuration, isFollowedByPeers, logs, signal } = this.#options;
-    const { ownDelayMilliseconds } = this.#options;
     return followObjects({
       store: platform.store,
       objectKind: platform.configurationKind,
@@ -230,7 +227,6 @@
         this.#configurationPosition = position;
       },
       onStoreAnswer: () => this.#recordContact(),
-      ownDelayMilliseconds,
       onCurrent: (heldAt) => configuration.markUpToDate('store answer', performance.now() - heldAt),
       onStoreUnavailable: (isSilent) => this.#recordFailure(isSilent),
       log: logs('configuration'),
--- a/src/store/follow-objects.test.ts
+++ b/src/store/follow-objects.test.ts
@@ -128,7 +128,7 @@
   assert.equal(held.length, 2, 'the two lists');
 });
 
-// An instance that reads an answer seconds late took it for the store's word of now.
+// An answer that was under way for seconds, or read late, was taken for the store's word of now.
 test('follow: an answer that is read late shows what the store held when it was asked', async () => {
   const held: number[] = [];
   const object = { name: 'a', revision: 20, value: 1 };
--- a/src/store/follow-objects.ts
+++ b/src/store/follow-objects.ts
@@ -39,12 +39,10 @@
   /** Called after each answer from the store, whatever it says. */
   readonly onStoreAnswer: () => void;
   /**
-   * Called once all is known that the store held at a time, on the monotonic clock. An answer may have waited for this
-   * process to read it.
+   * Called once all is known that the store held at a time, on the monotonic clock. An answer may have been under way,
+   * or have waited for this process to read it, since the store was asked.
    */
   readonly onCurrent?: (heldAt: number) => void;
-  /** How long an answer may have waited for that; by default since the store was asked. */
-  readonly ownDelayMilliseconds?: () => number;
   /** Called with where the next watch continues, after each answer to a list or watch. */
   readonly onPosition?: (position: StorePosition) => void;
   /** Called after each call that fails, with whether its connection was silent. */
@@ -97,7 +95,7 @@
 export async function followObjects(options: FollowObjectsOptions): Promise<void> {
   const { store, objectKind, onList, onChanges, onStoreAnswer, log, signal } = options;
   const { onStoreUnavailable = () => undefined, onPosition = () => undefined } = options;
-  const { onCurrent = () => undefined, ownDelayMilliseconds = () => Infinity } = options;
+  const { onCurrent = () => undefined } = options;
   const { isPaused = () => false, watchSignal = () => signal } = options;
   const { knownPosition = () => ({ era: 0, revision: 0 }) } = options;
   const { confirmation, batchPauseMilliseconds = () => 0 } = options;
@@ -142,7 +140,7 @@
         if (isOtherEra(listed.era, era)) era = listed.era ?? era;
         onPosition({ era, revision });
         onList(listed.objects, revision, era);
-        onCurrent(Math.max(startedAt, performance.now() - ownDelayMilliseconds()));
+        onCurrent(startedAt);
       } else {
         await recordFailure(listed);
       }
@@ -174,11 +172,9 @@
         revision = Math.max(revision, watched.revision);
         onPosition({ era, revision });
         if (!hasWaited) onChanges(watched.changes, revision, era);
-        const now = performance.now();
         // Without a change the store has waited before it answered, unless the watch was cut off.
         const waitedUntil = startedAt + (hasWaited ? waitMilliseconds : 0);
-        const askedAt = waitedUntil <= now ? waitedUntil : startedAt;
-        onCurrent(Math.max(askedAt, now - ownDelayMilliseconds()));
+        onCurrent(waitedUntil <= performance.now() ? waitedUntil : startedAt);
         if (!hasWaited) {
           const milliseconds = batchPauseMilliseconds();
           if (milliseconds > 0) await sleep(milliseconds, signal);
