--- a/tests/departed-callers.test.ts
+++ b/tests/departed-callers.test.ts
@@ -17,7 +17,7 @@
 /** As long as the servers take for what would have been sent on. */
 const SERVING_MILLISECONDS = 700;
 
-type Departure = 'close' | 'reset';
+type Departure = 'close' | 'reset' | 'end';
 
 /** Sends a request whose caller leaves before it is answered. */
 function sendAndLeave({ ports }: PlatformInstance, path: string, departure: Departure): string {
@@ -39,6 +39,7 @@
   request.end();
   setTimeout(() => {
     if (departure === 'close') request.destroy();
+    else if (departure === 'end') request.socket?.end();
     else request.socket?.resetAndDestroy();
   }, PATIENCE_MILLISECONDS);
   return requestId;
@@ -68,3 +69,7 @@
 
 test('departed caller: what callers sent and reset while the instance stood still is not sent on', (context) =>
   checkDeparture(context, 'reset'));
+
+// Such a caller can't be answered either: the server ends the connection in turn.
+test('departed caller: what callers sent and ended their side of the connection for is not sent on', (context) =>
+  checkDeparture(context, 'end'));
