--- a/src/fleet/server-limits.ts
+++ b/src/fleet/server-limits.ts
@@ -163,8 +163,8 @@
     );
     const window = getWindow(requestsPerSecond);
     const { rank, instances } = this.#getPlace(id, state);
-    const untilSettled = instances > 1 ? this.#settlesIn(state, now) : 0;
-    if (untilSettled > 0) return untilSettled;
+    const settlingMilliseconds = instances > 1 ? this.#getSettlingTime(state, now) : 0;
+    if (settlingMilliseconds > 0) return settlingMilliseconds;
     const total = Math.floor((requestsPerSecond * window) / MILLISECONDS_PER_SECOND);
     const ownPart = Math.floor(total / instances) + (rank < total % instances ? 1 : 0);
     if (ownPart === 0) return untilProbe;
@@ -185,10 +185,10 @@
   }
 
   /**
-   * What the others sent before they knew of the limit counts with what is sent once it must hold, and nobody knows
-   * how much that was: nothing is sent from then on until it has left the window.
+   * How long nothing is sent, in milliseconds. What the others sent before they knew of the limit counts from the moment on
+   * at which it must hold, and nobody knows how much that was: it has to leave the window first.
    */
-  #settlesIn({ namedAt }: ServerState, now: number): number {
+  #getSettlingTime({ namedAt }: ServerState, now: number): number {
     const { contactMilliseconds = DEFAULT_CONTACT_MILLISECONDS } = this.#options;
     const age = now - namedAt;
     const isBetween =
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -94,15 +94,15 @@
     const mark = this.#rounds.record(this.#getGroup(record), known?.mark, time);
     this.#peers.set(record.instance, { record, updatedAt: now, arrivedAt: now, mark, isAlive });
     if (isAlive && !wasAlive) this.#log.info('Peer is alive.', { peer: record.instance });
-    this.#takeWordOfLost(record);
+    this.#applyLossReports(record);
     return true;
   }
 
   /**
-   * Takes over which of its neighbours an instance of another data centre has lost: it hears of them oftener. A newer
-   * record of such a peer takes that back.
+   * Takes peers of another data centre for dead that one of their neighbours reports as lost: it hears of them oftener. A
+   * newer record of such a peer takes that back.
    */
-  #takeWordOfLost({ instance: reporter, dataCentre, lost = {} }: PeerRecord): void {
+  #applyLossReports({ instance: reporter, dataCentre, lost = {} }: PeerRecord): void {
     if (dataCentre === this.#dataCentre) return;
     Object.entries(lost).forEach(([instance, [incarnation, counter]]) => {
       const known = this.#peers.get(instance);
