Engines that are silent no longer count as crashed under a request

What callers saw: the product's own interface rejected a sound request with `request_crashes_servers` after it had met three engines that were frozen, one after another.

Cause: a stage that didn't answer its status request within 400 ms counted as ended under the request, except where the stream itself had gone silent; a frozen engine that had not yet sent its answer's head ended the attempt as `broken`. Silence shows no end.

Now an end is a refused connection, or another process (start time) at the address, where no end was seen before. A silent engine is avoided as it was.

Evidence: tests/crash-request "engines that freeze one after another ..." got `rejected` before, `completed` now.

--- a/src/pipeline/fault-diagnosis.ts
+++ b/src/pipeline/fault-diagnosis.ts
@@ -1,10 +1,12 @@
 /**
  * Determines which stages of a chain are at fault after a failed attempt, and records the result so
- * that later choices avoid them.
+ * that later choices avoid them. Handles engines that freeze one after another: a silent engine is
+ * avoided, but only one whose process has ended counts as crashed under the request.
  */
 import type { BackendServer } from '../backend/backend-server.js';
 import type { BackendDirectory } from '../backend/directory.js';
 import { readBackendStatus } from '../backend/queries/read-status.js';
+import { isConnectionRefused } from '../common/http-client.js';
 import type { CrashGuard } from '../routing/crash-guard.js';
 import type { EngineStreamError } from './engine-stream.js';
 
@@ -13,16 +15,37 @@
 
 /** The stages found to be at fault. */
 export interface Diagnosis {
-  /** The ids of stages that did not answer their status request. */
-  readonly unresponsive: ReadonlySet<string>;
+  /** The ids of stages that did not answer their status request, or whose process has ended. */
+  readonly lost: ReadonlySet<string>;
   /** The ids of stages that must not be chosen again for this request. */
   readonly excluded: ReadonlySet<string>;
 }
 
+/** A stage of a chain and the process that ran it when the attempt began. */
+export interface StageProcess {
+  readonly server: BackendServer;
+  /** The start time of the process; undefined if the server has not reported it. */
+  readonly incarnation: number | undefined;
+}
+
+/** What a status request shows of the process of a stage. */
+type StageCondition =
+  /** It answers. */
+  | 'responsive'
+  /** There is no answer: it may have ended, be frozen or be cut off. */
+  | 'silent'
+  /** Nothing listens at its address. */
+  | 'ended'
+  /** Another process answers at its address. */
+  | 'replaced';
+
+const CONDITIONS_AFTER_END: ReadonlySet<StageCondition> = new Set(['ended', 'replaced']);
+const UNREACHABLE_CONDITIONS: ReadonlySet<StageCondition> = new Set(['silent', 'ended']);
+
 /** Options of {@link diagnoseFailure}. */
 export interface DiagnosisOptions {
   readonly error: EngineStreamError;
-  readonly stages: readonly BackendServer[];
+  readonly stages: readonly StageProcess[];
   readonly directory: BackendDirectory;
   readonly crashGuard: CrashGuard;
   /** The content hash of the request that was running; see {@link CrashGuard}. */
@@ -41,28 +64,35 @@
   stages: readonly BackendServer[],
   probeTimeoutMilliseconds = PROBE_TIMEOUT_MILLISECONDS,
 ): Promise<boolean> {
-  const results = await Promise.all(
-    stages.map((server) => isResponsive(server, probeTimeoutMilliseconds)),
+  const conditions = await Promise.all(
+    stages.map((server) =>
+      probeStage({ server, incarnation: undefined }, probeTimeoutMilliseconds),
+    ),
   );
-  return results.every(Boolean);
+  return conditions.every((condition) => condition === 'responsive');
 }
 
-async function isResponsive(server: BackendServer, timeoutMilliseconds: number): Promise<boolean> {
+async function probeStage(
+  { server, incarnation }: StageProcess,
+  timeoutMilliseconds: number,
+): Promise<StageCondition> {
   try {
-    await readBackendStatus('engine', server.address, timeoutMilliseconds);
-    return true;
-  } catch {
-    return false;
+    const status = await readBackendStatus('engine', server.address, timeoutMilliseconds);
+    const isSameProcess = incarnation === undefined || incarnation === status.incarnation;
+    return isSameProcess ? 'responsive' : 'replaced';
+  } catch (error) {
+    return isConnectionRefused(error) ? 'ended' : 'silent';
   }
 }
 
 /**
- * Diagnoses a failed attempt. Stages that do not answer are recorded as unreachable. A stage that
- * refused because it was full is only avoided for a short time. If all stages answer although the
- * stream failed, every one of them is avoided for a while, since any of them may be at fault.
+ * Diagnoses a failed attempt. Stages that do not answer are recorded as unreachable, and those whose
+ * process has ended as crashed under the request. A stage that refused because it was full is only
+ * avoided for a short time. If all stages answer although the stream failed, every one of them is
+ * avoided for a while, since any of them may be at fault.
  *
  * @param options - The failure, the stages and where to record the result.
- * @returns The stages that do not answer and those to exclude from this request.
+ * @returns The stages that are lost and those to exclude from this request.
  */
 export async function diagnoseFailure(options: DiagnosisOptions): Promise<Diagnosis> {
   const {
@@ -73,7 +103,7 @@
     contentHash,
     probeTimeoutMilliseconds = PROBE_TIMEOUT_MILLISECONDS,
   } = options;
-  const reportedServer = stages[error.stage] ?? stages[0];
+  const reportedServer = (stages[error.stage] ?? stages[0])?.server;
   const excluded = new Set(reportedServer ? [reportedServer.id] : []);
   if (error.kind === 'not_run') {
     reportedServer?.limit.recordRefusal();
@@ -81,23 +111,30 @@
     // as long as that usually lasts.
     if (reportedServer)
       directory.avoid(reportedServer.id, OVERLOAD_AVOID_MILLISECONDS * (0.5 + Math.random()));
-    return { unresponsive: new Set(), excluded: new Set() };
+    return { lost: new Set(), excluded: new Set() };
   }
   if (error.kind === 'leaving') {
     if (reportedServer) directory.publishState(reportedServer.id, 'leaving');
-    return { unresponsive: new Set(), excluded };
+    return { lost: new Set(), excluded };
   }
   const probes = await Promise.all(
-    stages.map((server) => isResponsive(server, probeTimeoutMilliseconds)),
+    stages.map(async (stage) => ({
+      ...stage,
+      condition: await probeStage(stage, probeTimeoutMilliseconds),
+    })),
   );
-  const unresponsive = stages.filter((server, index) => probes[index] === false);
-  unresponsive.forEach((server) => {
-    const incarnation = server.engine?.incarnation ?? 0;
-    // A silent stream with open connections means a frozen server, which is not a crash.
-    if (error.kind !== 'silent') crashGuard.recordCrash(contentHash, server.id, incarnation);
-    directory.publishState(server.id, 'unreachable');
-    excluded.add(server.id);
-  });
-  if (unresponsive.length === 0) stages.forEach((server) => directory.avoid(server.id));
-  return { unresponsive: new Set(unresponsive.map((server) => server.id)), excluded };
+  probes
+    .filter(({ condition }) => CONDITIONS_AFTER_END.has(condition))
+    .forEach(({ server, incarnation = 0 }) =>
+      crashGuard.recordCrash(contentHash, server.id, incarnation),
+    );
+  probes
+    .filter(({ condition }) => UNREACHABLE_CONDITIONS.has(condition))
+    .forEach(({ server }) => directory.publishState(server.id, 'unreachable'));
+  const lost = probes
+    .filter(({ condition }) => condition !== 'responsive')
+    .map(({ server }) => server.id);
+  lost.forEach((id) => excluded.add(id));
+  if (lost.length === 0) stages.forEach(({ server }) => directory.avoid(server.id));
+  return { lost: new Set(lost), excluded };
 }
--- a/src/pipeline/generation.ts
+++ b/src/pipeline/generation.ts
@@ -18,7 +18,7 @@
 import { selectSuspectEngines } from '../routing/suspect-engines.js';
 import type { Logger } from '../telemetry/log.js';
 import { EngineStreamError, streamFromEngine, type StreamFailureKind } from './engine-stream.js';
-import { areAllResponsive, diagnoseFailure } from './fault-diagnosis.js';
+import { areAllResponsive, diagnoseFailure, type StageProcess } from './fault-diagnosis.js';
 import { createContentRejection, createUnfinishedEnd } from './generation-ending.js';
 import type { GeneratedToken, GenerationEnd, GenerationRequest } from './generation-request.js';
 import { chooseKvSource, type KvHolder } from './kv-source.js';
@@ -120,6 +120,10 @@
     this.#attempt += 1;
     this.#acceptedAttempts += 1;
     const { stages } = chain;
+    const processes = stages.map((server) => ({
+      server,
+      incarnation: server.engine?.incarnation,
+    }));
     const inFlight = { stages, shares: computeStageShares(stages), isSuspect };
     changeInFlight(inFlight, 1);
     const stop = new AbortController();
@@ -130,7 +134,7 @@
       stages.forEach((server) => server.limit.recordSuccess(server.inFlight));
     } catch (error) {
       if (!(error instanceof EngineStreamError)) throw error;
-      if (!this.#request.signal.aborted) await this.#recover(error, stages);
+      if (!this.#request.signal.aborted) await this.#recover(error, processes);
     } finally {
       stop.abort();
       this.#request.signal.removeEventListener('abort', abort);
@@ -217,7 +221,7 @@
     this.#kvHolders = stages.map((server) => ({ server, tokens: this.#countContextTokens() }));
   }
 
-  async #recover(error: EngineStreamError, stages: readonly BackendServer[]): Promise<void> {
+  async #recover(error: EngineStreamError, stages: readonly StageProcess[]): Promise<void> {
     const { directory, guard, log } = this.#context;
     const diagnosis = await diagnoseFailure({
       error,
@@ -226,9 +230,7 @@
       crashGuard: guard,
       contentHash: this.#contentHash,
     });
-    this.#kvHolders = this.#kvHolders.filter(
-      ({ server }) => !diagnosis.unresponsive.has(server.id),
-    );
+    this.#kvHolders = this.#kvHolders.filter(({ server }) => !diagnosis.lost.has(server.id));
     if (CERTAINLY_NOT_ACCEPTED.has(error.kind)) this.#acceptedAttempts -= 1;
     diagnosis.excluded.forEach((id) => this.#excluded.add(id));
     log.info('A chain failed; the request continues on another one.', {
@@ -236,7 +238,7 @@
       failure: error.kind,
       stage: error.stage,
       position: this.#tokens.length,
-      dead: [...diagnosis.unresponsive],
+      lost: [...diagnosis.lost],
     });
   }
 
--- a/tests/crash-request.test.ts
+++ b/tests/crash-request.test.ts
@@ -11,6 +11,8 @@
 const ENGINE_COUNT = 8;
 /** Long enough for all instances to learn of a crash before the next request is sent. */
 const GOSSIP_WAIT_MILLISECONDS = 500;
+/** Long enough for a request to meet every frozen engine. */
+const FREEZE_MILLISECONDS = 4000;
 
 test('crash request: sent repeatedly to all instances, it crashes few engines and other requests are completed', async (context) => {
   const fleet = await startFleet({
@@ -69,3 +71,22 @@
     [],
   );
 });
+
+// Each engine that did not answer its status request in time counted as crashed.
+test('crash request: engines that freeze one after another are not counted as crashed under it', async (context) => {
+  const fleet = await startFleet({
+    instances: [{ dataCentre: 'dc-a' }],
+    engines: Array.from({ length: MAXIMUM_CRASHES + 1 }, () => ({ stepMilliseconds: 4 })),
+    settings: { timeLimits: { tokenSilence: 250, loadReading: 200 } },
+  });
+  context.after(() => fleet.stop());
+  const setFrozen = (frozen: boolean): void => {
+    fleet.engines.forEach((engine) => Object.assign(engine.faults, { frozen }));
+  };
+  setFrozen(true);
+  const body = { model: 'drafting', prompt: 'A list of the attic', max_tokens: 8, seed: 1 };
+  const answer = requestStream(fleet.first.callerAddress, body);
+  await sleep(FREEZE_MILLISECONDS);
+  setFrozen(false);
+  assert.equal((await answer).outcome, 'completed');
+});
--- a/tests/generation.test.ts
+++ b/tests/generation.test.ts
@@ -151,6 +151,7 @@
   const fleet = await startDraftingFleet(context, 3, 4);
   const random = createRandom(Number(process.env.SEED ?? 11));
   const submissions: Submission[] = [];
+  const unfinishedAnswers: StreamResult[] = [];
   const endsAt = Date.now() + 8000;
   const sendRequests = async (worker: number): Promise<void> => {
     for (let count = 0; Date.now() < endsAt; count += 1) {
@@ -161,6 +162,7 @@
       submissions.push(
         createSubmission(answer, expectedText(prompt, worker), `${worker}/${count}`),
       );
+      if (answer.outcome !== 'completed') unfinishedAnswers.push(answer);
     }
   };
   const injectFaults = async (): Promise<void> => {
@@ -186,6 +188,5 @@
   ]);
   const layerRuns = new Map(fleet.engines.flatMap((engine) => [...engine.layerRuns]));
   assert.deepEqual(checkHistory({ submissions, executions: [], layerRuns }), []);
-  const completed = submissions.filter((submission) => submission.outcome === 'completed');
-  assert.equal(completed.length, submissions.length);
+  assert.deepEqual(unfinishedAnswers, []);
 });
