An engine that refused the connection no longer counts as crashed under a request that it never got

What callers saw: a request that met three listed engines that had ended before was rejected with `request_crashes_servers`, for ten minutes and at all instances, though it had run nowhere.

Cause: after each failure of a chain all stages were asked for their status, and those that had ended were blamed on the request, also where the first stage couldn't be reached, so that no stage had run anything.

Evidence: tests/crash-request "engines that had ended before a request reached them ..." got `rejected` before, `refused` now.

--- a/src/pipeline/fault-diagnosis.ts
+++ b/src/pipeline/fault-diagnosis.ts
@@ -8,7 +8,7 @@
 import { readBackendStatus } from '../backend/queries/read-status.js';
 import { isConnectionRefused } from '../common/http-client.js';
 import type { CrashGuard } from '../routing/crash-guard.js';
-import type { EngineStreamError } from './engine-stream.js';
+import type { EngineStreamError, StreamFailureKind } from './engine-stream.js';
 
 const PROBE_TIMEOUT_MILLISECONDS = 400;
 const OVERLOAD_AVOID_MILLISECONDS = 150;
@@ -39,6 +39,8 @@
   /** Another process answers at its address. */
   | 'replaced';
 
+/** The failures after which no stage of the chain has run any part of the request. */
+const FAILURES_BEFORE_THE_RUN: ReadonlySet<StreamFailureKind> = new Set(['unreachable']);
 const CONDITIONS_AFTER_END: ReadonlySet<StageCondition> = new Set(['ended', 'replaced']);
 const UNREACHABLE_CONDITIONS: ReadonlySet<StageCondition> = new Set(['silent', 'ended']);
 
@@ -87,7 +89,7 @@
 
 /**
  * Diagnoses a failed attempt. Stages that do not answer are recorded as unreachable, and those whose
- * process has ended as crashed under the request. A stage that refused because it was full is only
+ * process has ended, as crashed under the request if they may have run it. A stage that refused because it was full is only
  * avoided for a short time. If all stages answer although the stream failed, every one of them is
  * avoided for a while, since any of them may be at fault.
  *
@@ -123,8 +125,9 @@
       condition: await probeStage(stage, probeTimeoutMilliseconds),
     })),
   );
+  const mayHaveRun = !FAILURES_BEFORE_THE_RUN.has(error.kind);
   probes
-    .filter(({ condition }) => CONDITIONS_AFTER_END.has(condition))
+    .filter(({ condition }) => mayHaveRun && CONDITIONS_AFTER_END.has(condition))
     .forEach(({ server, incarnation = 0 }) =>
       crashGuard.recordCrash(contentHash, server.id, incarnation),
     );
--- a/tests/crash-request.test.ts
+++ b/tests/crash-request.test.ts
@@ -90,3 +90,17 @@
   setFrozen(false);
   assert.equal((await answer).outcome, 'completed');
 });
+
+// An engine that refused the connection counted as crashed under a request that it never got.
+test('crash request: engines that had ended before a request reached them are not counted as crashed under it', async (context) => {
+  const fleet = await startFleet({
+    instances: [{ dataCentre: 'dc-a' }],
+    engines: Array.from({ length: MAXIMUM_CRASHES + 1 }, () => ({ stepMilliseconds: 4 })),
+  });
+  context.after(() => fleet.stop());
+  await Promise.all(fleet.engines.map((engine) => engine.close()));
+  const body = { model: 'drafting', prompt: 'A list of the cellar', max_tokens: 8, seed: 1 };
+  const headers = { 'x-deadline-milliseconds': '1000' };
+  const answer = await requestStream(fleet.first.callerAddress, body, { headers });
+  assert.equal(answer.outcome, 'refused');
+});
