A crash that a generation has gone past no longer counts towards the three that block its content

Cause: content that was running at three ends was blocked, whatever it had done in between.

Content that crashes servers crashes the next one at the same token, since a generation is continued at the token that is missing. A token from another chain shows that it has got past it. Such a crash counts no longer towards three, but towards six, so that content that crashes servers some time after each begin is still bounded.

--- a/src/pipeline/fault-diagnosis.ts
+++ b/src/pipeline/fault-diagnosis.ts
@@ -17,6 +17,8 @@
 export interface Diagnosis {
   /** The ids of stages that did not answer their status request, or whose process has ended. */
   readonly lost: ReadonlySet<string>;
+  /** The stages that were recorded as crashed under the request. */
+  readonly crashed: readonly StageProcess[];
   /** The ids of stages that must not be chosen again for this request. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -113,11 +115,11 @@
     // as long as that usually lasts.
     if (reportedServer)
       directory.avoid(reportedServer.id, OVERLOAD_AVOID_MILLISECONDS * (0.5 + Math.random()));
-    return { lost: new Set(), excluded: new Set() };
+    return { lost: new Set(), crashed: [], excluded: new Set() };
   }
   if (error.kind === 'leaving') {
     if (reportedServer) directory.publishState(reportedServer.id, 'leaving');
-    return { lost: new Set(), excluded };
+    return { lost: new Set(), crashed: [], excluded };
   }
   const probes = await Promise.all(
     stages.map(async (stage) => ({
@@ -126,11 +128,12 @@
     })),
   );
   const mayHaveRun = !FAILURES_BEFORE_THE_RUN.has(error.kind);
-  probes
-    .filter(({ condition }) => mayHaveRun && CONDITIONS_AFTER_END.has(condition))
-    .forEach(({ server, incarnation = 0 }) =>
-      crashGuard.recordCrash(contentHash, server.id, incarnation),
-    );
+  const crashed = probes.filter(
+    ({ condition }) => mayHaveRun && CONDITIONS_AFTER_END.has(condition),
+  );
+  crashed.forEach(({ server, incarnation = 0 }) =>
+    crashGuard.recordCrash(contentHash, server.id, incarnation),
+  );
   probes
     .filter(({ condition }) => UNREACHABLE_CONDITIONS.has(condition))
     .forEach(({ server }) => directory.publishState(server.id, 'unreachable'));
@@ -139,5 +142,5 @@
     .map(({ server }) => server.id);
   lost.forEach((id) => excluded.add(id));
   if (lost.length === 0) stages.forEach(({ server }) => directory.avoid(server.id));
-  return { lost: new Set(lost), excluded };
+  return { lost: new Set(lost), crashed, excluded };
 }
--- a/src/pipeline/generation.ts
+++ b/src/pipeline/generation.ts
@@ -81,6 +81,9 @@
   /** The stages of the last chain that produced a token, without those that stopped answering. */
   #kvHolders: KvHolder[] = [];
 
+  /** Stages that crashed since the last token. */
+  #crashed: StageProcess[] = [];
+
   #attempt = 0;
 
   /** The number of attempts that a first stage accepted or may have accepted. */
@@ -215,6 +218,10 @@
   }
 
   #recordFirstToken(stages: readonly BackendServer[]): void {
+    this.#crashed.forEach(({ server, incarnation = 0 }) =>
+      this.#context.guard.recordPassed(this.#contentHash, server.id, incarnation),
+    );
+    this.#crashed = [];
     stages.forEach((server) =>
       this.#context.prefixCacheIndex.recordPrompt(server.id, this.#prefixHashes),
     );
@@ -233,12 +240,14 @@
     this.#kvHolders = this.#kvHolders.filter(({ server }) => !diagnosis.lost.has(server.id));
     if (CERTAINLY_NOT_ACCEPTED.has(error.kind)) this.#acceptedAttempts -= 1;
     diagnosis.excluded.forEach((id) => this.#excluded.add(id));
+    this.#crashed.push(...diagnosis.crashed);
     log.info('A chain failed; the request continues on another one.', {
       requestId: this.#request.requestId,
       failure: error.kind,
       stage: error.stage,
       position: this.#tokens.length,
       lost: [...diagnosis.lost],
+      crashed: diagnosis.crashed.map(({ server }) => server.id),
     });
   }
 
--- a/tests/generation.test.ts
+++ b/tests/generation.test.ts
@@ -5,6 +5,7 @@
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
 import { sleep } from '../src/common/clock.js';
+import { MAXIMUM_CRASHES_WITH_PASSED } from '../src/routing/crash-guard.js';
 import { requestStream, type StreamResult } from '../tools/caller.js';
 import type { DaemonProcess } from '../tools/daemon-group.js';
 import { startFleet, type Fleet } from '../tools/fleet.js';
@@ -14,6 +15,7 @@
 import { computeExpectedTokens } from '../tools/stand-ins/token-function.js';
 
 const TOKEN_COUNT = 12;
+const LONG_TOKEN_COUNT = 40;
 const STAGES = [
   { from: 0, to: 3 },
   { from: 3, to: 8 },
@@ -101,6 +103,48 @@
   });
 });
 
+/** A fleet whose engine of the second stage is closed after each given number of tokens. */
+async function generateWhileEnginesEnd(
+  context: TestContext,
+  tokenCounts: readonly number[],
+): Promise<{ answer: StreamResult; closedEngines: number }> {
+  const fleet = await startDraftingFleet(context, 1, tokenCounts.length + 2);
+  const closed = new Set<EngineStandIn>();
+  const closeRunningEngine = (): void => {
+    const [running] = fleet.engines
+      .filter((engine) => engine.settings.from === STAGES[1]?.from && !closed.has(engine))
+      .sort((one, other) => other.layerRuns.size - one.layerRuns.size);
+    if (!running) return;
+    closed.add(running);
+    void running.close();
+  };
+  const answer = await requestStream(
+    fleet.first.callerAddress,
+    { model: 'drafting', prompt: 'A list of the garage', max_tokens: LONG_TOKEN_COUNT, seed: 3 },
+    {
+      onToken: (count) => {
+        if (tokenCounts.includes(count)) closeRunningEngine();
+      },
+    },
+  );
+  return { answer, closedEngines: closed.size };
+}
+
+// Three engines that ended under a request had it rejected, wherever it had gone on in between.
+test('generation: a request goes on past engines that end under it at different tokens', async (context) => {
+  const { answer } = await generateWhileEnginesEnd(context, [3, 8, 13, 18]);
+  assert.equal(answer.outcome, 'completed');
+});
+
+test('generation: a request under which engines end again and again is given up', async (context) => {
+  const { answer, closedEngines } = await generateWhileEnginesEnd(
+    context,
+    Array.from({ length: MAXIMUM_CRASHES_WITH_PASSED + 2 }, (_, index) => 3 + 4 * index),
+  );
+  assert.equal(answer.outcome, 'rejected');
+  assert.equal(closedEngines, MAXIMUM_CRASHES_WITH_PASSED);
+});
+
 test('generation: the entry instance is killed and the stream is resumed on other instances', async (context) => {
   const fleet = await startDraftingFleet(context, 3);
   const [first, second, third] = fleet.daemons as [DaemonProcess, DaemonProcess, DaemonProcess];
