What a peer reports of crashed servers is one line of the log instead of one an end and content

Each instance wrote a line for each end and content that any peer reported. Now a report is one line with the counts and the first ten contents and servers; what an instance sees itself keeps its line, and a refusal still names the ends under its content.

--- a/src/evidence/crash-records.test.ts
+++ b/src/evidence/crash-records.test.ts
@@ -97,3 +97,23 @@
   older.records.merge({ crashes });
   assert.ok(older.records.isBlocked('guilty'));
 });
+
+// Each end under each content was a line at every instance: a quarter of the log after three engines ended.
+test('crash request: what a peer reports at once is one line of the log', () => {
+  const lines: { message: string; fields?: Readonly<Record<string, unknown>> }[] = [];
+  const log = {
+    ...createSilentLogger(),
+    warn: (message: string, fields?: Readonly<Record<string, unknown>>): void => {
+      lines.push({ message, ...(fields ? { fields } : {}) });
+    },
+  };
+  const records = new CrashRecords({ log });
+  const contents = Array.from({ length: 200 }, (_, index) => [`content-${index}`, ['server-1']]);
+  const report = { crashes: Object.fromEntries(contents) as Record<string, string[]> };
+  records.merge(report);
+  records.merge(report);
+  assert.equal(lines.length, 1);
+  assert.equal(lines[0]?.fields?.contents, 200);
+  assert.equal(lines[0]?.fields?.servers, 1);
+  assert.ok(JSON.stringify(lines[0]).length < 1000);
+});
--- a/src/evidence/crash-records.ts
+++ b/src/evidence/crash-records.ts
@@ -43,6 +43,8 @@
 /** Bounds the size of the records that peers exchange. */
 const MAXIMUM_REPORTED_CONTENTS = 200;
 const MAXIMUM_COMPLETED_CONTENTS = 2000;
+/** Of the contents and of the servers of one report; the lines of a log stay short. */
+const MAXIMUM_LOGGED_KEYS = 10;
 const MAXIMUM_CLEARED_ENDS_PER_CONTENT = 100;
 /** Servers that fail together end many runs of content that is asked for often, and completes meanwhile. */
 const INNOCENT_AFTER_COMPLETION_MILLISECONDS = 3000;
@@ -101,23 +103,12 @@
    * @param wasWritten - Whether a server had been writing the answer for a while.
    */
   recordCrash(contentHash: string, processKey: string, wasWritten = false): void {
-    if (this.#isCleared(contentHash, processKey)) return;
-    const crashes = this.#crashesByContent.get(contentHash) ?? {
-      contentHash,
-      phases: new Map<string, Phase>(),
-      lastCrashAt: 0,
-    };
-    const known = crashes.phases.get(processKey);
-    if (known === 'beginning' || (known && wasWritten)) return;
-    crashes.phases.set(processKey, wasWritten ? 'written' : 'beginning');
-    if (known) return;
-    crashes.lastCrashAt = this.#now();
-    this.#crashesByContent.set(contentHash, crashes);
+    if (!this.#add(contentHash, processKey, wasWritten)) return;
     this.#log.warn('Backend server crashed while running a request.', {
       content: contentHash,
       server: processKey,
       wasWritten,
-      crashes: crashes.phases.size,
+      crashes: this.#crashesByContent.get(contentHash)?.phases.size,
     });
     this.#trim();
   }
@@ -163,10 +154,42 @@
 
   /** Adds the crashes that a peer has recorded. */
   merge({ crashes, crashesWhileWritten = {} }: ReportedCrashes): void {
+    const contents = new Set<string>();
+    const servers = new Set<string>();
     Object.entries(crashes).forEach(([contentHash, processKeys]) => {
       const written = new Set(getOwnValue(crashesWhileWritten, contentHash));
-      processKeys.forEach((key) => this.recordCrash(contentHash, key, written.has(key)));
+      processKeys
+        .filter((key) => this.#add(contentHash, key, written.has(key)))
+        .forEach((key) => {
+          contents.add(contentHash);
+          servers.add(key);
+        });
     });
+    if (contents.size === 0) return;
+    this.#log.warn('Peer reports backend servers that crashed while running requests.', {
+      contents: contents.size,
+      servers: servers.size,
+      firstContents: [...contents].slice(0, MAXIMUM_LOGGED_KEYS),
+      firstServers: [...servers].slice(0, MAXIMUM_LOGGED_KEYS),
+    });
+    this.#trim();
+  }
+
+  /** Adds an end of a process, or that it was earlier in the run than known; whether the end is new. */
+  #add(contentHash: string, processKey: string, wasWritten: boolean): boolean {
+    if (this.#isCleared(contentHash, processKey)) return false;
+    const crashes = this.#crashesByContent.get(contentHash) ?? {
+      contentHash,
+      phases: new Map<string, Phase>(),
+      lastCrashAt: 0,
+    };
+    const known = crashes.phases.get(processKey);
+    if (known === 'beginning' || (known && wasWritten)) return false;
+    crashes.phases.set(processKey, wasWritten ? 'written' : 'beginning');
+    if (known) return false;
+    crashes.lastCrashAt = this.#now();
+    this.#crashesByContent.set(contentHash, crashes);
+    return true;
   }
 
   /** Whether so many servers ended as they began the content that nothing else need explain it. */
