--- a/src/caller/caller-context.ts
+++ b/src/caller/caller-context.ts
@@ -1,7 +1,7 @@
 /** The components that the handlers of caller requests use. */
 import type { ConfigurationInForce } from '../configuration/configuration-in-force.js';
 import type { Membership } from '../peer/membership.js';
-import type { GenerationContext } from '../pipeline/generation.js';
+import type { GenerationContext } from '../pipeline/generation-context.js';
 import type { AccountLimiter } from '../routing/account-limiter.js';
 import type { ModelAdmissionQueues } from '../routing/model-admission-queues.js';
 import type { AtMostOnceRunner } from '../service/at-most-once.js';
--- a/src/pipeline/engine-stream.ts
+++ b/src/pipeline/engine-stream.ts
@@ -22,6 +22,13 @@
   /** A stage reported that it or the next stage failed, or its tokens were wrong or missing. */
   | 'stage_failed';
 
+/** The failures after which the first stage, and so every stage, certainly did not run the task. */
+export const FAILURES_BEFORE_THE_RUN: ReadonlySet<StreamFailureKind> = new Set([
+  'not_run',
+  'leaving',
+  'unreachable',
+]);
+
 /** Thrown for a stream that ended before its last token. */
 export class EngineStreamError extends Error {
   readonly kind: StreamFailureKind;
--- a/src/pipeline/fault-diagnosis.ts
+++ b/src/pipeline/fault-diagnosis.ts
@@ -8,7 +8,7 @@
 import { readBackendStatus } from '../backend/queries/read-status.js';
 import { isConnectionRefused } from '../common/http-client.js';
 import type { CrashGuard } from '../routing/crash-guard.js';
-import type { EngineStreamError, StreamFailureKind } from './engine-stream.js';
+import { FAILURES_BEFORE_THE_RUN, type EngineStreamError } from './engine-stream.js';
 
 const PROBE_TIMEOUT_MILLISECONDS = 400;
 const OVERLOAD_AVOID_MILLISECONDS = 150;
@@ -41,8 +41,6 @@
   /** Another process answers at its address. */
   | 'replaced';
 
-/** The failures after which no stage of the chain has run any part of the request. */
-const FAILURES_BEFORE_THE_RUN: ReadonlySet<StreamFailureKind> = new Set(['unreachable']);
 const CONDITIONS_AFTER_END: ReadonlySet<StageCondition> = new Set(['ended', 'replaced']);
 const UNREACHABLE_CONDITIONS: ReadonlySet<StageCondition> = new Set(['silent', 'ended']);
 
--- a/src/pipeline/generation.ts
+++ b/src/pipeline/generation.ts
@@ -3,53 +3,24 @@
  * and continues after the last sent token on another chain if a stage fails.
  */
 import type { BackendServer } from '../backend/backend-server.js';
-import type { BackendDirectory } from '../backend/directory.js';
-import {
-  CHARACTERS_PER_TOKEN,
-  type EngineRoute,
-  type EngineStage,
-} from '../backend/engine-protocol.js';
-import { sleep } from '../common/clock.js';
+import type { EngineRoute, EngineStage } from '../backend/engine-protocol.js';
 import { CrashGuard } from '../routing/crash-guard.js';
-import type { LinkLatencies } from '../routing/link-latencies.js';
-import { chooseEngineChain, type EngineChain } from '../routing/engine-chain-choice.js';
+import type { EngineChain } from '../routing/engine-chain-choice.js';
 import { hashPromptPrefixes } from '../routing/text-hash.js';
-import type { PrefixCacheIndex } from '../routing/prefix-cache-index.js';
-import { selectSuspectEngines } from '../routing/suspect-engines.js';
-import type { Logger } from '../telemetry/log.js';
-import { EngineStreamError, streamFromEngine, type StreamFailureKind } from './engine-stream.js';
+import { ChainFinder } from './chain-finder.js';
+import { countContextTokens } from './context-tokens.js';
+import { EngineStreamError, FAILURES_BEFORE_THE_RUN, streamFromEngine } from './engine-stream.js';
 import { areAllResponsive, diagnoseFailure, type StageProcess } from './fault-diagnosis.js';
 import { createContentRejection, createUnfinishedEnd } from './generation-ending.js';
+import type { GenerationContext } from './generation-context.js';
 import type { GeneratedToken, GenerationEnd, GenerationRequest } from './generation-request.js';
 import { chooseKvSource, type KvHolder } from './kv-source.js';
 import { checkReceipts } from './receipts.js';
 import { changeInFlight, computeStageShares } from './stage-occupancy.js';
 import { recordStageTimes } from './stage-times.js';
 
-/** The state and settings that all generations of this instance share. */
-export interface GenerationContext {
-  readonly directory: BackendDirectory;
-  readonly guard: CrashGuard;
-  readonly linkLatencies: LinkLatencies;
-  readonly prefixCacheIndex: PrefixCacheIndex;
-  readonly dataCentre: string;
-  /** The id of this instance. */
-  readonly instance: string;
-  /** Returns the ids of all instances that use the engines. */
-  readonly instances: () => readonly string[];
-  /** The smallest limit for the wait between two tokens; slow chains get a longer one. */
-  readonly tokenSilenceMilliseconds: number;
-  readonly log: Logger;
-}
-
 /** Attempts that a first stage certainly did not accept do not count. */
 const MAXIMUM_ATTEMPTS = 12;
-/** The failures after which the first stage certainly did not start the task. */
-const CERTAINLY_NOT_ACCEPTED: ReadonlySet<StreamFailureKind> = new Set([
-  'not_run',
-  'leaving',
-  'unreachable',
-]);
 /** A chain is checked if no token arrives within this multiple of the expected time. */
 const SILENCE_LIMIT_FACTOR = 8;
 /**
@@ -58,9 +29,6 @@
  */
 const RESPONSIVE_FIRST_TOKEN_FACTOR = 10;
 const RESPONSIVE_TOKEN_FACTOR = 2;
-const CHAIN_RETRY_MILLISECONDS = 20;
-/** How long a stream that has already sent tokens waits for a chain to continue on. */
-const RESUME_WAIT_MILLISECONDS = 10_000;
 
 /** One run of a generation, over as many attempts as it needs. */
 class Generation {
@@ -75,8 +43,7 @@
 
   readonly #prefixHashes: string[];
 
-  /** The ids of engines that are not chosen because they failed in this generation. */
-  readonly #excluded = new Set<string>();
+  readonly #chains: ChainFinder;
 
   /** The stages of the last chain that produced a token, without those that stopped answering. */
   #kvHolders: KvHolder[] = [];
@@ -95,6 +62,7 @@
     this.#tokens = [...request.producedTokens];
     this.#contentHash = CrashGuard.hashContent([request.model, request.prompt]);
     this.#prefixHashes = hashPromptPrefixes(request.prompt);
+    this.#chains = new ChainFinder({ request, context, prefixHashes: this.#prefixHashes });
   }
 
   async *run(): AsyncGenerator<GeneratedToken, GenerationEnd, undefined> {
@@ -105,7 +73,11 @@
       if (verdict === 'blocked') return createContentRejection();
       if (this.#acceptedAttempts >= MAXIMUM_ATTEMPTS)
         return this.#endUnfinished('Too many attempts failed.');
-      const chain = await this.#waitForChain(verdict === 'suspect');
+      const chain = await this.#chains.find({
+        isSuspect: verdict === 'suspect',
+        hasSentTokens: this.#hasSentTokens,
+        tokens: this.#tokens.length,
+      });
       if (!chain) return this.#endUnfinished('No pipeline covers the model now.');
       yield* this.#runAttempt(chain, verdict === 'suspect');
     }
@@ -238,8 +210,8 @@
       contentHash: this.#contentHash,
     });
     this.#kvHolders = this.#kvHolders.filter(({ server }) => !diagnosis.lost.has(server.id));
-    if (CERTAINLY_NOT_ACCEPTED.has(error.kind)) this.#acceptedAttempts -= 1;
-    diagnosis.excluded.forEach((id) => this.#excluded.add(id));
+    if (FAILURES_BEFORE_THE_RUN.has(error.kind)) this.#acceptedAttempts -= 1;
+    this.#chains.exclude(diagnosis.excluded);
     this.#crashed.push(...diagnosis.crashed);
     log.info('A chain failed; the request continues on another one.', {
       requestId: this.#request.requestId,
@@ -251,77 +223,6 @@
     });
   }
 
-  async #waitForChain(isSuspect: boolean): Promise<EngineChain | undefined> {
-    const { signal, startBy } = this.#request;
-    const hasSentTokens = this.#hasSentTokens;
-    const deadline = hasSentTokens ? performance.now() + RESUME_WAIT_MILLISECONDS : startBy;
-    while (!signal.aborted) {
-      const chain =
-        this.#chooseChain(isSuspect, hasSentTokens) ??
-        this.#chooseWithoutExclusions(isSuspect, hasSentTokens);
-      if (chain) return chain;
-      const hasDeadlinePassed = performance.now() >= deadline;
-      if (hasDeadlinePassed || (!hasSentTokens && !this.#canWaitingHelp())) return undefined;
-      await sleep(CHAIN_RETRY_MILLISECONDS, signal);
-    }
-    return undefined;
-  }
-
-  /** Chooses among all engines again, including those that failed before in this generation. */
-  #chooseWithoutExclusions(isSuspect: boolean, hasSentTokens: boolean): EngineChain | undefined {
-    if (this.#excluded.size === 0) return undefined;
-    this.#excluded.clear();
-    return this.#chooseChain(isSuspect, hasSentTokens);
-  }
-
-  /** Tells whether waiting can help: an engine holds the wanted version or is loading one. */
-  #canWaitingHelp(): boolean {
-    const { model, version, adapter } = this.#request;
-    return this.#context.directory
-      .findEngines(model)
-      .some(
-        ({ engine }) =>
-          engine?.loading || (engine?.version === version && engine.adapter === adapter),
-      );
-  }
-
-  #chooseChain(isSuspect: boolean, canExceedLimits: boolean): EngineChain | undefined {
-    const { model, version, adapter, fleets, maximumTokens } = this.#request;
-    return chooseEngineChain({
-      engines: isSuspect
-        ? this.#selectSuspectEngines()
-        : this.#context.directory.findEngines(model),
-      request: {
-        model,
-        version,
-        adapter,
-        fleets,
-        contextTokens: this.#countContextTokens(),
-        tokensToProduce: maximumTokens - this.#tokens.length,
-        cachedCharacters: this.#context.prefixCacheIndex.findCachedCharacters(this.#prefixHashes),
-        excluded: this.#excluded,
-        isSuspect,
-        canExceedLimits,
-      },
-      dataCentre: this.#context.dataCentre,
-      linkLatencies: this.#context.linkLatencies,
-      now: performance.now(),
-      trafficFactor: this.#context.directory.trafficFactor,
-      random: Math.random,
-    });
-  }
-
-  #selectSuspectEngines(): readonly BackendServer[] {
-    const { directory, instance, instances } = this.#context;
-    const now = performance.now();
-    const { model, version, adapter } = this.#request;
-    const engines = directory
-      .findEngines(model)
-      .filter((server) => !this.#excluded.has(server.id) && server.isUsable(now))
-      .filter(({ engine }) => engine?.version === version && engine.adapter === adapter);
-    return selectSuspectEngines({ engines, instance, instances: instances() });
-  }
-
   #buildRoute(stages: readonly BackendServer[]): EngineRoute {
     return stages.map((server): EngineStage => {
       const { from = 0, to = 1 } = server.engine ?? {};
@@ -338,7 +239,7 @@
   }
 
   #countContextTokens(): number {
-    return Math.ceil(this.#request.prompt.length / CHARACTERS_PER_TOKEN) + this.#tokens.length;
+    return countContextTokens(this.#request, this.#tokens.length);
   }
 
   #silenceLimitMilliseconds(chain: EngineChain, isFirst: boolean): number {
