--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -44,6 +44,7 @@
 const DEFAULT_EVENTS = 8;
 const DEFAULT_PAUSE_MILLISECONDS = 20;
 const SILENCE_POLL_MILLISECONDS = 5;
+const TRICKLE_MILLISECONDS = 100;
 
 /** A stand-in backend server that registers itself in the stand-in store. */
 export class PlatformServer {
@@ -343,6 +344,15 @@
     else response.end(this.faults.unframedEnd === 'withinEvent' ? '' : rest);
   }
 
+  /** Writes single bytes of a comment, as long as the fault lasts and somebody reads. */
+  async #trickle(response: http.ServerResponse, event: number): Promise<void> {
+    while (event > this.faults.tricklesAfterEvents && !response.destroyed) {
+      response.write(':');
+      await sleep(TRICKLE_MILLISECONDS);
+    }
+    response.write('\n');
+  }
+
   async #sendStream(
     response: http.ServerResponse,
     responseHeaders: Record<string, string>,
@@ -378,6 +388,9 @@
         response.destroy();
         return;
       }
+      if (id - lastEventId > this.faults.tricklesAfterEvents)
+        await this.#trickle(response, id - lastEventId);
+      if (response.destroyed) return;
       if (unframedEnd !== undefined && id === events) {
         response.write(`id: ${id}\ndata: ${id}\n`);
         await sleep(1);
--- a/tools/stand-ins/server-faults.ts
+++ b/tools/stand-ins/server-faults.ts
@@ -10,6 +10,8 @@
   refusesAll: boolean;
   /** Breaks each stream off in the middle of the event that follows this many complete events. */
   breaksStreamAfterEvents: number;
+  /** Sends no further event of a stream after this many, but single bytes of one, without an end. */
+  tricklesAfterEvents: number;
   /** Runs each request, but closes the connection without a response. */
   closesWithoutAnswer: boolean;
   /** Puts the id of another request into each response. */
@@ -65,6 +67,7 @@
   isSilent: false,
   refusesAll: false,
   breaksStreamAfterEvents: Number.POSITIVE_INFINITY,
+  tricklesAfterEvents: Number.POSITIVE_INFINITY,
   closesWithoutAnswer: false,
   sendsWrongRequestId: false,
   sendsExtraResponse: false,
