--- a/tools/stand-ins/platform-server.ts
+++ b/tools/stand-ins/platform-server.ts
@@ -7,6 +7,7 @@
 import { sendJson, startStandIn, type StandInRequest, type StandInServer } from './http-server.js';
 import type { PlatformStore } from './platform-store.js';
 import { NO_SERVER_FAULTS, type ServerFaults } from './server-faults.js';
+import { endUnframed, sendStream, waitWhileSilent } from './server-stream.js';
 
 /** Options of {@link PlatformServer}. */
 export interface PlatformServerOptions {
@@ -35,16 +36,8 @@
   readonly arrivedAt: number;
 }
 
-interface StreamOptions {
-  readonly lastEventId: number;
-  readonly eventsBeforeCrash: number;
-  readonly promptPrefix: string | undefined;
-}
-
 const DEFAULT_EVENTS = 8;
 const DEFAULT_PAUSE_MILLISECONDS = 20;
-const SILENCE_POLL_MILLISECONDS = 5;
-const TRICKLE_MILLISECONDS = 100;
 
 /** A stand-in backend server that registers itself in the stand-in store. */
 export class PlatformServer {
@@ -166,7 +159,7 @@
       });
       return;
     }
-    await this.#waitWhileSilent();
+    await waitWhileSilent(this.faults);
     if (isProbe && refusesAll && refusesProbes) {
       response.writeHead(503, { 'not-executed': '1', 'instance-id': this.#options.id }).end();
     } else if (path === '/health')
@@ -183,10 +176,6 @@
     } else await this.#handleRun(request);
   }
 
-  async #waitWhileSilent(): Promise<void> {
-    while (this.faults.isSilent) await sleep(SILENCE_POLL_MILLISECONDS);
-  }
-
   #askForPause(response: http.ServerResponse): void {
     const { namedPause } = this.faults;
     if (namedPause === undefined) return;
@@ -244,7 +233,7 @@
     const { crashingBody, endsWithinCall } = this.faults;
     const isCrashing = body !== '' && body === crashingBody;
     if (isCrashing && this.faults.eventsBeforeCrash === 0 && !endsWithinCall) {
-      await this.#crash(response);
+      await this.crash(response);
       return;
     }
     const answerId = this.faults.sendsWrongRequestId ? 'another' : requestId;
@@ -257,7 +246,12 @@
     } else {
       if (this.faults.unregistersWhileRunning)
         this.#options.store.remove('servers', this.#options.id);
-      await this.#sendStream(response, responseHeaders, {
+      const { events = DEFAULT_EVENTS, pauseMilliseconds = DEFAULT_PAUSE_MILLISECONDS } =
+        this.#options;
+      await sendStream(this, response, {
+        headers: responseHeaders,
+        events,
+        pauseMilliseconds,
         lastEventId: Number(headers['last-event-id'] ?? 0),
         eventsBeforeCrash: isCrashing ? this.faults.eventsBeforeCrash : Number.POSITIVE_INFINITY,
         promptPrefix: headers['prompt-prefix'] as string | undefined,
@@ -265,7 +259,8 @@
     }
   }
 
-  async #crash(response: http.ServerResponse): Promise<void> {
+  /** Ends the process and resets the connection, as a crash on a request does. */
+  async crash(response: http.ServerResponse): Promise<void> {
     const { restartMilliseconds } = this.faults;
     if (this.#isClosed) return;
     this.crashes.push(performance.now());
@@ -292,7 +287,7 @@
   }
 
   /** Ends the process: nothing listens any more, and the answer ends with its connection. */
-  async #closeInOrder(response: http.ServerResponse): Promise<void> {
+  async closeInOrder(response: http.ServerResponse): Promise<void> {
     response.socket?.end();
     await this.#endProcess();
   }
@@ -308,7 +303,7 @@
     response.write(`ran ${requestId}`.slice(0, -1));
     await sleep(1);
     this.crashes.push(performance.now());
-    await this.#closeInOrder(response);
+    await this.closeInOrder(response);
   }
 
   #sendResponse(
@@ -325,7 +320,7 @@
       response.removeHeader('transfer-encoding');
       response.writeHead(200, { ...responseHeaders, connection: 'close' });
       response.write(body.slice(0, -1));
-      setImmediate(() => this.#endUnframed(response, body.slice(-1)));
+      setImmediate(() => endUnframed(response, this.faults, body.slice(-1)));
       return;
     }
     response.writeHead(200, { ...responseHeaders, 'content-length': body.length });
@@ -337,73 +332,4 @@
       });
     }
   }
-
-  /** Ends an answer that its connection delimits. */
-  #endUnframed(response: http.ServerResponse, rest: string): void {
-    if (this.faults.unframedEnd === 'reset') response.socket?.resetAndDestroy();
-    else response.end(this.faults.unframedEnd === 'withinEvent' ? '' : rest);
-  }
-
-  /** Writes single bytes of a comment, as long as the fault lasts and somebody reads. */
-  async #trickle(response: http.ServerResponse, event: number): Promise<void> {
-    while (event > this.faults.tricklesAfterEvents && !response.destroyed) {
-      response.write(':');
-      await sleep(TRICKLE_MILLISECONDS);
-    }
-    response.write('\n');
-  }
-
-  async #sendStream(
-    response: http.ServerResponse,
-    responseHeaders: Record<string, string>,
-    { lastEventId, eventsBeforeCrash, promptPrefix = '' }: StreamOptions,
-  ): Promise<void> {
-    const { events = DEFAULT_EVENTS, pauseMilliseconds = DEFAULT_PAUSE_MILLISECONDS } =
-      this.#options;
-    const { closesWithoutAnswer, crashingPromptPart, readingMilliseconds, unframedEnd } =
-      this.faults;
-    if (closesWithoutAnswer) {
-      response.socket?.destroy();
-      return;
-    }
-    if (unframedEnd !== undefined) response.removeHeader('transfer-encoding');
-    response.writeHead(200, { ...responseHeaders, 'content-type': 'text/event-stream' });
-    response.flushHeaders();
-    await sleep(readingMilliseconds);
-    const sharedParts = promptPrefix.split(',').map((part) => part.replace(/:.*/, ''));
-    if (crashingPromptPart && sharedParts.slice(0, -1).includes(crashingPromptPart)) {
-      await this.#crash(response);
-      return;
-    }
-    for (let id = lastEventId + 1; id <= events; id += 1) {
-      await this.#waitWhileSilent();
-      if (response.destroyed) return;
-      if (id - lastEventId > this.faults.closesBetweenEvents) {
-        await this.#closeInOrder(response);
-        return;
-      }
-      if (id - lastEventId > this.faults.breaksStreamAfterEvents) {
-        response.write(`id: ${id}\nda`);
-        await sleep(1);
-        response.destroy();
-        return;
-      }
-      if (id - lastEventId > this.faults.tricklesAfterEvents)
-        await this.#trickle(response, id - lastEventId);
-      if (response.destroyed) return;
-      if (unframedEnd !== undefined && id === events) {
-        response.write(`id: ${id}\ndata: ${id}\n`);
-        await sleep(1);
-        this.#endUnframed(response, '\n');
-        return;
-      }
-      response.write(`id: ${id}\ndata: ${id}\n\n`);
-      await sleep(pauseMilliseconds);
-      if (id - lastEventId >= eventsBeforeCrash) {
-        await this.#crash(response);
-        return;
-      }
-    }
-    response.end();
-  }
 }
