--- a/tools/benchmarks/platform-fleet-cost.ts
+++ b/tools/benchmarks/platform-fleet-cost.ts
@@ -3,9 +3,10 @@
  * configuration and ejected servers, and prints the processor time of an instance.
  *
  * Usage: node dist/tools/benchmarks/platform-fleet-cost.js [instances] [servers] [seconds]
- * With PROFILE_FILE set, the first instance writes a processor profile there.
+ * With PROFILE_FILE set, the second instance writes a processor profile there, whose sums by part of the
+ * program are printed.
  */
-import { readFileSync } from 'node:fs';
+import { existsSync, readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import { sleep } from '../../src/common/clock.js';
 import {
@@ -16,6 +17,7 @@
   waitUntil,
 } from '../platform-group.js';
 import { createRequestId, sendCallerRequest } from '../serving-group.js';
+import { summarizeProfile, type Profile } from './profile-summary.js';
 
 const [instanceCount = 20, serverCount = 80, seconds = 15] = process.argv.slice(2).map(Number);
 const PROFILED_PROGRAM = fileURLToPath(new URL('./profiled-instance.js', import.meta.url));
@@ -107,6 +109,15 @@
     });
 }
 
+/** Prints the shares of a profile's parts, once it has been written. */
+async function printProfile(file: string): Promise<void> {
+  await waitUntil(() => existsSync(file), 'the profile is written');
+  const profile = JSON.parse(readFileSync(file, 'utf8')) as Profile;
+  summarizeProfile(profile).forEach(({ part, share }) =>
+    process.stdout.write(`${(100 * share).toFixed(1).padStart(5)} % ${part}\n`),
+  );
+}
+
 const group = new PlatformGroup();
 const controller = new AbortController();
 const outcomes = new Map<number, number>();
@@ -143,6 +154,7 @@
     })}\n`,
   );
   await sleep(3000);
+  if (process.env.PROFILE_FILE !== undefined) await printProfile(process.env.PROFILE_FILE);
 } finally {
   controller.abort();
   await group.stop();
