Nothing is sent over a connection that is made after the request's time has ended

The one shown: its caller's 2 s end at 9.394 s, it reaches a third server at 9.902 s.

Cause, as the code shows: a send asks the clock before it connects, and Node.js writes the request when the process sees that the connection is made.

The clock is asked again once the connection is made, before the first byte, for servers and peers. What ends there has certainly not been sent, as for a connection that isn't made. Ruled out: the check before the connect, which that request passed by 0.1 s.

Evidence: backend-request "nothing is sent when the request is over before the connection is seen" received the whole request before.

--- a/src/relay/backend-request.test.ts
+++ b/src/relay/backend-request.test.ts
@@ -164,3 +164,30 @@
       assert.ok(response.complete);
     }
 });
+
+// The bytes were written when the late process saw the connection made, after the caller's time was over.
+test('backend request: nothing is sent when the request is over before the connection is seen', async (context) => {
+  const received: string[] = [];
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.on('data', (data) => received.push(String(data)));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => server.close());
+  let isOver = false;
+  const sent = sendBackendRequest({
+    address: { host: '127.0.0.1', port: (server.address() as AddressInfo).port },
+    method: 'POST',
+    target: '/',
+    headers: ['Host', 'x', 'Content-Length', '4', 'Connection', 'close'],
+    body: Buffer.from('body'),
+    signal: AbortSignal.timeout(1000),
+    isOver: () => isOver,
+  });
+  isOver = true;
+  await assert.rejects(sent, (error: HttpRequestError) => error.phase === 'connecting');
+  await sleep(50);
+  assert.deepEqual(received, []);
+});
--- a/src/relay/backend-request.ts
+++ b/src/relay/backend-request.ts
@@ -17,6 +17,8 @@
   readonly body: Buffer;
   /** Aborts the request, and its response if that has begun. */
   readonly signal: AbortSignal;
+  /** Asked once the connection is made, before a byte is sent: whether the request's time is over. */
+  readonly isOver?: () => boolean;
 }
 
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
@@ -35,7 +37,8 @@
 
 /**
  * Sends a request and waits for the head of the response. Handles servers that write anything at all: with an
- * answer that announces another protocol, a connection ends without the event of a response or an error.
+ * answer that announces another protocol, a connection ends without the event of a response or an error. Handles
+ * a process that is late, too: nothing is sent once the request's time has ended while it connected.
  *
  * @param backendRequest - The request.
  * @returns The response, whose head can be passed on to a caller. Its body fails when the connection breaks or
@@ -43,7 +46,7 @@
  * @throws HttpRequestError whose phase tells whether any byte may have reached the backend server.
  */
 export function sendBackendRequest(backendRequest: BackendRequest): Promise<http.IncomingMessage> {
-  const { address, method, target, headers, body, signal } = backendRequest;
+  const { address, method, target, headers, body, signal, isOver } = backendRequest;
   return new Promise((resolve, reject) => {
     let phase: RequestPhase = 'connecting';
     const request = http.request({
@@ -64,9 +67,11 @@
     let backendResponse: http.IncomingMessage | undefined;
     request.on('socket', (socket) => {
       socket.setNoDelay(true);
-      socket.once('connect', () => {
-        phase = 'sent';
+      // Before the listener that writes the request. In a late process the time may end while it connects.
+      socket.prependOnceListener('connect', () => {
         cancelTimer();
+        if (isOver?.()) request.destroy(new Error('The request is over; it was not sent.'));
+        else phase = 'sent';
       });
       // Before the listener that ends the body of a response without a length.
       socket.prependListener('end', () => {
--- a/src/relay/peer-relay.ts
+++ b/src/relay/peer-relay.ts
@@ -279,6 +279,7 @@
         headers: buildHeaders(request, relayed),
         body,
         signal,
+        isOver: request.isOver,
       });
       const status = message.statusCode ?? 0;
       const answered = protocol.parseResponseHeaders(message.headers, status);
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -110,6 +110,7 @@
     }),
     body,
     signal,
+    isOver: request.isOver,
   });
   const status = message.statusCode ?? 0;
   const { requestId } = metadata;
