--- a/src/pipeline/fault-diagnosis.ts
+++ b/src/pipeline/fault-diagnosis.ts
@@ -89,9 +89,9 @@
 
 /**
  * Diagnoses a failed attempt. Stages that do not answer are recorded as unreachable, and those whose
- * process has ended, as crashed under the request if they may have run it. A stage that refused because it was full is only
- * avoided for a short time. If all stages answer although the stream failed, every one of them is
- * avoided for a while, since any of them may be at fault.
+ * process has ended as crashed under the request, if they may have run it. A stage that refused because
+ * it was full is only avoided for a short time. If all stages answer although the stream failed, every
+ * one of them is avoided for a while, since any of them may be at fault.
  *
  * @param options - The failure, the stages and where to record the result.
  * @returns The stages that are lost and those to exclude from this request.
--- a/src/routing/crash-guard.test.ts
+++ b/src/routing/crash-guard.test.ts
@@ -61,6 +61,18 @@
   assert.equal(one.guard.classify(CONTENT), 'suspect');
 });
 
+test('crash guard: a crash stays passed when an instance that does not know it records it later', () => {
+  const { guard, table } = createGuard();
+  recordCrashes(guard, 1, MAXIMUM_CRASHES);
+  guard.recordPassed(CONTENT, 'engine-1', 1);
+  const key = `${CONTENT}/engine-1/1`;
+  table.putReceived(
+    [{ kind: 'suspicion', key, epoch: 0, counter: 1_000_100, value: null }],
+    'peer',
+  );
+  assert.equal(guard.classify(CONTENT), 'suspect');
+});
+
 test('crash guard: a record with a value of another build counts as a crash', () => {
   const { guard, table } = createGuard();
   const records = [1, 2, 3].map((incarnation) => ({
--- a/src/routing/crash-guard.ts
+++ b/src/routing/crash-guard.ts
@@ -129,9 +129,11 @@
     const [contentHash] = record.key.split('/');
     if (!contentHash || record.counter < this.#wallClock() - RETENTION_MILLISECONDS) return;
     const crashes = this.#crashesByContent.get(contentHash) ?? new Map<string, KnownCrash>();
+    // An instance that doesn't know yet that a crash has been passed may record it later.
+    const wasPassed = crashes.get(record.key)?.value === 'passed';
     crashes.set(record.key, {
       crashedAt: record.counter,
-      value: CrashRecordValue.parse(record.value),
+      value: wasPassed ? 'passed' : CrashRecordValue.parse(record.value),
     });
     this.#crashesByContent.set(contentHash, crashes);
   }
