Evidence of ended servers is sent to each peer once instead of in each record

Each record held all that its instance knew, of peers too, and each exchange carried the records of all peers.

Change: changes of the evidence are numbered; an exchange carries, in the sender's own record only, what the receiver has not been sent. Positions are confirmed by answers, so what is lost is sent again. Records that are passed on leave it out. Older builds are sent all, and add what they get.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -14,6 +14,7 @@
 import { RELAY_HEADER } from '../relay/relayed-request.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
+import { EvidenceExchange } from '../gossip/evidence-exchange.js';
 import { Gossip, type GossipOptions } from '../gossip/gossip.js';
 import { PeerTable } from '../gossip/peer-table.js';
 import { PlannerLease } from '../layers/planner-lease.js';
@@ -269,6 +270,7 @@
       table: this.peers,
       ownRecord: () => this.ownRecord.current,
       dataCentreLoads: () => this.#peerObservations.dataCentreLoads,
+      evidence: new EvidenceExchange(this.#servers.evidenceChanges),
       onRecord: (record) => this.#peerObservations.accept(record),
       onRecords: () => this.#peerObservations.apply(),
       documents: this.#createDocuments(),
--- a/src/daemon/peer-observations.ts
+++ b/src/daemon/peer-observations.ts
@@ -39,11 +39,10 @@
   /** Acts on a new record of a peer. */
   accept(record: PeerRecord): void {
     const { servers, storeFollower } = this.#options;
-    const { outlierEjection, crashBlame, serverLimits } = servers;
+    const { outlierEjection, evidenceChanges, serverLimits } = servers;
     outlierEjection.replacePeerEjections(record.instance, listPeerEjections(record));
-    crashBlame.contents.merge(record);
-    if (record.promptParts && record.clock !== undefined)
-      crashBlame.promptParts.merge(record.promptParts, record.clock);
+    // What a newer build has sent is taken over by the exchange itself.
+    if (!record.evidencePosition) evidenceChanges.merge(record);
     serverLimits.merge(record.limits ?? {});
     this.#remoteLoads.accept(record);
     storeFollower.catchUpWithPeer(record);
--- a/src/daemon/server-components.ts
+++ b/src/daemon/server-components.ts
@@ -7,6 +7,7 @@
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import { CrashBlame } from '../evidence/crash-blame.js';
 import { CrashRecords } from '../evidence/crash-records.js';
+import { EvidenceChanges } from '../evidence/evidence-changes.js';
 import { EngineReports } from '../evidence/engine-reports.js';
 import { PromptPartRecords } from '../evidence/prompt-part-records.js';
 import type { ProtocolAdapter } from '../entry/protocol-adapter.js';
@@ -68,6 +69,8 @@
 
   readonly crashBlame: CrashBlame;
 
+  readonly evidenceChanges: EvidenceChanges;
+
   readonly stallDetector: StallDetector;
 
   readonly serverHealth: ServerHealth;
@@ -93,6 +96,7 @@
     this.statements = new StatementRecorder({ fleet, serverLimits, log: logs('routing') });
     this.engineReports = new EngineReports({ protocol, statements: this.statements, fleet });
     this.crashBlame = this.#createCrashBlame();
+    this.evidenceChanges = new EvidenceChanges(this.crashBlame);
     this.stallDetector = this.#createStallDetector();
     this.serverHealth = this.#createServerHealth();
   }
--- a/src/evidence/crash-records.ts
+++ b/src/evidence/crash-records.ts
@@ -28,6 +28,12 @@
   readonly crashesWhileWritten?: CrashedServers | undefined;
 }
 
+/** A part of the records, in the order in which they were made. */
+export interface CrashesSince extends ReportedCrashes {
+  /** The number of the last change that the part holds; what follows it has higher ones. */
+  readonly changeNumber: number;
+}
+
 /** Content is blocked once this many processes of servers ended under it. */
 export const CRASHES_TO_BLOCK = 3;
 /**
@@ -57,6 +63,8 @@
   readonly contentHash: string;
   readonly phases: Map<string, Phase>;
   lastCrashAt: number;
+  /** Number of the last change of this record among those of all contents. */
+  changeNumber: number;
 }
 
 /** What the last completion of a content shows. */
@@ -77,10 +85,24 @@
   return other.phases.size - one.phases.size || other.lastCrashAt - one.lastCrashAt;
 }
 
+function describeCrashes(described: readonly ContentCrashes[]): ReportedCrashes {
+  const written = described
+    .map((crashes) => [crashes.contentHash, listEnds(crashes, 'written')] as const)
+    .filter(([, processKeys]) => processKeys.length > 0);
+  return {
+    crashes: Object.fromEntries(
+      described.map(({ contentHash, phases }) => [contentHash, [...phases.keys()]]),
+    ),
+    crashesWhileWritten: Object.fromEntries(written),
+  };
+}
+
 /** The crash records of one instance, merged with those of its peers. */
 export class CrashRecords {
   readonly #crashesByContent = new Map<string, ContentCrashes>();
 
+  #changeCount = 0;
+
   readonly #completions = new LruMap<string, Completion>(MAXIMUM_COMPLETED_CONTENTS);
 
   readonly #isExplained: (processKey: string) => boolean;
@@ -152,6 +174,31 @@
     return this.#describe(({ contentHash }) => this.isBlocked(contentHash));
   }
 
+  /** Number of the last change. */
+  get changeNumber(): number {
+    return this.#changeCount;
+  }
+
+  /**
+   * Returns what was recorded after a change, so that a peer is sent nothing twice. Where that is too much for one
+   * report, the rest follows in the next one.
+   *
+   * @param changeNumber - The last change that the peer knows; 0 if it knows none. It is then sent all contents that
+   *   are blocked as well.
+   */
+  reportSince(changeNumber: number): CrashesSince {
+    const changed = [...this.#crashesByContent.values()]
+      .filter((crashes) => crashes.changeNumber > changeNumber && this.#isCurrent(crashes))
+      .sort((one, other) => one.changeNumber - other.changeNumber);
+    const part = changed.slice(0, MAXIMUM_REPORTED_CONTENTS);
+    const last = changed.length > part.length ? part.at(-1)?.changeNumber : undefined;
+    const blocked =
+      changeNumber === 0
+        ? changed.slice(part.length).filter(({ contentHash }) => this.isBlocked(contentHash))
+        : [];
+    return { ...describeCrashes([...part, ...blocked]), changeNumber: last ?? this.#changeCount };
+  }
+
   /** Adds the crashes that a peer has recorded. */
   merge({ crashes, crashesWhileWritten = {} }: ReportedCrashes): void {
     const contents = new Set<string>();
@@ -182,10 +229,13 @@
       contentHash,
       phases: new Map<string, Phase>(),
       lastCrashAt: 0,
+      changeNumber: 0,
     };
     const known = crashes.phases.get(processKey);
     if (known === 'beginning' || (known && wasWritten)) return false;
     crashes.phases.set(processKey, wasWritten ? 'written' : 'beginning');
+    this.#changeCount += 1;
+    crashes.changeNumber = this.#changeCount;
     if (known) return false;
     crashes.lastCrashAt = this.#now();
     this.#crashesByContent.set(contentHash, crashes);
@@ -210,15 +260,7 @@
       .filter((crashes) => this.#isCurrent(crashes) && isWanted(crashes))
       .sort(compareByRisk)
       .slice(0, MAXIMUM_REPORTED_CONTENTS);
-    const written = described
-      .map((crashes) => [crashes.contentHash, listEnds(crashes, 'written')] as const)
-      .filter(([, processKeys]) => processKeys.length > 0);
-    return {
-      crashes: Object.fromEntries(
-        described.map(({ contentHash, phases }) => [contentHash, [...phases.keys()]]),
-      ),
-      crashesWhileWritten: Object.fromEntries(written),
-    };
+    return describeCrashes(described);
   }
 
   #isCurrent({ lastCrashAt }: ContentCrashes): boolean {
--- a/src/gossip/exchange-targets.ts
+++ b/src/gossip/exchange-targets.ts
@@ -7,6 +7,8 @@
 export interface ExchangeTarget {
   /** Name of the peer; undefined for an address of which no record is known. */
   readonly instance: string | undefined;
+  /** Its run, as known when it was chosen; undefined with the name. */
+  readonly incarnation: number | undefined;
   readonly address: Address;
   /** Undefined with the name. */
   readonly dataCentre: string | undefined;
@@ -17,8 +19,8 @@
  *
  * @param record - The record.
  */
-export function toTarget({ instance, peers, dataCentre }: PeerRecord): ExchangeTarget {
-  return { instance, address: peers, dataCentre };
+export function toTarget({ instance, incarnation, peers, dataCentre }: PeerRecord): ExchangeTarget {
+  return { instance, incarnation, address: peers, dataCentre };
 }
 
 /** Number of peers to exchange records with in one round. */
@@ -84,7 +86,12 @@
   // again.
   const probeCandidates = [
     ...table.allRecords.map(toTarget),
-    ...seeds.map((seed) => ({ instance: undefined, address: seed, dataCentre: undefined })),
+    ...seeds.map((seed) => ({
+      instance: undefined,
+      incarnation: undefined,
+      address: seed,
+      dataCentre: undefined,
+    })),
   ].filter((target) => !isSameAddress(target.address, address));
   const [probeTarget] = shuffle(probeCandidates, random);
   if (probeTarget && (picked.length === 0 || random() < PROBE_PROBABILITY))
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -146,16 +146,17 @@
   async #runExchange(planned: PlannedExchange): Promise<void> {
     const { address, instance } = planned.target;
     const askedAt = performance.now();
+    const request = this.#exchange.createRequest(planned);
     try {
       const answer = await this.#connections.fetch({
         address,
         method: 'POST',
         path: '/records',
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(this.#exchange.createRequest(planned)),
+        body: JSON.stringify(request),
         timeoutMilliseconds: EXCHANGE_TIMEOUT_MILLISECONDS,
       });
-      this.#exchange.merge(JSON.parse(answer.body.toString()));
+      this.#exchange.acceptAnswer(planned, request, JSON.parse(answer.body.toString()));
     } catch (error) {
       if (instance !== undefined && isConnectionRefused(error))
         this.#options.table.recordRefusal(instance, askedAt);
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -15,6 +15,13 @@
 const ServerLoads = z.record(z.string(), z.tuple([Amount, Amount]));
 export type ServerLoads = z.infer<typeof ServerLoads>;
 
+/**
+ * Numbers of the last changes that an instance has sent of its evidence against requests: of whole contents, and of
+ * parts of prompts.
+ */
+export const EvidencePosition = z.tuple([Amount, Amount]);
+export type EvidencePosition = z.infer<typeof EvidencePosition>;
+
 const PromptParts = z.object({
   ends: z.record(z.string(), z.tuple([Time, z.array(z.array(z.string()))])),
   written: z.record(z.string(), Time),
@@ -93,6 +100,11 @@
    * last tried, if it is blocked. Times are on the clock of `clock`. Absent in records of older builds.
    */
   promptParts: PromptParts.optional(),
+  /**
+   * Up to which of its changes `crashes`, `crashesWhileWritten` and `promptParts` reach, see `evidence-changes`; they
+   * then hold only what the receiver had not been sent. Absent in records of older builds, which hold all.
+   */
+  evidencePosition: EvidencePosition.optional(),
   /** The instance's monotonic clock when it made the record, in milliseconds. Absent in older builds. */
   clock: Time.optional(),
 });
--- a/src/gossip/record-exchange.ts
+++ b/src/gossip/record-exchange.ts
@@ -13,6 +13,7 @@
   URGENT_FANOUT,
   type ExchangeTarget,
 } from './exchange-targets.js';
+import { omitEvidence, type EvidenceExchange } from './evidence-exchange.js';
 import type { PeerRecord, ServerLoads } from './peer-record.js';
 import { PeerRecordDecoder } from './peer-record-decoder.js';
 import type { PeerTable } from './peer-table.js';
@@ -31,6 +32,8 @@
   readonly dataCentreLoads: () => ServerLoads;
   /** Called for each record that is newer than the one in the table. */
   readonly onRecord: (record: PeerRecord) => void;
+  /** What peers are sent of the evidence against requests; all of it, in each record, by default. */
+  readonly evidence?: EvidenceExchange;
   /** Called once after one or more newer records have been stored. */
   readonly onRecords: () => void;
   readonly log: Logger;
@@ -55,6 +58,8 @@
   own: z.looseObject({ instance: z.string(), dataCentre: z.string() }),
   known: Digest.catch({}),
   scope: DigestScope.default('all').catch('all'),
+  /** Which evidence of the receiver the sender has. Absent in requests of older builds, which need all. */
+  evidence: z.tuple([z.number(), z.number(), z.number()]).optional().catch(undefined),
 });
 type ExchangeRequest = z.infer<typeof ExchangeRequest>;
 
@@ -111,13 +116,31 @@
    * @param exchange - The exchange.
    */
   createRequest({ target, scope }: PlannedExchange): ExchangeRequest {
+    const { evidence, ownRecord } = this.#options;
+    const own = this.#prepareFor(target.dataCentre, ownRecord());
+    const known = this.#createDigest(scope);
+    if (!evidence) return { own, known, scope };
     return {
-      own: this.#prepareFor(target.dataCentre, this.#options.ownRecord()),
-      known: this.#createDigest(scope),
+      own: evidence.attachFor(own, target),
+      known,
       scope,
+      evidence: evidence.getNamedPosition(target.instance),
     };
   }
 
+  /**
+   * Takes the answer to a request.
+   *
+   * @param exchange - The exchange.
+   * @param request - Its request.
+   * @param value - The answer, as it was read from JSON.
+   */
+  acceptAnswer({ target }: PlannedExchange, request: ExchangeRequest, value: unknown): void {
+    this.merge(value, target.instance);
+    const { evidencePosition } = request.own as Partial<PeerRecord>;
+    this.#options.evidence?.confirm(target, evidencePosition);
+  }
+
   /**
    * Stores the record of a peer that asks, and finds those that it lacks.
    *
@@ -127,7 +150,7 @@
    */
   answer(value: unknown): PeerRecord[] {
     const request = ExchangeRequest.parse(value);
-    this.merge([request.own]);
+    this.merge([request.own], request.own.instance);
     return this.#findRecordsNewerThan(request);
   }
 
@@ -135,10 +158,15 @@
    * Stores records that a peer sent, as far as they are newer.
    *
    * @param value - The answer to a request, or what stands in its place.
+   * @param sender - Name of the peer, if it is known. Only its own record says what this instance has of its evidence.
    */
-  merge(value: unknown): void {
-    const { table, onRecord, onRecords } = this.#options;
-    const accepted = this.#decoder.decodeAll(value).filter((record) => table.accept(record));
+  merge(value: unknown, sender?: string): void {
+    const { table, evidence, onRecord, onRecords } = this.#options;
+    const records = this.#decoder.decodeAll(value);
+    records
+      .filter(({ instance }) => instance === sender)
+      .forEach((record) => evidence?.accept(record));
+    const accepted = records.filter((record) => table.accept(record));
     accepted.forEach(onRecord);
     if (accepted.length > 0) onRecords();
   }
@@ -171,7 +199,12 @@
   }
 
   /** Returns the records that a peer's digest lacks or has in an older version. */
-  #findRecordsNewerThan({ own: peer, known, scope }: ExchangeRequest): PeerRecord[] {
+  #findRecordsNewerThan({
+    own: peer,
+    known,
+    scope,
+    evidence: named,
+  }: ExchangeRequest): PeerRecord[] {
     const { ownRecord, table } = this.#options;
     const interval = getRemoteRecordInterval(table.memberCount);
     const own = ownRecord();
@@ -179,6 +212,8 @@
     return candidates
       .filter((record) => {
         if (record.instance === peer.instance) return false;
+        // The peer may have the record itself through another instance, which left the evidence out.
+        if (record === own && named && this.#options.evidence?.hasMoreThan(own, named)) return true;
         // This instance's copy has no loads; the record's own data centre has a complete one.
         if (record.dataCentre === peer.dataCentre && peer.dataCentre !== own.dataCentre)
           return false;
@@ -190,6 +225,11 @@
           return record.counter >= knownCounter + interval;
         return record.counter > knownCounter;
       })
-      .map((record) => this.#prepareFor(peer.dataCentre, record));
+      .map((record) => {
+        const prepared = this.#prepareFor(peer.dataCentre, record);
+        if (!this.#options.evidence) return prepared;
+        if (record !== own) return omitEvidence(prepared);
+        return named ? this.#options.evidence.attachForAnswer(prepared, named) : prepared;
+      });
   }
 }
