Spare holders: with spare memory, whole copies of the model in rows

Cause: engines got KV cache for all of their slots, and the ends of the model had fewer holders than its middle. In a data centre with memory for 6.75 copies some layer had 3 holders among 29 engines, and chains had 9.6 stages in the mean; with memory for 4.6 copies some layer had one.

Change: a data centre with spare memory is planned from scratch in rows that hold the model once each, with the fast kinds together. An engine without layers gets as many as in such a plan, and first those that lack holders. Data centres without spare memory and groups of several data centres are planned as before.

Failed before: any tenth of the engines may be lost; a higher observed peak leaves more KV cache; an arrangement is kept when the peak falls; chains have fewer stages. The plans without spare memory are compared with those recorded before the change.

--- a/src/layers/group-plan.ts
+++ b/src/layers/group-plan.ts
@@ -7,13 +7,8 @@
 import { repairCoverage } from './coverage-repair.js';
 import { planFromScratch } from './initial-placement.js';
 import { countLayers, findUncoveredRanges } from './layer-ranges.js';
-import { findLeastCachedRange } from './least-cached-range.js';
-import {
-  targetLayerCount,
-  type LayerLimit,
-  type PlanConditions,
-  type PlannedEngine,
-} from './planned-engine.js';
+import type { LayerLimit, PlanConditions, PlannedEngine } from './planned-engine.js';
+import { findRangeForNewEngine } from './spare-holders.js';
 
 /** Options of {@link planGroup}. */
 export interface GroupPlanOptions extends PlanConditions {
@@ -86,8 +81,7 @@
   engines
     .filter(({ id, hasOrderInProgress }) => !ranges.has(id) && !hasOrderInProgress)
     .forEach((engine) => {
-      const count = targetLayerCount(engine, profile);
-      ranges.set(engine.id, findLeastCachedRange(count, { engines, ranges, profile }));
+      ranges.set(engine.id, findRangeForNewEngine(engine, { engines, ranges, profile }));
     });
   return ranges;
 }
--- a/src/layers/initial-placement.ts
+++ b/src/layers/initial-placement.ts
@@ -1,10 +1,11 @@
 /**
  * Plans engines without regard to the layers they hold now. Each request occupies a slot of the engine
  * that runs its first layer, and only there; so the first layer is held by as many engines as there are
- * copies of the model, and some more.
+ * copies of the model, and some more. A data centre with spare memory is planned by `spare-holders` instead.
  */
 import type { LayerRange } from '../fleet/server-entry.js';
 import { targetLayerCount, type PlanConditions, type PlannedEngine } from './planned-engine.js';
+import { isSpareGroup, planSpareHolders } from './spare-holders.js';
 
 /** Spare copies of the first layer for each copy of the model, so that these may be used unevenly. */
 const FIRST_LAYER_RESERVE = 1.2;
@@ -93,6 +94,8 @@
   conditions: PlanConditions,
 ): Map<string, LayerRange> | undefined {
   const { profile } = conditions;
+  const sparePlan = isSpareGroup(engines, profile) ? planSpareHolders(engines, profile) : undefined;
+  if (sparePlan) return sparePlan;
   const sized = engines.map((engine) => ({ engine, count: targetLayerCount(engine, profile) }));
   const smallestFirst = [...sized].sort((one, other) => one.count - other.count);
   const ascendingCounts = smallestFirst.map(({ count }) => count);
--- a/src/layers/least-cached-range.ts
+++ b/src/layers/least-cached-range.ts
@@ -5,8 +5,14 @@
 import { countLayers, isWithinModel } from './layer-ranges.js';
 import type { PlannedEngine } from './planned-engine.js';
 
-/** Returns for how many tokens each layer has KV cache, over all engines. */
-function sumCachedTokens(
+/**
+ * Returns for how many tokens each layer has KV cache, over all engines.
+ *
+ * @param engines - The engines.
+ * @param ranges - The range of each engine by id.
+ * @param profile - The service's profile.
+ */
+export function sumCachedTokens(
   engines: readonly PlannedEngine[],
   ranges: ReadonlyMap<string, LayerRange>,
   profile: EngineProfile,
@@ -23,9 +29,23 @@
   return tokensByLayer;
 }
 
-/** Returns how much a range needs another engine: the less KV cache its layers have, the more. */
-function computeNeed(tokensByLayer: readonly number[], { from, to }: LayerRange): number {
-  return tokensByLayer.slice(from, to).reduce((need, tokens) => need + 1 / (1 + tokens), 0);
+/**
+ * Counts the engines that hold each layer.
+ *
+ * @param ranges - The range of each engine by id.
+ * @param layerCount - Number of layers of the model.
+ */
+export function countHolders(
+  ranges: ReadonlyMap<string, LayerRange>,
+  layerCount: number,
+): number[] {
+  const holders = new Array<number>(layerCount).fill(0);
+  ranges.forEach((range) => {
+    if (!isWithinModel(range, layerCount)) return;
+    for (let layer = range.from; layer < range.to; layer += 1)
+      holders[layer] = (holders[layer] ?? 0) + 1;
+  });
+  return holders;
 }
 
 /** What {@link findLeastCachedRange} searches. */
@@ -34,6 +54,8 @@
   /** The range of each engine by id. */
   readonly ranges: ReadonlyMap<string, LayerRange>;
   readonly profile: EngineProfile;
+  /** How many holders each layer should have; layers that lack some come first. 0 by default. */
+  readonly wantedHolders?: number;
 }
 
 /**
@@ -45,13 +67,17 @@
  */
 export function findLeastCachedRange(
   count: number,
-  { engines, ranges, profile }: LeastCachedRangeOptions,
+  { engines, ranges, profile, wantedHolders = 0 }: LeastCachedRangeOptions,
 ): LayerRange {
-  const tokensByLayer = sumCachedTokens(engines, ranges, profile);
+  const holders = countHolders(ranges, profile.layerCount);
+  // A missing holder counts more than the KV cache of any layer that is held.
+  const needByLayer = sumCachedTokens(engines, ranges, profile).map(
+    (tokens, layer) => 1 / (1 + tokens) + Math.max(0, wantedHolders - (holders[layer] ?? 0)),
+  );
   let best = 0;
   let bestNeed = Number.NEGATIVE_INFINITY;
   for (let from = 0; from + count <= profile.layerCount; from += 1) {
-    const need = computeNeed(tokensByLayer, { from, to: from + count });
+    const need = needByLayer.slice(from, from + count).reduce((sum, each) => sum + each, 0);
     if (need > bestNeed) {
       bestNeed = need;
       best = from;
--- a/src/layers/planned-engine.ts
+++ b/src/layers/planned-engine.ts
@@ -31,8 +31,9 @@
 }
 
 /**
- * Share of an engine's slots that its KV cache should serve. A lower share would leave memory for
- * more layers, which makes chains faster and tolerates the loss of engines better.
+ * Share of an engine's slots that its KV cache should serve. A lower share leaves memory for more layers, which
+ * makes chains faster and tolerates the loss of engines better; it is for data centres with spare memory, where
+ * several engines share the requests of each layer.
  */
 const TARGET_SLOT_SHARE = 1;
 
@@ -41,8 +42,13 @@
  *
  * @param engine - The engine.
  * @param profile - The service's profile.
+ * @param slotShare - The target share.
  * @returns The number of layers.
  */
-export function targetLayerCount({ kind, slots }: PlannedEngine, profile: EngineProfile): number {
-  return maximumLayerCountWithCache(profile, kind, TARGET_SLOT_SHARE * slots);
+export function targetLayerCount(
+  { kind, slots }: PlannedEngine,
+  profile: EngineProfile,
+  slotShare = TARGET_SLOT_SHARE,
+): number {
+  return maximumLayerCountWithCache(profile, kind, slotShare * slots);
 }
