Chain choice: a limit on each engine's share of chains

Cause: with spare memory the cheapest engines become stages of most chains, so that the crash of one affects all of these. In a test with one row of fast engines and three of slow ones the fast ones were stages of all chains.

Change: an engine's limit is twice the mean of the holders of its layers in its data centre, from the loads that the fleet knows. From 0.8 of the limit on, a bounded cost rises in the engine's estimate. There is no limit where a layer has one holder or the data centre has no spare memory. "Chain chosen." has highestShareUse, and engine_share_exceeded counts chains above 1.

--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -12,6 +12,7 @@
   estimateLayerMilliseconds,
   type RequestTokens,
 } from './engine-estimates.js';
+import { computeShareCost, computeShareUses } from './engine-share.js';
 import { isWithinModel } from './layer-ranges.js';
 
 /** An engine that may take part in a chain. */
@@ -45,6 +46,11 @@
   readonly expectedMilliseconds: number;
   /** Whether some stage needs more KV cache than its engine has free. */
   readonly isOverCapacity: boolean;
+  /**
+   * The highest use of an engine's limit on its share of chains among the stages, where some stage has one;
+   * above 1 the limit is exceeded.
+   */
+  readonly highestShareUse?: number;
 }
 
 /** Returned if no chain exists. */
@@ -129,7 +135,10 @@
 
 interface EngineEstimate<T extends ChainCandidate> {
   readonly engine: T;
-  /** Expected time that the whole request spends in one layer, raised by the use of the KV cache. */
+  /**
+   * Expected time that the whole request spends in one layer, raised by the use of the KV cache and by the excess
+   * over the engine's share of chains.
+   */
   readonly millisecondsPerLayer: number;
   /** The same for the first stage of a chain, which also needs a slot. */
   readonly firstMillisecondsPerLayer: number;
@@ -147,6 +156,7 @@
 function estimateEngine<T extends ChainCandidate>(
   engine: T,
   request: ChainRequest,
+  shareUse: number,
 ): EngineEstimate<T> {
   const { profile, tokens } = request;
   const capacity = cacheCapacityTokenLayers(profile, engine.kind, engine.layers);
@@ -160,10 +170,12 @@
   const baseMilliseconds =
     normalMilliseconds * engine.slowdownFactor * (request.costNoise?.() ?? 1);
   const slotUse = engine.runningRequests / Math.max(1, engine.slots);
+  const shareCost = computeShareCost(shareUse);
   return {
     engine,
-    millisecondsPerLayer: baseMilliseconds * computeFillFactor(fill),
-    firstMillisecondsPerLayer: baseMilliseconds * computeFillFactor(Math.max(fill, slotUse)),
+    millisecondsPerLayer: baseMilliseconds * (computeFillFactor(fill) + shareCost),
+    firstMillisecondsPerLayer:
+      baseMilliseconds * (computeFillFactor(Math.max(fill, slotUse)) + shareCost),
     freeTokenLayers: capacity - engine.reservedTokenLayers,
   };
 }
@@ -240,7 +252,10 @@
   const { layerCount } = request.profile;
   const requestTokens = request.tokens.prompt + request.tokens.output;
   const candidates = engines.filter(({ layers }) => isWithinModel(layers, layerCount));
-  const estimates = candidates.map((engine) => estimateEngine(engine, request));
+  const shareUses = computeShareUses(candidates, request.profile);
+  const estimates = candidates.map((engine) =>
+    estimateEngine(engine, request, shareUses.get(engine.id) ?? 0),
+  );
   const boundaries = findBoundaries(candidates, layerCount, request.pinnedStage);
   let lastSteps: Step<T>[] = [];
   for (let index = 0; index + 1 < boundaries.length; index += 1) {
@@ -285,9 +300,12 @@
     (cheapest, step) => (step.cost < cheapest.cost ? step : cheapest),
     first,
   );
+  const stages = mergeSteps(last, layerCount);
+  const stageUses = stages.flatMap(({ engine }) => shareUses.get(engine.id) ?? []);
   return {
-    stages: mergeSteps(last, layerCount),
+    stages,
     expectedMilliseconds: last.cost % OVER_CAPACITY_PENALTY_MILLISECONDS,
     isOverCapacity: last.cost >= OVER_CAPACITY_PENALTY_MILLISECONDS,
+    ...(stageUses.length > 0 ? { highestShareUse: Math.max(...stageUses) } : {}),
   };
 }
--- a/src/relay/chain-selector.ts
+++ b/src/relay/chain-selector.ts
@@ -270,6 +270,9 @@
       chain: chain.stages.map(({ engine, layers }) => `${engine.id}=${layers.from}-${layers.to}`),
       expectedMilliseconds: Math.round(chain.expectedMilliseconds),
       isOverfull: chain.isOverCapacity,
+      ...(chain.highestShareUse === undefined
+        ? {}
+        : { highestShareUse: Math.round(100 * chain.highestShareUse) / 100 }),
       fleetRevision: this.#context.fleet.revision,
     };
   }
--- a/src/relay/relay-stream.ts
+++ b/src/relay/relay-stream.ts
@@ -267,8 +267,9 @@
       release();
       return { kind: 'notRun', engineIdsToAvoid: [], message: 'The chosen chain has no stages.' };
     }
-    const { logs } = this.#context;
+    const { logs, metrics } = this.#context;
     if (!begun) logs('routing').info('Chain chosen.', this.#chainSelector.describeForLog(chain));
+    if ((chain.highestShareUse ?? 0) > 1) metrics.countEvent('engine_share_exceeded');
     const attempt = new StreamAttempt({
       context: this.#context,
       request: this.#request,
--- a/tools/chain-load-replay.ts
+++ b/tools/chain-load-replay.ts
@@ -47,6 +47,8 @@
   readonly rejectedArrivals: number;
   /** Arrivals at the busiest engine that holds the first layer, against the mean of these engines. */
   readonly busiestToMean: number;
+  /** By engine id: of how many chains that requests were sent over it was a stage. */
+  readonly chainsByEngine: ReadonlyMap<string, number>;
 }
 
 const QUEUED_REQUESTS = 48;
@@ -91,6 +93,8 @@
 
   readonly #instances: Instance[];
 
+  readonly #chainsByEngine = new Map<string, number>();
+
   #requests = 0;
 
   #inTime = 0;
@@ -146,6 +150,7 @@
       arrivals: this.#arrivals,
       rejectedArrivals: this.#rejectedArrivals,
       busiestToMean: Math.max(...counts) / mean,
+      chainsByEngine: this.#chainsByEngine,
     };
   }
 
@@ -259,6 +264,9 @@
     const first = this.#engines.get(chain.stages[0]?.engine.id ?? '');
     this.#arrivals += 1;
     first.arrivals += 1;
+    chain.stages.forEach(({ engine: { id } }) =>
+      this.#chainsByEngine.set(id, 1 + (this.#chainsByEngine.get(id) ?? 0)),
+    );
     const reject = (engine: SimulatedEngine): void => {
       this.#rejectedArrivals += 1;
       this.#queue.add(this.#queue.now + REFUSAL_MILLISECONDS, () => {
