--- a/src/layers/engine-share.ts
+++ b/src/layers/engine-share.ts
@@ -22,8 +22,7 @@
 /** With fewer requests in progress, whole requests differ from the mean by more than the limit. */
 const MINIMUM_LIMIT_REQUESTS = 2;
 /**
- * Use of the limit from which the cost rises. The rest is for chains of peers that are not known yet: in replays in
- * which it rose from the limit on, engines got up to 1.07 times their limit.
+ * Use of the limit from which the cost rises. The rest is for chains of peers whose records have not arrived.
  */
 const COST_FROM_USE = 0.8;
 /** Fast engines are several times faster than the others, and the cost has to exceed that well below the limit. */
