Link load: backlog of prompts and the streams on each link

Cause: what an instance knows of a link between data centres is one utilisation, which mixes prompts, sent at once, with answers, sent token by token, and does not tell who is delayed by a transfer.

Change: DataCentreLinkLoad also keeps the backlog of prompts and this instance's streams with what their pause targets leave. The backlog drains at the target utilisation and varies by half at random for each prompt. The peer table tells the age of the last record of a live peer. The utilisation is computed as before.

--- a/src/daemon/request-components.ts
+++ b/src/daemon/request-components.ts
@@ -64,7 +64,10 @@
     peerRelay,
     refusalPacing: new RefusalPacing(),
     retryBudget: createRetryBudget(settings, peers),
-    linkLoad: new DataCentreLinkLoad({ instanceCount: () => peers.aliveCount + 1 }),
+    linkLoad: new DataCentreLinkLoad({
+      instanceCount: () => peers.aliveCount + 1,
+      recordAgeMilliseconds: () => peers.recordAgeMilliseconds,
+    }),
     stallDetector,
     waitingStreams: new WaitingStreams({ fleetRevision: () => fleet.revision }),
     eventLoopDelay,
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -266,6 +266,15 @@
     );
   }
 
+  /** Since the last record of a live peer arrived; undefined while no peer is alive. */
+  get recordAgeMilliseconds(): number | undefined {
+    let latest: number | undefined;
+    this.#peers.forEach(({ isAlive, arrivedAt }) => {
+      if (isAlive) latest = Math.max(latest ?? arrivedAt, arrivedAt);
+    });
+    return latest === undefined ? undefined : this.#now() - latest;
+  }
+
   /** Records of the peers that are alive. */
   get aliveRecords(): PeerRecord[] {
     return [...this.#peers.values()].filter(({ isAlive }) => isAlive).map(({ record }) => record);
--- a/src/layers/data-centre-link-load.ts
+++ b/src/layers/data-centre-link-load.ts
@@ -12,19 +12,60 @@
 export interface DataCentreLinkLoadOptions {
   /** Number of instances, including this one, whose chains use the links. */
   readonly instanceCount: () => number;
+  /** How long ago the last record of a live peer arrived; undefined while no peer is alive. */
+  readonly recordAgeMilliseconds?: () => number | undefined;
   readonly now?: () => number;
+  /** Returns a number from 0 (inclusive) to 1 (exclusive). */
+  readonly random?: () => number;
+}
+
+/** A stream of this instance that uses a link, and what its pause target leaves for waiting there. */
+export interface LinkStream {
+  /** 0 if it has no pause target. */
+  readonly pauseTargetMilliseconds: number;
+  /** Pause target less the pause that is expected without waiting for other transfers. */
+  readonly pauseLeftMilliseconds: number;
+}
+
+/** What is known of a link. */
+export interface LinkState {
+  /** Transfer time of the prompts of all instances that are under way over the link, in milliseconds. */
+  readonly backlogMilliseconds: number;
+  readonly instances: number;
+  /** Streams of this instance on the link. */
+  readonly streams: readonly LinkStream[];
+  readonly recordAgeMilliseconds: number | undefined;
 }
 
 /** The utilisation that all instances together aim to stay below. */
 const TARGET_UTILISATION = 0.45;
 /** A bucket that holds more transfer time than this, in milliseconds, allows no further transfer. */
 const BUCKET_MILLISECONDS = 200;
+/**
+ * A prompt's part of the backlog is varied by up to this share. Instances that moved streams at the same time, since an
+ * engine crashed, would otherwise find the link free at the same time again: 20 of them sent in bursts of 1 s.
+ */
+const BACKLOG_JITTER_SHARE = 0.5;
 const BITS_PER_MEGABIT = 1_000_000;
 
-interface Bucket {
+interface LinkLoad {
   /** Transfer time of all instances that this instance's transfers stand for, in milliseconds. */
   level: number;
+  /** The same for prompts only, which are sent at once, varied at random. */
+  backlog: number;
   updatedAt: number;
+  readonly streams: Set<LinkStream>;
+}
+
+/**
+ * Returns how long a link is occupied by a transfer.
+ *
+ * @param bits - Size of the transfer.
+ * @param megabitsPerSecond - Bandwidth of the link.
+ * @returns The time in milliseconds.
+ */
+export function computeTransferMilliseconds(bits: number, megabitsPerSecond: number): number {
+  return (1000 * bits) / (megabitsPerSecond * BITS_PER_MEGABIT);
 }
 
 export class DataCentreLinkLoad {
@@ -32,11 +73,14 @@
 
   readonly #now: () => number;
 
-  readonly #buckets = new Map<string, Bucket>();
+  readonly #random: () => number;
+
+  readonly #links = new Map<string, LinkLoad>();
 
   constructor(options: DataCentreLinkLoadOptions) {
     this.#options = options;
     this.#now = options.now ?? (() => performance.now());
+    this.#random = options.random ?? Math.random;
   }
 
   /**
@@ -46,10 +90,51 @@
    * @param to - Name of the data centre at the other end.
    * @param bits - Size of the activations in bits.
    * @param megabitsPerSecond - Bandwidth of the link.
+   * @param promptBits - The part of them that is sent at once; the rest follows token by token.
+   */
+  recordTransfer(
+    from: string,
+    to: string,
+    bits: number,
+    megabitsPerSecond: number,
+    promptBits = bits,
+  ): void {
+    const instances = this.#options.instanceCount();
+    const link = this.#drain(from, to);
+    link.level += computeTransferMilliseconds(bits, megabitsPerSecond) * instances;
+    const jitter = 1 + BACKLOG_JITTER_SHARE * (2 * this.#random() - 1);
+    link.backlog += computeTransferMilliseconds(promptBits, megabitsPerSecond) * instances * jitter;
+  }
+
+  /**
+   * Adds a stream to a link.
+   *
+   * @param from - Name of the data centre at one end.
+   * @param to - Name of the data centre at the other end.
+   * @param stream - The stream.
+   * @returns A function that removes it.
+   */
+  addStream(from: string, to: string, stream: LinkStream): () => void {
+    const { streams } = this.#drain(from, to);
+    const added = { ...stream };
+    streams.add(added);
+    return () => streams.delete(added);
+  }
+
+  /**
+   * Describes a link.
+   *
+   * @param from - Name of the data centre at one end.
+   * @param to - Name of the data centre at the other end.
    */
-  recordTransfer(from: string, to: string, bits: number, megabitsPerSecond: number): void {
-    const milliseconds = (1000 * bits) / (megabitsPerSecond * BITS_PER_MEGABIT);
-    this.#drain(from, to).level += milliseconds * this.#options.instanceCount();
+  describe(from: string, to: string): LinkState {
+    const { backlog, streams } = this.#drain(from, to);
+    return {
+      backlogMilliseconds: backlog,
+      instances: this.#options.instanceCount(),
+      streams: [...streams],
+      recordAgeMilliseconds: this.#options.recordAgeMilliseconds?.(),
+    };
   }
 
   /**
@@ -68,13 +153,21 @@
     return this.estimateUtilisation(from, to) >= TARGET_UTILISATION;
   }
 
-  #drain(from: string, to: string): Bucket {
+  #drain(from: string, to: string): LinkLoad {
     const key = [from, to].sort().join('/');
     const now = this.#now();
-    const bucket = this.#buckets.get(key) ?? { level: 0, updatedAt: now };
-    bucket.level = Math.max(0, bucket.level - TARGET_UTILISATION * (now - bucket.updatedAt));
-    bucket.updatedAt = now;
-    this.#buckets.set(key, bucket);
-    return bucket;
+    const link = this.#links.get(key) ?? {
+      level: 0,
+      backlog: 0,
+      updatedAt: now,
+      streams: new Set<LinkStream>(),
+    };
+    const elapsed = now - link.updatedAt;
+    link.level = Math.max(0, link.level - TARGET_UTILISATION * elapsed);
+    // At the full rate of the link, a burst of all instances would never drain while they go on sending.
+    link.backlog = Math.max(0, link.backlog - TARGET_UTILISATION * elapsed);
+    link.updatedAt = now;
+    this.#links.set(key, link);
+    return link;
   }
 }
