--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -67,6 +67,8 @@
   readonly linkUtilisation?: (from: string, to: string) => number;
   /** Whether the chain may use links whose utilisation is high; it may by default. */
   readonly canUseBusyLinks?: boolean;
+  /** Whether the chain may use the link between two data centres; it may use all by default. */
+  readonly canUseLink?: (from: string, to: string) => boolean;
   /**
    * Factor close to 1, drawn for each engine, so that instances that know the same loads do not all
    * choose the same engines.
@@ -177,6 +179,8 @@
   const { profile, tokens } = request;
   const handover = HANDOVER_MILLISECONDS_PER_TOKEN * tokens.output;
   if (from.dataCentre === to.dataCentre) return handover;
+  if (request.canUseLink?.(from.dataCentre, to.dataCentre) === false)
+    return Number.POSITIVE_INFINITY;
   const bits = 8 * tokens.prompt * profile.activationBytesPerToken;
   const transferMilliseconds = bits / (1000 * profile.dataCentreLinkMegabitsPerSecond);
   const utilisation = request.linkUtilisation?.(from.dataCentre, to.dataCentre) ?? 0;
--- a/src/layers/objective-choice.ts
+++ b/src/layers/objective-choice.ts
@@ -85,6 +85,16 @@
   );
 }
 
+/**
+ * Whether a stream is expected to keep its objectives.
+ *
+ * @param times - Its expected times.
+ * @param objectives - Its objectives.
+ */
+export function keepsObjectives(times: StreamTimes, objectives: StreamObjectives): boolean {
+  return computeLateness(times, objectives) <= 1;
+}
+
 /**
  * Chooses a chain for a stream. Engines of other data centres are considered only when those of the
  * home data centre have no room or would be late: the faster ones elsewhere would otherwise get the
