Reroutes and new chains ask the price of crossing; a begun stream is resumed before it crosses at too high a price

Cause: rerouting running streams causes most crossings between data centres, and each delays all streams on the link.

Change: ChainSelector chooses at the price of the links. A new request gets a chain inside one data centre if a crossing is too dear, or is refused as not run. A begun stream whose reroute would cross a further link at too high a price is resumed beside, inside a data centre; without such a chain, a retry or a run left it is rerouted over the link. A reroute counts on each link that it crosses, with prompt and tokens so far, as it is sent; the rest of the answer counts once it is confirmed. Each decision has a log line and a counter. Types and reservations of the selector move to files of their own.

--- a/src/layers/priced-choice.ts
+++ b/src/layers/priced-choice.ts
@@ -123,7 +123,9 @@
   if (!price) return { chain: best };
   let inside: Chain<T> | NoChain = best;
   const hasInsideChain = (needsRoom: boolean): boolean => {
-    inside = chooseChain(candidates, { ...request, canUseLink: isOldLink });
+    // The stream itself is part of what makes the links of its old chain busy.
+    const conditions = { canUseLink: isOldLink, canUseBusyLinks: true };
+    inside = chooseChain(candidates, { ...request, ...conditions });
     return 'stages' in inside && !(needsRoom && inside.isOverCapacity);
   };
   const decision =
--- a/src/relay/attempt-beside.ts
+++ b/src/relay/attempt-beside.ts
@@ -4,6 +4,7 @@
  */
 import { sleep } from '../common/clock.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
+import type { CallerStream } from './caller-stream.js';
 import type { ChainSelector, EngineChain } from './chain-selector.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import type { EntryRequest } from '../entry/entry-request.js';
@@ -24,6 +25,7 @@
 export interface AttemptBesideOptions {
   readonly context: EntryContext;
   readonly request: EntryRequest;
+  readonly caller: Pick<CallerStream, 'hasStarted'>;
   readonly chainSelector: ChainSelector;
   readonly exchange: StreamExchange;
   readonly runs: StreamRuns;
@@ -51,9 +53,14 @@
    *
    * @param firstEngine - The first engine of that attempt.
    * @param suspectedEngineIds - The engines that are suspected.
+   * @param mustStayInside - Whether another chain must stay inside a data centre if its crossing is too dear.
    */
-  decide(firstEngine: ServerEntry, suspectedEngineIds: readonly string[]): SuspicionDecision {
-    const { context, request, chainSelector, limits } = this.#options;
+  decide(
+    firstEngine: ServerEntry,
+    suspectedEngineIds: readonly string[],
+    mustStayInside: boolean,
+  ): SuspicionDecision {
+    const { context, request, caller, chainSelector, limits } = this.#options;
     const { fleet, retryBudget, serverReach, peerRelay } = context;
     const processKey = getProcessKey(firstEngine);
     // One engine must not run the request twice at a time.
@@ -64,7 +71,7 @@
       hasAlternative: () =>
         serverReach.isCut
           ? !request.relayed && peerRelay.hasPeer
-          : chainSelector.avoidIfPossible(engineIdsToAvoid),
+          : chainSelector.avoidIfPossible(engineIdsToAvoid, caller.hasStarted, mustStayInside),
       acquireRetry: () => retryBudget.tryAcquire(request.service.name),
     });
   }
--- a/src/relay/chain-selector.ts
+++ b/src/relay/chain-selector.ts
@@ -2,33 +2,22 @@
 import { getHeldLayers, type FleetServer } from '../fleet/fleet-server.js';
 import { getAvailability } from '../fleet/server-availability.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
-import type { Chain, ChainCandidate, ChainStage } from '../layers/chain-choice.js';
-import { chooseChainByObjectives } from '../layers/objective-choice.js';
+import type { Chain, ChainCandidate } from '../layers/chain-choice.js';
+import { chooseChainAtPrice } from '../layers/priced-choice.js';
 import type { RequestTokens } from '../layers/engine-estimates.js';
 import type { StageAddress } from '../entry/protocol-adapter.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import type { EntryRequest } from '../entry/entry-request.js';
 import type { EngineProfile } from '../entry/serving-configuration.js';
-
-/** Which engines a chain may use besides those that are available without restriction. */
-interface SelectionLimits {
-  /** Engines that recently refused a request for lack of room. */
-  readonly canUseFull: boolean;
-  /** Engines that this request is to avoid. */
-  readonly canUseAvoided: boolean;
-  /** Links between data centres whose share is used up. */
-  readonly canUseBusyLinks?: boolean;
-}
-
-/** Options of {@link ChainSelector.choose}. */
-export interface ChoiceOptions {
-  /** Whether the caller has received events of the stream. */
-  readonly hasStarted: boolean;
-  /** Whether no engine is used that has recently refused a request for lack of room; false by default. */
-  readonly needsRoom?: boolean;
-  /** The first stage, when the chain must keep it. */
-  readonly pinnedStage?: ChainStage<EngineCandidate>;
-}
+import { ChainReservations } from './chain-reservations.js';
+import type {
+  ChoiceOptions,
+  RerouteOptions,
+  SelectedStream,
+  Selection,
+  SelectionLimits,
+} from './chain-selection.js';
+import { CrossingLog } from './crossing-log.js';
 
 /** Options of {@link ChainSelector}. */
 export interface ChainSelectorOptions {
@@ -90,6 +79,10 @@
 
   readonly #canStartAt: (entry: ServerEntry) => boolean;
 
+  readonly #crossingLog: CrossingLog;
+
+  readonly #reservations: ChainReservations;
+
   readonly #now: () => number;
 
   readonly #random: () => number;
@@ -108,6 +101,13 @@
     this.#request = request;
     this.#profile = profile;
     this.#tokens = estimateTokens(request, profile);
+    this.#reservations = new ChainReservations({
+      linkLoad: context.linkLoad,
+      profile,
+      tokens: this.#tokens,
+      pauseTargetMilliseconds: request.route.gapTargetMilliseconds,
+    });
+    this.#crossingLog = new CrossingLog(context, request.metadata.requestId);
   }
 
   /**
@@ -121,27 +121,62 @@
    * @returns The chain, or undefined when no engine that may be used holds some layer.
    */
   choose({ hasStarted, needsRoom = false, pinnedStage }: ChoiceOptions): EngineChain | undefined {
-    const canUseBusyLinks = hasStarted;
-    if (needsRoom) return this.#chooseWithRoom();
-    return (
-      this.#chooseWithin({ canUseFull: false, canUseAvoided: false }, pinnedStage) ??
-      this.#chooseWithin({ canUseFull: true, canUseAvoided: false }, pinnedStage) ??
-      this.#chooseWithin({ canUseFull: true, canUseAvoided: true, canUseBusyLinks }, pinnedStage)
-    );
+    const stream = { hasStarted, pinnedStage };
+    const { chain, decision } = needsRoom
+      ? this.#chooseWithRoom(stream)
+      : this.#chooseForStream(stream);
+    this.#crossingLog.record(decision, hasStarted);
+    return chain;
   }
 
-  #chooseWithRoom(): EngineChain | undefined {
+  /**
+   * Chooses a chain for a running stream that keeps its first stage.
+   *
+   * @param reroute - The stream.
+   * @returns The chain, or undefined if there is none. With the decision `resume` or `leave`, the chain crosses at a
+   *   price that is too high, and there is no other.
+   */
+  chooseReroute(reroute: RerouteOptions): Selection {
+    const { chain, hasStarted } = reroute;
+    const selection = this.#chooseForStream({
+      hasStarted,
+      pinnedStage: chain.stages[0],
+      reroute,
+    });
+    this.#crossingLog.record(selection.decision, hasStarted);
+    return selection;
+  }
+
+  #chooseForStream(stream: SelectedStream): Selection {
+    const choices: readonly SelectionLimits[] = [
+      { canUseFull: false, canUseAvoided: false },
+      { canUseFull: true, canUseAvoided: false },
+      { canUseFull: true, canUseAvoided: true, canUseBusyLinks: stream.hasStarted },
+    ];
+    let selection: Selection = { chain: undefined };
+    choices.some((limits) => {
+      selection = this.#chooseWithin(limits, stream);
+      return selection.chain !== undefined;
+    });
+    return selection;
+  }
+
+  #chooseWithRoom(stream: SelectedStream): Selection {
     const canUseFull = false;
-    const chain = this.#chooseWithin({ canUseFull, canUseAvoided: false });
-    if (chain && !chain.isOverCapacity) return chain;
+    const selection = this.#chooseWithin({ canUseFull, canUseAvoided: false }, stream);
+    if (selection.chain && !selection.chain.isOverCapacity) return selection;
     // An engine that refused the request may have room by now; what is over capacity is an estimate.
-    return this.#chooseWithin({ canUseFull, canUseAvoided: true, canUseBusyLinks: true }) ?? chain;
+    const other = this.#chooseWithin(
+      { canUseFull, canUseAvoided: true, canUseBusyLinks: true },
+      stream,
+    );
+    return other.chain ? other : selection;
   }
 
   #chooseWithin(
     { canUseFull, canUseAvoided, canUseBusyLinks = false }: SelectionLimits,
-    pinnedStage?: ChainStage<EngineCandidate>,
-  ): EngineChain | undefined {
+    { hasStarted, pinnedStage, reroute }: SelectedStream,
+  ): Selection {
     const { fleet, outlierEjection, dataCentre, linkLoad, logs } = this.#context;
     const candidates: EngineCandidate[] = [];
     const now = this.#now();
@@ -170,7 +205,7 @@
         server,
       });
     });
-    const chain = chooseChainByObjectives(
+    const { chain, decision } = chooseChainAtPrice(
       candidates,
       {
         profile: this.#profile,
@@ -184,13 +219,22 @@
           this.#random() * START_JITTER_MILLISECONDS,
       },
       {
-        firstEventMilliseconds: this.#request.route.targetMilliseconds,
-        pauseMilliseconds: this.#request.route.gapTargetMilliseconds,
+        objectives: {
+          firstEventMilliseconds: this.#request.route.targetMilliseconds,
+          pauseMilliseconds: this.#request.route.gapTargetMilliseconds,
+        },
+        homeDataCentre: pinnedStage?.engine.dataCentre ?? dataCentre,
+        describeLink: (from, to) => linkLoad.describe(from, to),
+        hasBegun: hasStarted,
+        generatedTokens: this.#countGeneratedTokens(reroute?.lastEventId),
+        oldStages: reroute?.chain.stages,
+        // A stream without a first stage to keep is being resumed; it crosses where it can't stay inside.
+        isResumeImpossible: reroute?.isResumeImpossible ?? true,
       },
-      pinnedStage?.engine.dataCentre ?? dataCentre,
     );
     if ('missingLayer' in chain) {
-      if (!canUseAvoided) return undefined;
+      const none = { chain: undefined, ...(decision && { decision }) };
+      if (!canUseAvoided) return none;
       logs('routing').info('No chain covers all layers.', {
         requestId: this.#request.metadata.requestId,
         missingLayer: chain.missingLayer,
@@ -198,34 +242,39 @@
         ejections: outlierEjection.counts,
         fleetRevision: fleet.revision,
       });
-      return undefined;
+      return none;
     }
-    return chain;
+    return { chain, ...(decision && { decision }) };
+  }
+
+  /** Estimates how many tokens of the answer the engines have generated. */
+  #countGeneratedTokens(lastEventId: number | undefined): number {
+    return lastEventId === undefined ? 0 : (lastEventId + 1) * this.#profile.tokensPerEvent;
   }
 
   /**
    * Reserves a chain's work at its engines, so that later choices take it into account.
    *
    * @param chain - The chain that the request is sent over.
+   * @param recordedTokens - Tokens whose transfer over the chain's links is recorded already.
    * @returns A function that releases the reservation; call it once.
    */
-  reserve(chain: EngineChain): () => void {
-    const totalTokens = this.#tokens.prompt + this.#tokens.output;
-    const reservations = chain.stages.map(({ engine, layers }) => ({
-      load: engine.server.ownLoad,
-      tokenLayers: totalTokens * (layers.to - layers.from),
-    }));
-    this.#recordLinkTransfers(chain);
-    reservations.forEach(({ load, tokenLayers }) => {
-      load.requests += 1;
-      load.reservedTokenLayers += tokenLayers;
-    });
-    return () => {
-      reservations.forEach(({ load, tokenLayers }) => {
-        load.requests -= 1;
-        load.reservedTokenLayers -= tokenLayers;
-      });
-    };
+  reserve(chain: EngineChain, recordedTokens = 0): () => void {
+    return this.#reservations.reserve(chain, recordedTokens);
+  }
+
+  /**
+   * Records that a reroute is sent: the engines of the new chain get the prompt and the tokens that have been
+   * generated, over each link that it crosses.
+   *
+   * @param chain - The new chain.
+   * @param lastEventId - The last event of the stream; undefined if there is none.
+   * @returns The number of tokens.
+   */
+  recordReroute(chain: EngineChain, lastEventId: number | undefined): number {
+    const tokens = this.#tokens.prompt + this.#countGeneratedTokens(lastEventId);
+    this.#reservations.recordTransfer(chain, tokens);
+    return tokens;
   }
 
   #canStartAtId(id: string): boolean {
@@ -233,32 +282,21 @@
     return server !== undefined && this.#canStartAt(server.entry);
   }
 
-  #recordLinkTransfers(chain: EngineChain): void {
-    const { activationBytesPerToken, dataCentreLinkMegabitsPerSecond } = this.#profile;
-    const bits = 8 * (this.#tokens.prompt + this.#tokens.output) * activationBytesPerToken;
-    chain.stages.forEach(({ engine }, index) => {
-      const next = chain.stages[index + 1]?.engine.dataCentre ?? engine.dataCentre;
-      if (next !== engine.dataCentre)
-        this.#context.linkLoad.recordTransfer(
-          engine.dataCentre,
-          next,
-          bits,
-          dataCentreLinkMegabitsPerSecond,
-        );
-    });
-  }
-
   /**
    * Avoids some engines from now on, provided that a chain with room exists without them.
    *
    * @param ids - The engines to avoid.
+   * @param hasStarted - Whether the caller has received events of the stream.
+   * @param mustStayInside - Whether a chain that crosses at too high a price doesn't count for a stream that has begun.
    * @returns Whether they are avoided now.
    */
-  avoidIfPossible(ids: readonly string[]): boolean {
+  avoidIfPossible(ids: readonly string[], hasStarted = false, mustStayInside = false): boolean {
     const newIds = ids.filter((id) => !this.avoidedEngineIds.has(id));
     newIds.forEach((id) => this.avoidedEngineIds.add(id));
-    const other = this.#chooseWithin({ canUseFull: false, canUseAvoided: false });
-    if (other && !other.isOverCapacity) return true;
+    const limits = { canUseFull: false, canUseAvoided: false };
+    const { chain, decision } = this.#chooseWithin(limits, { hasStarted });
+    const isTooDear = mustStayInside && decision?.reason === 'cannot_resume';
+    if (chain && !chain.isOverCapacity && !isTooDear) return true;
     newIds.forEach((id) => this.avoidedEngineIds.delete(id));
     return false;
   }
--- a/src/relay/relay-stream.ts
+++ b/src/relay/relay-stream.ts
@@ -123,6 +123,7 @@
     this.#beside = new AttemptBeside({
       context,
       request,
+      caller: this.#caller,
       chainSelector: this.#chainSelector,
       exchange: this.#exchange,
       runs: this.#runs,
@@ -279,7 +280,7 @@
       firstEngine,
       release,
       begun,
-      decide: (suspectedEngineIds) => this.#beside.decide(firstEngine.entry, suspectedEngineIds),
+      decide: (...suspicion) => this.#beside.decide(firstEngine.entry, ...suspicion),
       startReplacement: (suspectedEngineId) =>
         this.#beside.start(firstEngine.entry, suspectedEngineId),
       tryTakeLateRetry: () => this.#limits.tryTakeLateRetry(),
--- a/src/relay/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -18,7 +18,7 @@
   type BegunStream,
   type StreamReplacement,
 } from './stream-replacement.js';
-import { rerouteStream } from './stream-reroute.js';
+import { rerouteStream, type RerouteResult } from './stream-reroute.js';
 
 /** Options of {@link StreamAttempt}. */
 export interface StreamAttemptOptions {
@@ -32,8 +32,14 @@
   readonly firstEngine: FleetServer;
   /** The exchange, if it has begun as a replacement of an earlier attempt. */
   readonly begun?: BegunStream | undefined;
-  /** Decides on the suspicion that some engines have stalled. */
-  readonly decide: (suspectedEngineIds: readonly string[]) => SuspicionDecision;
+  /**
+   * Decides on the suspicion that some engines have stalled; told whether another chain must stay inside a data centre
+   * if its crossing is too dear.
+   */
+  readonly decide: (
+    suspectedEngineIds: readonly string[],
+    mustStayInside: boolean,
+  ) => SuspicionDecision;
   /**
    * Starts another attempt, which avoids the suspected engines; undefined if there is none after all. It is told the
    * first suspected engine, unless nothing is suspected but a late first event.
@@ -88,6 +94,9 @@
 
   #release: () => void;
 
+  /** The chain that the stream was last sent over. */
+  #engineChain: EngineChain;
+
   #replacement: StreamReplacement | undefined;
 
   #replacedBy: Begun | undefined;
@@ -108,6 +117,7 @@
   constructor(options: StreamAttemptOptions) {
     const { chain, request } = options;
     this.#options = options;
+    this.#engineChain = chain;
     this.chain = listServers(chain);
     this.firstEventTimeoutMilliseconds = getFirstEventTimeout(request.route.targetMilliseconds);
     this.#controller = options.begun?.controller ?? new AbortController();
@@ -182,38 +192,59 @@
   }
 
   async #reroute(suspectedEngineIds: readonly string[]): Promise<void> {
-    const { context, chainSelector, chain, caller } = this.#options;
+    const { context, chainSelector, caller } = this.#options;
     const suspectedAt = performance.now();
     suspectedEngineIds.forEach((id) => chainSelector.avoidedEngineIds.add(id));
     this.#recordStall(suspectedEngineIds[0]);
-    const newChain = await rerouteStream(context, chainSelector, {
-      requestId: this.requestId,
-      chain,
-      faultyEngineIds: suspectedEngineIds,
-      hasStarted: caller.hasStarted,
-      lastEventId: caller.lastEventId,
-    });
+    const reroute = (isResumeImpossible: boolean): Promise<RerouteResult> =>
+      rerouteStream(context, chainSelector, {
+        requestId: this.requestId,
+        chain: this.#engineChain,
+        faultyEngineIds: suspectedEngineIds,
+        hasStarted: caller.hasStarted,
+        lastEventId: caller.lastEventId,
+        isResumeImpossible,
+      });
+    const isSilent = (): boolean => !this.#hasEnded && this.lastProgressAt <= suspectedAt;
+    let result = await reroute(false);
+    if (result.kind === 'tooDear' && caller.hasStarted) {
+      if (!isSilent()) return;
+      const decision = this.#actOnSuspicion(suspectedEngineIds, suspectedEngineIds[0], true);
+      if (decision !== 'wait') return;
+      // It can't be resumed inside a data centre, and must not be given up because of the price.
+      result = await reroute(true);
+    }
     if (this.#hasEnded) return;
-    if (newChain) this.#useChain(newChain);
-    else if (this.lastProgressAt <= suspectedAt)
-      this.#actOnSuspicion(suspectedEngineIds, suspectedEngineIds[0]);
+    if (result.kind === 'rerouted') this.#useChain(result);
+    else if (isSilent()) this.#actOnSuspicion(suspectedEngineIds, suspectedEngineIds[0]);
   }
 
-  #useChain(chain: EngineChain): void {
+  #useChain({ chain, recordedTokens }: Extract<RerouteResult, { kind: 'rerouted' }>): void {
     this.#release();
-    this.#release = this.#options.chainSelector.reserve(chain);
+    this.#release = this.#options.chainSelector.reserve(chain, recordedTokens);
+    this.#engineChain = chain;
     this.chain = listServers(chain);
     this.lastProgressAt = performance.now();
+    this.#recheckAt = 0;
     this.#recheckMilliseconds = FIRST_RECHECK_MILLISECONDS;
   }
 
-  #actOnSuspicion(suspectedEngineIds: readonly string[], silentEngineId: string | undefined): void {
+  /**
+   * @param mustStayInside - Whether another chain must stay inside a data centre if its crossing is too dear.
+   * @returns What was decided; undefined for a request that is over.
+   */
+  #actOnSuspicion(
+    suspectedEngineIds: readonly string[],
+    silentEngineId: string | undefined,
+    mustStayInside = false,
+  ): SuspicionDecision['kind'] | undefined {
     const { context, decide, caller, request } = this.#options;
-    if (request.signal.aborted) return;
-    const decision = decide(suspectedEngineIds);
+    if (request.signal.aborted) return undefined;
+    const decision = decide(suspectedEngineIds, mustStayInside);
     context.logs('routing').info('Decided on a silent exchange.', {
       requestId: this.requestId,
       decision: decision.kind,
+      mustStayInside,
       lacking: decision.kind === 'wait' ? decision.lacking : undefined,
       suspectedEngineIds,
       silenceMilliseconds: Math.round(performance.now() - this.lastProgressAt),
@@ -227,6 +258,7 @@
       this.#controller.abort();
     } else if (decision.kind === 'tryBeside') void this.#replace(silentEngineId);
     else this.#delayRecheck();
+    return decision.kind;
   }
 
   /** Tries another attempt beside this one, which ends once the other has begun to answer. */
--- a/tools/chain-load-replay.ts
+++ b/tools/chain-load-replay.ts
@@ -168,6 +168,7 @@
       linkLoad,
       outlierEjection: { isEjected: () => false, counts: {} },
       logs: () => log,
+      metrics: { countEvent: () => undefined },
     } as unknown as EntryContext;
     const budget = new RetryBudget({
       settings: RETRY_BUDGET,
