Crossing price: all transfers count for the 95 of 100, and a test of the first burst, which fails

Cause: the test left out the first 60 transfers, in which 20 instances that each find the link free send at once (904 ms). Now 95 of 100 of all transfers of the minute have to keep 250 ms, which they do, and a test of its own holds the first 60 to the same bound.

--- a/src/layers/crossing-price.test.ts
+++ b/src/layers/crossing-price.test.ts
@@ -105,8 +105,8 @@
   assert.equal(decideForRunningStream(alone, BEGUN).outcome, 'cross');
 });
 
-// Guards against reroutes that queue up on one link: 249 of 250 streams that were rerouted crossed.
-test('crossing price: a data centre lost layers; moved streams of 20 instances leave those on the link in time', () => {
+/** Moves streams of 20 instances over one link for a minute, and returns how long each transfer waited and took. */
+function replayMoves(): { readonly waits: number[]; readonly resumed: number } {
   const clock = { now: 0 };
   const instances = 20;
   const random = createRandom(1);
@@ -120,7 +120,6 @@
       }),
   );
   let freeAt = 0;
-  let crossed = 0;
   let resumed = 0;
   const waits: number[] = [];
   // Each instance has a stream to move every 200 ms, at another time than the others.
@@ -129,19 +128,30 @@
     assert.ok(load);
     const moved = price(MIDDLE_LINK, load.describe('a', 'b'));
     if (decideForRunningStream(moved, BEGUN).outcome === 'cross') {
-      crossed += 1;
       load.recordTransfer('a', 'b', moved.bits, MIDDLE_LINK.dataCentreLinkMegabitsPerSecond);
       freeAt = Math.max(freeAt, clock.now) + moved.transferMilliseconds;
       waits.push(freeAt - clock.now);
     } else resumed += 1;
   }
-  // The first transfers come at once, before any instance has used its share; 5 of 100 more may be late.
-  const sorted = waits.slice(3 * instances).sort((one, other) => one - other);
+  return { waits, resumed };
+}
+
+// Guards against reroutes that queue up on one link: all transfers of a minute went over it, 268 s late at the end.
+test('crossing price: a data centre lost layers; 95 of 100 moved streams leave those on the link in time', () => {
+  const { waits, resumed } = replayMoves();
+  const sorted = [...waits].sort((one, other) => one - other);
   const wait = sorted[Math.floor(0.95 * sorted.length)] ?? Number.POSITIVE_INFINITY;
-  assert.ok(crossed > 400 && resumed > crossed, `${crossed} crossed, ${resumed} resumed`);
+  assert.ok(waits.length > 400 && resumed > waits.length, `${waits.length}, ${resumed}`);
   assert.ok(wait <= STREAM.pauseTargetMilliseconds, `${wait}`);
 });
 
+// Instances that each find a link free send over it at once.
+test('crossing price: a data centre lost layers; the first streams that all instances move leave those on the link in time', () => {
+  const { waits } = replayMoves();
+  const longest = Math.max(...waits.slice(0, 60));
+  assert.ok(longest <= STREAM.pauseTargetMilliseconds, `${longest}`);
+});
+
 test('crossing price: peers whose records stop no longer take a share of a link', () => {
   const clock = { now: 0 };
   const alive = { count: 20, age: 100 as number | undefined };
