Coverage guard: the orders of a round are checked in sequence

Cause: each order was checked against what engines held before the round, so two orders could each rely on the other's engine to hold a layer, and both dropped it.

Change: selectSafeChanges checks orders one after another. Layers that an allowed order drops no longer count as held, layers that it adds don't count yet, and no more orders are allowed than a limit.

Nothing calls it yet.

--- a/src/layers/coverage-guard.ts
+++ b/src/layers/coverage-guard.ts
@@ -1,11 +1,12 @@
 /**
  * Holds back changes that would leave layers without an engine until others hold them. Handles a repair that
- * moves several ranges at once, whose orders are carried out at different times.
+ * moves several ranges at once, whose orders are carried out at different times: two orders of one round could
+ * each rely on the other's engine to hold the layers.
  */
 import type { LayerRange } from '../fleet/server-entry.js';
-import { findUncoveredRanges, isWithinModel } from './layer-ranges.js';
+import { findUncoveredRanges, intersectRanges, isWithinModel } from './layer-ranges.js';
 
-/** An engine and the layers that it holds now. */
+/** An engine and the layers that it holds now and that no order in progress makes it drop. */
 export interface LayerHolder {
   readonly id: string;
   readonly dataCentre: string;
@@ -64,3 +65,46 @@
   }
   return false;
 }
+
+/** Changes that may be ordered now, and those that must wait. */
+export interface GuardedChanges {
+  readonly allowed: readonly LayerChange[];
+  /** Changes that would leave layers without an engine. */
+  readonly heldBack: readonly LayerChange[];
+  /** Changes that are beyond the number of concurrent loads. */
+  readonly beyondLimit: readonly LayerChange[];
+}
+
+/**
+ * Checks the changes of one round in sequence. Layers that an allowed change drops no longer count as held by its
+ * engine, and those that it adds don't count yet.
+ *
+ * @param changes - The changes, the most urgent first.
+ * @param holders - The service's engines, without lost ones.
+ * @param conditions - The model, whether data centres are planned together, and how many changes may be allowed.
+ */
+export function selectSafeChanges(
+  changes: readonly LayerChange[],
+  holders: readonly LayerHolder[],
+  conditions: GuardConditions & { readonly limit: number },
+): GuardedChanges {
+  const allowed: LayerChange[] = [];
+  const heldBack: LayerChange[] = [];
+  const beyondLimit: LayerChange[] = [];
+  let current = holders;
+  changes.forEach((change) => {
+    if (allowed.length >= conditions.limit) {
+      beyondLimit.push(change);
+    } else if (wouldUncoverLayers(change, current, conditions)) {
+      heldBack.push(change);
+    } else {
+      allowed.push(change);
+      current = current.map((holder) =>
+        holder.id === change.id
+          ? { ...holder, layers: intersectRanges(holder.layers, change.layers) }
+          : holder,
+      );
+    }
+  });
+  return { allowed, heldBack, beyondLimit };
+}
--- a/src/layers/layer-ranges.ts
+++ b/src/layers/layer-ranges.ts
@@ -35,6 +35,41 @@
   return countLayers(range) - Math.max(0, kept);
 }
 
+/**
+ * Returns the layers that two ranges have in common.
+ *
+ * @param one - A range, or undefined for no layers.
+ * @param other - Another one.
+ * @returns The common layers, or undefined if there are none.
+ */
+export function intersectRanges(
+  one: LayerRange | undefined,
+  other: LayerRange | undefined,
+): LayerRange | undefined {
+  if (!one || !other) return undefined;
+  const common = { from: Math.max(one.from, other.from), to: Math.min(one.to, other.to) };
+  return common.from < common.to ? common : undefined;
+}
+
+/**
+ * Returns the parts of a range that another one does not contain.
+ *
+ * @param range - The range.
+ * @param other - The layers to leave out.
+ * @returns At most two ranges, in order.
+ */
+export function subtractRange({ from, to }: LayerRange, other: LayerRange): LayerRange[] {
+  return [
+    { from, to: Math.min(to, Math.max(from, other.from)) },
+    { from: Math.max(from, Math.min(to, other.to)), to },
+  ].filter((part) => part.from < part.to);
+}
+
+/** Whether two ranges have the same layers. */
+export function isSameRange(one: LayerRange, other: LayerRange | undefined): boolean {
+  return one.from === other?.from && one.to === other.to;
+}
+
 /**
  * Finds the layers that none of the given ranges contains.
  *
