Coverage repair: a gap is closed by the orders that drop nothing, if they suffice

Cause: a gap was closed by moving many ranges at once. Each move dropped layers and took a load.

Change: closeGaps extends a neighbour into free memory first, then loads the gap into an engine without layers, then into one whose layers are all held by others. Free memory leaves the KV cache for the peak; it is used only where nothing else closes the gap. Where no data centre of the group has spare memory, the plan of several moves remains the last resort.

--- a/src/layers/group-plan.ts
+++ b/src/layers/group-plan.ts
@@ -1,13 +1,15 @@
 /**
  * Plans a group of engines whose chains run within the group: those of a data centre, or of all of them.
  * If the service is idle or no engine holds layers, the group is planned from scratch where possible;
- * otherwise uncovered ranges are closed first, and engines that still have no layers get some.
+ * otherwise uncovered ranges are closed first, by single orders where they suffice, and engines that still have no layers get some.
  */
 import type { LayerRange } from '../fleet/server-entry.js';
+import { closeGaps } from './coverage-gap-orders.js';
 import { repairCoverage } from './coverage-repair.js';
 import { planFromScratch } from './initial-placement.js';
 import { countLayers, findUncoveredRanges } from './layer-ranges.js';
 import { findLeastCachedRange } from './least-cached-range.js';
+import { hasSpareMemory } from './spare-memory.js';
 import {
   targetLayerCount,
   type LayerLimit,
@@ -49,17 +51,51 @@
   return positions;
 }
 
-/** Returns the changed ranges that close the uncovered ones; none if the engines cannot hold every layer. */
-function closeUncovered(
+/** Returns ranges that close the uncovered ones by moving several engines; undefined if they cannot hold every layer. */
+function moveSeveral(
   engines: readonly PlannedEngine[],
-  uncovered: readonly LayerRange[],
   conditions: PlanConditions,
-): ReadonlyMap<string, LayerRange> {
+): ReadonlyMap<string, LayerRange> | undefined {
+  const held = engines.flatMap(({ layers }) => layers ?? []);
+  const uncovered = findUncoveredRanges(held, conditions.profile.layerCount);
   const positions = findPositions(engines, uncovered, conditions.layerLimit);
   const ordered = engines
     .filter(({ id }) => positions.has(id))
     .sort((one, other) => (positions.get(one.id) ?? 0) - (positions.get(other.id) ?? 0));
-  return repairCoverage(ordered, conditions) ?? new Map<string, LayerRange>();
+  return repairCoverage(ordered, conditions);
+}
+
+/** Returns the engines as they are planned once orders are given, which keeps their ranges as they are. */
+function applyOrders(
+  engines: readonly PlannedEngine[],
+  orders: ReadonlyMap<string, LayerRange>,
+): PlannedEngine[] {
+  return engines.map((engine) => {
+    const layers = orders.get(engine.id);
+    return layers ? { ...engine, layers, hasOrderInProgress: true } : engine;
+  });
+}
+
+/**
+ * Returns the changed ranges that close the uncovered ones: by single orders where they suffice, and by moving
+ * several engines where memory is scarce. There, what no set of engines can hold is left as it is.
+ */
+function closeUncovered(
+  engines: readonly PlannedEngine[],
+  uncovered: readonly LayerRange[],
+  conditions: PlanConditions,
+): ReadonlyMap<string, LayerRange> {
+  const { closing, partial, isClosed } = closeGaps(engines, uncovered, conditions);
+  if (isClosed) return closing;
+  const isSpare = engines.every(({ dataCentre }) =>
+    hasSpareMemory(engines, dataCentre, conditions.profile),
+  );
+  if (isSpare) return new Map([...closing, ...partial]);
+  return (
+    moveSeveral(applyOrders(engines, closing), conditions) ??
+    moveSeveral(engines, conditions) ??
+    closing
+  );
 }
 
 /**
--- a/src/layers/layer-change-cost.ts
+++ b/src/layers/layer-change-cost.ts
@@ -13,6 +13,15 @@
 /** The KV cache is considered short if it serves no more than this share of the engine's slots. */
 const CACHE_SHORTAGE_SLOT_SHARE = 0.3;
 
+/**
+ * Returns for how many requests at once an engine's KV cache should suffice.
+ *
+ * @param engine - The engine.
+ */
+export function countCachedRequests({ slots, peakRequests }: PlannedEngine): number {
+  return Math.max(CACHE_SHORTAGE_SLOT_SHARE * slots, Math.min(slots, peakRequests));
+}
+
 /**
  * Cost of a range that leaves little KV cache; rises with the square of the shortage. The KV cache
  * should serve the requests that the data centre has at its peak, since one engine may be the only one
@@ -24,11 +33,7 @@
   profile: EngineProfile,
 ): number {
   const requestTokens = profile.typicalPromptTokens + profile.typicalOutputTokens;
-  const requests = Math.max(
-    CACHE_SHORTAGE_SLOT_SHARE * engine.slots,
-    Math.min(engine.slots, engine.peakRequests),
-  );
-  const needed = requests * requestTokens;
+  const needed = countCachedRequests(engine) * requestTokens;
   const tokens = cacheCapacityTokenLayers(profile, engine.kind, range) / countLayers(range);
   return CACHE_SHORTAGE_COST * (needed / Math.max(1, tokens)) ** 2;
 }
--- a/src/layers/planned-engine.ts
+++ b/src/layers/planned-engine.ts
@@ -19,6 +19,13 @@
   readonly isInUse: boolean;
   /** Whether it is still carrying out an order, so that its layers cannot be changed now. */
   readonly hasOrderInProgress: boolean;
+  /** While it carries out an order: the layers that it holds now and that the order keeps. */
+  readonly keptLayers?: LayerRange | undefined;
+}
+
+/** Returns the layers that an engine holds now and that no order in progress makes it drop. */
+export function getServedLayers(engine: PlannedEngine): LayerRange | undefined {
+  return engine.hasOrderInProgress ? engine.keptLayers : engine.layers;
 }
 
 /** Returns the most layers that an engine may be given. */
