Planner lease: it carries the orders in progress

It counts only with the lease's own term, as an older build keeps the field and writes another term beside it. Times are of the wall clock, and an order never counts for longer than its whole time, whatever the clocks say.

--- a/src/layers/planner-lease.ts
+++ b/src/layers/planner-lease.ts
@@ -2,13 +2,19 @@
  * The planner lease: a lease in the object store, so that only one instance at a time sends orders
  * to engines. It is renewed by a conditional write right before each round of orders, so that an
  * instance that was paused or has lost the lease notices before it sends any order. No renewals are
- * needed between rounds.
+ * needed between rounds. Each write carries the orders in progress, which the next holder reads.
  */
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
 import type { ObjectStore, StoredObject, WriteObjectResult } from '../store/object-store.js';
 import { keepWritableFields } from '../store/writable-fields.js';
 import type { Logger } from '../telemetry/log.js';
+import {
+  decodeLeaseOrders,
+  encodeLeaseOrders,
+  type InheritedOrder,
+  type LeaseOrder,
+} from './planner-lease-orders.js';
 
 /**
  * Result of acquiring or renewing the lease. `unconfirmed` means that the store did not answer, so
@@ -23,6 +29,8 @@
   readonly holder: string;
   readonly log: Logger;
   readonly now?: () => number;
+  /** The wall clock in milliseconds. */
+  readonly wallNow?: () => number;
 }
 
 /** Keeps fields that it doesn't know, which a newer build may have written. */
@@ -51,6 +59,8 @@
 
   readonly #now: () => number;
 
+  readonly #wallNow: () => number;
+
   #revision: number | undefined;
 
   #term = 0;
@@ -64,11 +74,15 @@
   /** The lease as it was read, with what other builds wrote. */
   #found: Record<string, unknown> = {};
 
+  /** Orders of the holder before, until they are taken. */
+  #inheritedOrders: readonly InheritedOrder[] = [];
+
   #validUntil = Number.NEGATIVE_INFINITY;
 
   constructor(options: PlannerLeaseOptions) {
     this.#options = options;
     this.#now = options.now ?? (() => performance.now());
+    this.#wallNow = options.wallNow ?? (() => Date.now());
   }
 
   /** Whether the last renewal is recent enough to send orders. */
@@ -97,14 +111,26 @@
     this.#validUntil = Number.NEGATIVE_INFINITY;
   }
 
+  /** Returns the orders that the holder before had in progress when the lease was taken over, once. */
+  takeInheritedOrders(): readonly InheritedOrder[] {
+    const orders = this.#inheritedOrders;
+    this.#inheritedOrders = [];
+    return orders;
+  }
+
   /**
    * Renews the lease, or takes it over if it is free or its holder is gone.
    *
    * @param isHolderGone - Returns whether the instance with the given holder id is gone, so that
    *   its lease may be taken over.
+   * @param orders - The orders in progress and those about to be sent. If the lease is taken over with orders in
+   *   progress, it carries these instead, as the caller plans again with them.
    * @returns `held` if this instance holds the lease now, `lost` if another one does.
    */
-  async acquireOrRenew(isHolderGone: (holder: string) => boolean): Promise<LeaseState> {
+  async acquireOrRenew(
+    isHolderGone: (holder: string) => boolean,
+    orders: readonly LeaseOrder[] = [],
+  ): Promise<LeaseState> {
     const startedAt = this.#now();
     if (this.#revision === undefined) {
       const found = await this.#prepareToAcquire(isHolderGone);
@@ -115,6 +141,7 @@
       holder: this.#options.holder,
       token: randomUUID(),
       term: this.#term,
+      ...this.#encodeOrders(orders),
     };
     const result = await this.#write(value);
     if (result.kind === 'written') {
@@ -145,6 +172,20 @@
     return 'lost';
   }
 
+  /** Writes no field where there is nothing to carry over and the lease has none. */
+  #encodeOrders(orders: readonly LeaseOrder[]): { readonly orders?: unknown } {
+    const wallNow = this.#wallNow();
+    const inherited = this.#inheritedOrders.map(({ order, remainingMilliseconds }) => ({
+      ...order,
+      expiresAt: wallNow + remainingMilliseconds,
+    }));
+    const carried = inherited.length > 0 ? inherited : orders;
+    if (carried.length === 0 && this.#found.orders === undefined) return {};
+    const field = encodeLeaseOrders(this.#term, carried);
+    this.#found.orders = field;
+    return { orders: field };
+  }
+
   #markHeld(revision: number, startedAt: number): LeaseState {
     this.#revision = revision;
     this.#highestTerm = Math.max(this.#highestTerm, this.#term);
@@ -160,6 +201,7 @@
     const { store, holder, log } = this.#options;
     const result = await store.read(LEASE_KIND, LEASE_NAME);
     if (result.kind === 'unavailable') return 'unconfirmed';
+    this.#inheritedOrders = [];
     if (result.kind === 'absent') {
       this.#revision = 0;
       this.#era = result.era ?? 0;
@@ -177,7 +219,12 @@
     const lowestTerm = Math.max(highestBefore, this.#era * TERMS_PER_ERA);
     const isOwnTerm = held.holder === holder && held.term >= lowestTerm;
     this.#term = isOwnTerm ? held.term : this.#chooseNewTerm(this.#era);
-    log.info('Taking the planner lease.', { before: held.holder, term: this.#term });
+    this.#inheritedOrders = decodeLeaseOrders(held.orders, held.term, this.#wallNow());
+    log.info('Taking the planner lease.', {
+      before: held.holder,
+      term: this.#term,
+      ordersInProgress: this.#inheritedOrders.length,
+    });
     return 'held';
   }
 
