--- a/src/layers/coverage-round.ts
+++ b/src/layers/coverage-round.ts
@@ -99,7 +99,8 @@
     .map(([id, layers]) => ({ id, layers }))
     .filter(({ id }) => !busy.has(id));
   const isInitial = isIdle || engines.every(({ layers }) => layers === undefined);
-  if (isInitial) return { orders: changes, heldBack: [], waiting: [], isInitial };
+  if (isInitial || changes.length === 0)
+    return { orders: changes, heldBack: [], waiting: [], isInitial };
   const { urgent, others } = sortByUrgency(changes, engines, layerCount);
   const holders = listHolders(engines);
   const limit = Math.max(0, concurrentLoads - ordersInProgress);
