--- a/src/daemon/earlier-build.test.ts
+++ b/src/daemon/earlier-build.test.ts
@@ -122,8 +122,16 @@
   const lease = new PlannerLease({ store, holder: 'entry-9/1', log: createSilentLogger() });
   assert.equal(await lease.acquireOrRenew((holder) => holder !== sample.holder), 'lost');
   assert.deepEqual(memory.get(LEASE_NAME), sample);
-  assert.equal(await lease.acquireOrRenew(() => true), 'held');
+  const order = {
+    service: 'model',
+    processKey: 'engine-0/1',
+    layers: { from: 0, to: 4 },
+    durationMilliseconds: 4000,
+    expiresAt: Date.now() + 4000,
+  };
+  assert.equal(await lease.acquireOrRenew(() => true, [order]), 'held');
   const written = memory.get(LEASE_NAME) as Record<string, unknown>;
   assert.deepEqual([written.holder, written.term], ['entry-9/1', 2]);
+  assert.equal((written.orders as { list: unknown[] }).list.length, 1);
   assertEarlierBuildReads('plannerLease', written);
 });
