Admission: loads of client accounts in the record; loads of dead peers are dropped without a new record

Cause: no instance knew how much of a class's load an account uses at all instances. Loads of peers were taken over only when a record arrived, so that an instance that lost all peers kept their last loads for good.

The peers' observations are also taken over when the own record is refreshed.

--- a/src/daemon/peer-observations.ts
+++ b/src/daemon/peer-observations.ts
@@ -39,13 +39,14 @@
   /** Acts on a new record of a peer. */
   accept(record: PeerRecord): void {
     const { servers, storeFollower } = this.#options;
-    const { outlierEjection, crashBlame, serverLimits } = servers;
+    const { outlierEjection, crashBlame, serverLimits, accountShares } = servers;
     outlierEjection.replacePeerEjections(record.instance, listPeerEjections(record));
     crashBlame.contents.merge(record);
     if (record.promptParts && record.clock !== undefined)
       crashBlame.promptParts.merge(record.promptParts, record.clock);
     serverLimits.merge(record.limits ?? {});
     this.#remoteLoads.accept(record);
+    accountShares.merge(record.instance, record.accountLoads);
     storeFollower.catchUpWithPeer(record);
   }
 
@@ -61,8 +62,12 @@
     applyPeerObservations(servers.fleet, peers.aliveRecords, this.#remoteLoads.current);
   }
 
-  /** Sums the loads of this data centre anew. */
+  /**
+   * Sums the loads of this data centre anew. What the peers observed is taken over as well: when no record arrives
+   * any more, the loads of peers that have gone silent would otherwise stay at their last values for good.
+   */
   sumLoads(ownRecord: PeerRecord): void {
+    this.apply();
     const { dataCentre, peers } = this.#options;
     this.dataCentreLoads = sumDataCentreLoads([ownRecord, ...peers.aliveRecords], dataCentre);
   }
--- a/src/daemon/record-state.ts
+++ b/src/daemon/record-state.ts
@@ -28,7 +28,8 @@
  */
 export function describeRecordState(sources: RecordStateSources): RecordState {
   const { isReady, isStopping, configuration, storeFollower, lease, peers, retryBudget } = sources;
-  const { fleet, outlierEjection, serverReach, crashBlame, serverLimits } = sources.servers;
+  const { fleet, outlierEjection, serverReach, crashBlame, serverLimits, accountShares } =
+    sources.servers;
   return {
     urgent: {
       isReady,
@@ -46,6 +47,7 @@
     fleetRevision: fleet.revision,
     fleetEra: fleet.era,
     ...collectServerObservations(fleet),
+    accountLoads: accountShares.reported,
     retries: retryBudget.counts,
     limits: serverLimits.reported,
   };
--- a/src/daemon/server-components.ts
+++ b/src/daemon/server-components.ts
@@ -2,6 +2,7 @@
  * The components by which an instance observes backend servers: which are registered, whether they can be
  * reached and work, how long they take, and which requests end them.
  */
+import { AccountShares } from '../admission/account-shares.js';
 import type { Address } from '../common/address.js';
 import { probeConnection } from '../common/connection-probe.js';
 import type { ActiveConfiguration } from '../entry/active-configuration.js';
@@ -52,6 +53,9 @@
 
   readonly callTimes = new CallTimes();
 
+  /** Who uses the servers. */
+  readonly accountShares = new AccountShares();
+
   readonly fleet: BackendFleet;
 
   readonly outlierEjection: OutlierEjection;
--- a/src/gossip/peer-record.test.ts
+++ b/src/gossip/peer-record.test.ts
@@ -15,6 +15,7 @@
   ejections: { a: [4000, 'faulty'] },
   loads: { a: [1, 100] },
   dataCentreLoads: { a: [2, 200] },
+  accountLoads: [['drafter', 0, 3, [['account', 2]]]],
   paces: { a: 1.5 },
   holdings: { a: [0, 8] },
   retries: { drafter: [10, 1] },
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -1,5 +1,6 @@
 /** The record in which an instance describes itself to its peers through gossip. */
 import { z } from 'zod';
+import { AccountLoads } from '../admission/account-shares.js';
 import { FirstLayer, LayerEnd, Port } from '../fleet/entry-bounds.js';
 
 const AddressFields = z.object({ host: z.string(), port: Port });
@@ -68,6 +69,11 @@
    * centres, in place of the single instances' loads.
    */
   dataCentreLoads: ServerLoads.optional(),
+  /**
+   * Requests in progress of client accounts, of services with several priority classes. Left out towards other
+   * data centres. Absent in records of older builds.
+   */
+  accountLoads: AccountLoads.optional(),
   /** By backend server: how many times slower it is than usual for its kind. */
   paces: z.record(z.string(), z.number().min(0).max(MAXIMUM_PACE)),
   /** By engine: the layer range it last reported, which its registry entry may not show yet. */
--- a/src/gossip/record-exchange.ts
+++ b/src/gossip/record-exchange.ts
@@ -165,9 +165,10 @@
   #prepareFor(receiverDataCentre: string | undefined, record: PeerRecord): PeerRecord {
     const { dataCentre, ownRecord, dataCentreLoads } = this.#options;
     if (receiverDataCentre === undefined || receiverDataCentre === record.dataCentre) return record;
-    if (record !== ownRecord()) return { ...record, loads: {}, dataCentreLoads: undefined };
+    if (record !== ownRecord())
+      return { ...record, loads: {}, accountLoads: undefined, dataCentreLoads: undefined };
     if (receiverDataCentre === dataCentre) return record;
-    return { ...record, loads: {}, dataCentreLoads: dataCentreLoads() };
+    return { ...record, loads: {}, accountLoads: undefined, dataCentreLoads: dataCentreLoads() };
   }
 
   /** Returns the records that a peer's digest lacks or has in an older version. */
