Refusal pacing: callers of less urgent classes return later

Cause: callers of all classes were asked to return at the same time, into the same overload.

Change: the time grows by half for each more urgent class, with the same spread. Refusals for the sake of more urgent classes do not lengthen the time of those.

--- a/src/entry/refusal-pacing.test.ts
+++ b/src/entry/refusal-pacing.test.ts
@@ -37,3 +37,21 @@
   for (let count = 0; count < 5; count += 1) pacing.recordAccepted();
   assert.ok(pacing.chooseRetryAfterSeconds() < 0.8);
 });
+
+// Callers of all classes came back at once, and the least urgent ones, which are the most, took the room.
+test('refusal pacing: callers of less urgent classes come back later', () => {
+  const { pacing } = createPacing(() => 0.5);
+  const seconds = [0, 1, 2].map((classIndex) => pacing.chooseRetryAfterSeconds(classIndex));
+  assert.deepEqual(seconds, [0.6, 0.9, 1.2]);
+});
+
+test('refusal pacing: refusals of less urgent classes leave the time of more urgent ones as it is', () => {
+  const { pacing } = createPacing(() => 0.5);
+  for (let count = 0; count < 40; count += 1) pacing.recordRefused(2);
+  const [urgent = 0, middle = 0, low = 0] = [0, 1, 2].map((classIndex) =>
+    pacing.chooseRetryAfterSeconds(classIndex),
+  );
+  assert.equal(urgent, 0.6);
+  assert.equal(middle, 0.9);
+  assert.ok(low > 4, `${low}`);
+});
