Admission control by priority, client account and time left

Cause: under overload a request of any priority took whatever room there was.

Change: a new request is admitted or refused as not run after its chain or server is chosen, and before anything is reserved or sent. Requests that resume, or that a peer passes on, and further attempts are exempt. Waiting streams go by class, then by time left. The choice of the server for a call moves to call-server-choice unchanged, and the refusal without a chain to stream-ending.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -97,7 +97,7 @@
       servers: this.#servers,
       peers: this.peers,
       peerRelay: this.peerRelay,
-      configurationVersion: () => this.configuration.current?.version ?? -1,
+      configuration: this.configuration,
     });
     this.registration = this.#createRegistration();
     this.ownRecord = new OwnRecord({
--- a/src/daemon/request-components.ts
+++ b/src/daemon/request-components.ts
@@ -1,4 +1,7 @@
 /** Creates what the requests of an instance share, from the components that it already has. */
+import { AdmissionControl } from '../admission/admission-control.js';
+import { PriorityClasses } from '../admission/priority-classes.js';
+import type { ActiveConfiguration } from '../entry/active-configuration.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import { EntryMetrics } from '../entry/entry-metrics.js';
 import type { EntrySettings } from '../entry/entry-settings.js';
@@ -21,7 +24,7 @@
   readonly servers: ServerComponents;
   readonly peers: PeerTable;
   readonly peerRelay: PeerRelay;
-  readonly configurationVersion: () => number;
+  readonly configuration: Pick<ActiveConfiguration, 'current'>;
   readonly signal: AbortSignal;
   readonly logs: LoggerFactory;
 }
@@ -41,8 +44,7 @@
  * @returns The context that every request is served with.
  */
 export function createEntryContext(options: EntryContextOptions): EntryContext {
-  const { settings, platform, servers, peers, peerRelay, configurationVersion, signal, logs } =
-    options;
+  const { settings, platform, servers, peers, peerRelay, configuration, signal, logs } = options;
   const { fleet, outlierEjection, callTimes, endCheck, crashBlame } = servers;
   const { serverLimits, statements, serverReach, stallDetector } = servers;
   const metrics = new EntryMetrics();
@@ -50,6 +52,8 @@
     onDelay: (milliseconds) => metrics.recordEventLoopDelay(milliseconds),
   });
   eventLoopDelay.start(signal);
+  const refusalPacing = new RefusalPacing();
+  const linkLoad = new DataCentreLinkLoad({ instanceCount: () => peers.aliveCount + 1 });
   return {
     dataCentre: settings.dataCentre,
     protocol: platform.protocol,
@@ -62,13 +66,24 @@
     statements,
     serverReach,
     peerRelay,
-    refusalPacing: new RefusalPacing(),
+    refusalPacing,
     retryBudget: createRetryBudget(settings, peers),
-    linkLoad: new DataCentreLinkLoad({ instanceCount: () => peers.aliveCount + 1 }),
+    linkLoad,
+    admission: new AdmissionControl({
+      classes: new PriorityClasses(() => configuration.current),
+      accountShares: servers.accountShares,
+      fleet,
+      outlierEjection,
+      callTimes,
+      linkLoad,
+      refusalPacing,
+      metrics,
+      logs,
+    }),
     stallDetector,
     waitingStreams: new WaitingStreams({ fleetRevision: () => fleet.revision }),
     eventLoopDelay,
-    configurationVersion,
+    configurationVersion: () => configuration.current?.version ?? -1,
     memory: new MemoryBudget({
       limitBytes: getMemoryLimit(settings.memoryMebibytes),
       log: logs('caller'),
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -1,4 +1,5 @@
 /** Defines the context that an instance passes to whatever serves a request. */
+import type { AdmissionControl } from '../admission/admission-control.js';
 import type { BackendFleet } from '../fleet/backend-fleet.js';
 import type { CallTimes } from '../fleet/call-times.js';
 import type { EndCheck } from '../fleet/end-check.js';
@@ -33,6 +34,8 @@
   readonly serverReach: ServerReach;
   readonly peerRelay: PeerRelay;
   readonly refusalPacing: RefusalPacing;
+  /** Admits or refuses new requests under pressure. */
+  readonly admission: AdmissionControl;
   readonly retryBudget: RetryBudget;
   readonly linkLoad: DataCentreLinkLoad;
   readonly stallDetector: StallDetector;
--- a/src/relay/chain-selector.ts
+++ b/src/relay/chain-selector.ts
@@ -53,7 +53,13 @@
 /** Random cost of a starting data centre, so that instances do not all choose the same one. */
 const START_JITTER_MILLISECONDS = 80;
 
-function estimateTokens(request: EntryRequest, profile: EngineProfile): RequestTokens {
+/**
+ * Estimates the tokens of a request.
+ *
+ * @param request - The request, which may state them.
+ * @param profile - The usual lengths.
+ */
+export function estimateTokens(request: EntryRequest, profile: EngineProfile): RequestTokens {
   const { promptTokens, maximumOutputTokens, expectedOutputTokens } = request.metadata;
   const outputTokens = expectedOutputTokens ?? profile.typicalOutputTokens;
   return {
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -2,14 +2,15 @@
  * Serves a call to a plain (non-streaming) service. A call that is not idempotent runs at most
  * once; an idempotent one may be retried on further backend servers.
  */
+import type { AdmissionRefusal } from '../admission/admission-control.js';
 import { getErrorMessage } from '../common/http-client.js';
 import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/fleet-server.js';
 import { findExpectedRoom } from '../fleet/expected-room.js';
-import { getAvailability } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { admitRequest } from '../entry/admission.js';
 import { CallEnding, readPeerAnswer, type BufferedResponse } from './call-ending.js';
+import { chooseServer, listUsableServers } from './call-server-choice.js';
 import { CallExchange, FIRST_SERVER_FAILURE, type CallResult } from './call-exchange.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import { isIdempotent, type EntryRequest } from '../entry/entry-request.js';
@@ -55,6 +56,8 @@
 
   #refusedAttempts = 0;
 
+  #isAdmitted = false;
+
   /** The last error response (status 500 or above) of a backend server. */
   #lastFailure: BufferedResponse | undefined;
 
@@ -82,6 +85,8 @@
           ? this.#ending.sendUnknownOutcome()
           : this.#refuseWithoutServer();
       }
+      const refusal = this.#checkAdmission(server);
+      if (refusal) return this.#ending.refuse(refusal.code, refusal.retryAfterSeconds);
       logs('routing').info('Backend server chosen.', {
         requestId: metadata.requestId,
         server: server.entry.id,
@@ -123,37 +128,23 @@
     }
   }
 
-  /** Chooses the backend server with the lowest expected time, weighted by load and data centre. */
+  #listServers(): readonly FleetServer[] {
+    return listUsableServers(this.#context, this.#request, this.#triedServerIds);
+  }
+
   #chooseServer(): FleetServer | undefined {
-    const { fleet, outlierEjection, callTimes, dataCentre, serverLimits } = this.#context;
-    const servers = fleet
-      .listForService(this.#request.service.name)
-      .filter(({ entry }) => !this.#triedServerIds.has(entry.id))
-      .filter(({ entry }) => serverLimits.hasRoom(entry.id))
-      .filter((server) => getAvailability(server, performance.now()) !== 'closed');
-    const notEjected = servers.filter(({ entry }) => !outlierEjection.isEjected(entry.id));
-    // When all are ejected, a request that may be repeated is still tried on one of them.
-    const reachable =
-      notEjected.length > 0 || !isIdempotent(this.#request.route) ? notEjected : servers;
-    const staying = reachable.filter(({ isLeavingByPeer }) => !isLeavingByPeer);
-    const eligible = staying.length > 0 ? staying : reachable;
-    let best: FleetServer | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    eligible.forEach((server) => {
-      const { id, slots } = server.entry;
-      const knownRequests = server.ownLoad.requests + server.peerLoad.requests;
-      const activeRequests = Math.max(knownRequests, callTimes.reportedLoad(id));
-      const isInSameDataCentre = server.entry.dataCentre === dataCentre;
-      const slotUse = (activeRequests + 1) / Math.max(1, slots);
-      const cost =
-        callTimes.expectedMilliseconds(id) *
-        (1 + slotUse * slotUse * 2) *
-        (isInSameDataCentre ? 1 : 1.02);
-      if (cost >= bestCost) return;
-      bestCost = cost;
-      best = server;
+    return chooseServer(this.#context, this.#listServers());
+  }
+
+  /** Decides once on a call that no server has got yet; returns how it is refused, if it is. */
+  #checkAdmission(server: FleetServer): AdmissionRefusal | undefined {
+    if (this.#isAdmitted) return undefined;
+    this.#isAdmitted = true;
+    return this.#context.admission.admitCall({
+      request: this.#request,
+      server,
+      servers: this.#listServers(),
     });
-    return best;
   }
 
   /**
--- a/src/relay/relay-stream.ts
+++ b/src/relay/relay-stream.ts
@@ -2,8 +2,6 @@
  * Serves a streaming request over a chain of engines. When an attempt fails, the stream resumes
  * over another chain after the last event that the caller received.
  */
-import { getHeldLayers } from '../fleet/fleet-server.js';
-import { findExpectedRoom } from '../fleet/expected-room.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { admitRequest } from '../entry/admission.js';
 import { AttemptBeside } from './attempt-beside.js';
@@ -150,7 +148,7 @@
       const outcome =
         way.kind === 'chain'
           ? await this.#serveOver(way, begun)
-          : await this.#serveWithoutChain(way.kind);
+          : await this.#serveWithoutChain(way);
       if (outcome !== undefined) return outcome;
     }
   }
@@ -182,9 +180,10 @@
     return undefined;
   }
 
-  async #serveWithoutChain(way: 'peers' | 'none'): Promise<string | undefined> {
+  async #serveWithoutChain(way: Exclude<Way, { kind: 'chain' }>): Promise<string | undefined> {
     if (this.#request.signal.aborted) return this.#ending.sendTimeout();
-    return way === 'peers' ? this.#atPeer.serve() : this.#endWithoutChain();
+    if (way.kind === 'notAdmitted') return this.#ending.refuseUnadmitted(way.refusal);
+    return way.kind === 'peers' ? this.#atPeer.serve() : this.#ending.refuseWithoutChain();
   }
 
   #endAborted(begun: Begun | undefined): string {
@@ -246,17 +245,6 @@
     await this.#endsAtBegin.settle(stallDetector.checkEngine(firstEngine.id));
   }
 
-  #endWithoutChain(): string {
-    const { fleet, serverLimits } = this.#context;
-    const servers = fleet
-      .listForService(this.#request.service.name)
-      .filter((server) => getHeldLayers(server)?.from === 0);
-    const room = findExpectedRoom({ servers, serverLimits, now: performance.now() });
-    return room
-      ? this.#ending.sendFailure(room.code, room.seconds)
-      : this.#ending.sendFailure('no_chain');
-  }
-
   /** Sends the request over a chain, unless that has begun already as a replacement. */
   async #attempt(
     { chain, release }: ChainWay,
--- a/src/relay/stream-ending.ts
+++ b/src/relay/stream-ending.ts
@@ -1,9 +1,12 @@
 /** Ends a streaming request: completes, refuses or fails it, and records its outcome. */
+import type { AdmissionRefusal } from '../admission/admission-control.js';
 import { ABORT_RESPONSES } from '../entry/abort-response.js';
 import type { CallerStream } from './caller-stream.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import { getAbortReason, type EntryRequest } from '../entry/entry-request.js';
 import { sendLocalResponse, type LocalResponse } from '../entry/entry-response.js';
+import { findExpectedRoom } from '../fleet/expected-room.js';
+import { getHeldLayers } from '../fleet/fleet-server.js';
 import type { StreamRuns } from './stream-runs.js';
 
 /** Options of {@link StreamEnding}. */
@@ -48,6 +51,26 @@
     });
   }
 
+  /** Refuses a new request that is not admitted; nothing was sent or reserved for it. */
+  refuseUnadmitted({ code, retryAfterSeconds }: AdmissionRefusal): string {
+    return this.#sendLocalResponse('refused', {
+      status: 503,
+      code,
+      message: 'The engines have no room for requests of this priority; it was not run.',
+      retryAfterSeconds,
+    });
+  }
+
+  /** Ends a request for which there is no chain; tells when there will be room, where that is known. */
+  refuseWithoutChain(): string {
+    const { fleet, serverLimits } = this.#options.context;
+    const servers = fleet
+      .listForService(this.#options.request.service.name)
+      .filter((server) => getHeldLayers(server)?.from === 0);
+    const room = findExpectedRoom({ servers, serverLimits, now: performance.now() });
+    return room ? this.sendFailure(room.code, room.seconds) : this.sendFailure('no_chain');
+  }
+
   /**
    * Ends the request with a refusal, or with a failure if it may have run.
    *
--- a/src/relay/stream-way.ts
+++ b/src/relay/stream-way.ts
@@ -3,8 +3,9 @@
  * has not begun is told at once that there is none; a stream that has begun waits. Handles losses that leave no
  * room for a while.
  */
+import type { AdmissionRefusal } from '../admission/admission-control.js';
 import type { CallerStream } from './caller-stream.js';
-import type { ChainSelector, EngineChain } from './chain-selector.js';
+import { estimateTokens, type ChainSelector, type EngineChain } from './chain-selector.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import type { EntryRequest } from '../entry/entry-request.js';
 import type { StreamLimits } from './stream-limits.js';
@@ -18,7 +19,10 @@
 
 /** How a stream goes on. */
 export type Way =
-  ({ readonly kind: 'chain' } & ChainWay) | { readonly kind: 'peers' } | { readonly kind: 'none' };
+  | ({ readonly kind: 'chain' } & ChainWay)
+  | { readonly kind: 'peers' }
+  | { readonly kind: 'none' }
+  | { readonly kind: 'notAdmitted'; readonly refusal: AdmissionRefusal };
 
 /** Options of {@link StreamWayFinder}. */
 export interface StreamWayFinderOptions {
@@ -35,6 +39,9 @@
   /** Whether a retry of the budget has been taken for the next attempt. */
   #hasRetry = false;
 
+  /** Whether admission has been decided; further attempts of the request are not subject to it. */
+  #isAdmitted = false;
+
   constructor(options: StreamWayFinderOptions) {
     this.#options = options;
   }
@@ -43,18 +50,37 @@
   async find(): Promise<Way> {
     const { waitingStreams, serverReach } = this.#options.context;
     if (this.#options.caller.hasStarted) return this.#waitForWay();
-    if (serverReach.isCut) return { kind: 'peers' };
+    if (serverReach.isCut) {
+      // It may run at a peer, so it is no longer a new request when it comes back here.
+      this.#isAdmitted = true;
+      return { kind: 'peers' };
+    }
     waitingStreams.offerRoom(this.#options.request.service.name);
-    const chain = this.chooseChain();
-    return chain ? this.#reserve(chain) : { kind: 'none' };
+    const chain = this.#options.chainSelector.choose({ hasStarted: false });
+    if (!chain) return { kind: 'none' };
+    const refusal = this.#checkAdmission(chain);
+    if (refusal) return { kind: 'notAdmitted', refusal };
+    this.#recordSend(chain);
+    return this.#reserve(chain);
+  }
+
+  /** Decides once on a request whose chain is chosen and not reserved; returns how it is refused, if it is. */
+  #checkAdmission(chain: EngineChain): AdmissionRefusal | undefined {
+    const { context, request } = this.#options;
+    const profile = request.service.engine;
+    if (this.#isAdmitted || !profile) return undefined;
+    this.#isAdmitted = true;
+    const tokens = estimateTokens(request, profile);
+    return context.admission.admitStream({ request, chain, profile, tokens });
   }
 
   async #waitForWay(): Promise<Way> {
-    const { waitingStreams, logs, metrics } = this.#options.context;
+    const { waitingStreams, admission, logs, metrics } = this.#options.context;
     const { deadline, signal, metadata, service } = this.#options.request;
     const startedAt = performance.now();
     const found = await waitingStreams.wait({
       service: service.name,
+      classIndex: admission.findClassIndex(this.#options.request),
       deadline,
       notBefore: startedAt + this.#options.limits.refusalPauseMilliseconds,
       signal,
--- a/src/relay/waiting-streams.test.ts
+++ b/src/relay/waiting-streams.test.ts
@@ -22,10 +22,15 @@
   wait(
     name: string,
     deadline: number,
-    { signal = new AbortController().signal, service = 'service', notBefore = 0 } = {},
+    {
+      signal = new AbortController().signal,
+      service = 'service',
+      classIndex = 0,
+      notBefore = 0,
+    } = {},
   ) {
     const tryProceed = () => this.take(name);
-    return this.streams.wait({ service, deadline, notBefore, signal, tryProceed });
+    return this.streams.wait({ service, classIndex, deadline, notBefore, signal, tryProceed });
   }
 
   take(name: string): string | undefined {
@@ -58,6 +63,21 @@
   assert.deepEqual(places.taken, ['early', 'middle', 'late']);
 });
 
+// Streams of the least urgent route took the room of urgent ones that had a little more time left.
+test('waiting streams: room goes to the most urgent class, then to those with the least time left', async () => {
+  const places = new Places();
+  const waits = [
+    places.wait('low', 10, { classIndex: 2 }),
+    places.wait('urgent late', 30),
+    places.wait('urgent early', 20),
+    places.wait('middle', 5, { classIndex: 1 }),
+  ];
+  places.free = 4;
+  places.streams.offerRoom('service');
+  await Promise.all(waits);
+  assert.deepEqual(places.taken, ['urgent early', 'urgent late', 'middle', 'low']);
+});
+
 test('waiting streams: a wait ends with its signal, and the stream is not tried again', async () => {
   const places = new Places();
   const controller = new AbortController();
@@ -103,6 +123,7 @@
   const blocked = Array.from({ length: 20 }, () =>
     places.streams.wait({
       service: 'blocked',
+      classIndex: 0,
       deadline: 1,
       notBefore: 0,
       signal,
--- a/src/relay/waiting-streams.ts
+++ b/src/relay/waiting-streams.ts
@@ -1,6 +1,6 @@
 /**
  * Streams that have begun, whose run has ended, and that wait for room at engines or for a retry of the budget.
- * The one with the least time left is served first, and all of them before requests that arrive. Handles the loss
+ * Those of the most urgent class are served first, among them the one with the least time left, and all of them before requests that arrive. Handles the loss
  * of engines that leaves no room for a while: whoever looks at the right moment took the room, mostly a new request.
  */
 
@@ -10,6 +10,8 @@
 export interface WaitingStream<T> {
   /** Streams of other services neither wait for it nor take its room. */
   readonly service: string;
+  /** Its class among those of its service; 0 is the most urgent one. */
+  readonly classIndex: number;
   /** When its time is over, on the monotonic clock. */
   readonly deadline: number;
   /** It is not tried before, on the monotonic clock. */
@@ -30,6 +32,7 @@
 
 interface Waiting {
   readonly service: string;
+  readonly classIndex: number;
   readonly deadline: number;
   readonly notBefore: number;
   /** Whether the stream waits no longer. */
@@ -48,8 +51,8 @@
 /** For each service: looking for a chain takes processor time that requests in progress need. */
 const MAXIMUM_TRIES_PER_PASS = 4;
 
-function compareDeadlines(one: Waiting, other: Waiting): number {
-  return one.deadline - other.deadline;
+function compareUrgency(one: Waiting, other: Waiting): number {
+  return one.classIndex - other.classIndex || one.deadline - other.deadline;
 }
 
 /** Lets a stream look again soon, since what it waits for may be there. */
@@ -87,7 +90,7 @@
    * @throws Whatever `tryProceed` throws.
    */
   wait<T>(stream: WaitingStream<T>): Promise<T | undefined> {
-    const { service, deadline, notBefore, signal, tryProceed } = stream;
+    const { service, classIndex, deadline, notBefore, signal, tryProceed } = stream;
     if (signal.aborted || this.#waiting.size >= MAXIMUM_WAITING_STREAMS)
       return Promise.resolve(undefined);
     return new Promise((resolve, reject) => {
@@ -113,6 +116,7 @@
       };
       const waiting: Waiting = {
         service,
+        classIndex,
         deadline,
         notBefore,
         attempt,
@@ -134,7 +138,7 @@
     const now = this.#now();
     [...this.#waiting]
       .filter((waiting) => waiting.service === service && waiting.notBefore <= now)
-      .sort(compareDeadlines)
+      .sort(compareUrgency)
       .slice(0, MAXIMUM_TRIES_PER_PASS)
       .every((waiting) => this.#try(waiting));
   }
@@ -152,7 +156,7 @@
     this.#timer = undefined;
   }
 
-  /** Tries the streams whose turn it is, those with the least time left first. */
+  /** Tries the streams whose turn it is, the most urgent first. */
   #pass(): void {
     const revision = this.#options.fleetRevision();
     const hasFleetChanged = revision !== this.#fleetRevision;
@@ -163,7 +167,7 @@
     new Set(due.map(({ service }) => service)).forEach((service) =>
       due
         .filter((waiting) => waiting.service === service)
-        .sort(compareDeadlines)
+        .sort(compareUrgency)
         .slice(0, MAXIMUM_TRIES_PER_PASS)
         .forEach((waiting) => this.#try(waiting)),
     );
