--- a/tools/admission-replay.ts
+++ b/tools/admission-replay.ts
@@ -13,9 +13,18 @@
 import { BackendFleet } from '../src/fleet/backend-fleet.js';
 import { recordAcceptance, recordRefusal } from '../src/fleet/server-availability.js';
 import type { ServerEntry } from '../src/fleet/server-entry.js';
-import { cacheCapacityTokenLayers } from '../src/layers/engine-estimates.js';
 import { ChainSelector, type EngineChain } from '../src/relay/chain-selector.js';
-import { ENGINE_PROFILE } from './engine-profile.js';
+import {
+  computeTakenPlaces,
+  computeUse,
+  countHeldRequests,
+  createEngines,
+  DATA_CENTRE,
+  PROFILE,
+  REQUEST_TOKENS,
+  SERVICE,
+  type ShortResource,
+} from './admission-engines.js';
 import { EventQueue } from './event-queue.js';
 import { createRandom, type Random } from './random.js';
 
@@ -33,7 +42,7 @@
 export interface AdmissionReplayOptions {
   readonly seed: number;
   readonly instances: number;
-  readonly shortOf: 'cache' | 'slots';
+  readonly shortOf: ShortResource;
   /** By priority; the priorities of the service's routes follow from it. */
   readonly loads: readonly ReplayedLoad[];
   readonly seconds: number;
@@ -59,17 +68,6 @@
   readonly shares: AccountShares;
 }
 
-const SERVICE = 'generation';
-const DATA_CENTRE = 'east';
-/** The layers of the engines. */
-const RANGES = [
-  { from: 0, to: 4 },
-  { from: 4, to: 8 },
-];
-/** Engines with the same layers. */
-const HOLDERS = 6;
-const HELD_REQUESTS = 24;
-const REQUEST_TOKENS = 1000;
 const SERVICE_MILLISECONDS = 3000;
 /** Until a request that an engine rejects is back at its instance. */
 const REFUSAL_MILLISECONDS = 3;
@@ -81,22 +79,6 @@
 const RECORD_DELAY_MILLISECONDS = 60;
 /** Peers without records are taken for dead after this long, and their loads no longer count. */
 const SILENCE_LIMIT_MILLISECONDS = 1000;
-const KIND = 'only';
-const MEMORY_MEGABYTES = 1000;
-const LAYER_MEGABYTES = 100;
-/** Gives each engine KV cache for `HELD_REQUESTS` requests over four layers. */
-const CACHE_BYTES_PER_TOKEN =
-  ((MEMORY_MEGABYTES - 4 * LAYER_MEGABYTES) * 1e6 * 8) / (HELD_REQUESTS * REQUEST_TOKENS * 4);
-const PROFILE = {
-  ...ENGINE_PROFILE,
-  layerCount: 8,
-  layerMegabytes: LAYER_MEGABYTES,
-  kvCacheBytesPerToken: CACHE_BYTES_PER_TOKEN,
-  acceleratorKinds: new Map([
-    [KIND, { name: KIND, memoryMegabytes: MEMORY_MEGABYTES, decodeFactor: 1, prefillFactor: 1 }],
-  ]),
-};
-
 function createRoute(priority: number) {
   return {
     name: `route-${priority}`,
@@ -128,19 +110,7 @@
   constructor(options: AdmissionReplayOptions) {
     this.#options = options;
     this.#random = createRandom(options.seed);
-    const slots = options.shortOf === 'slots' ? HELD_REQUESTS / 4 : HELD_REQUESTS * 4;
-    this.#entries = RANGES.flatMap((layers, range) =>
-      Array.from({ length: HOLDERS }, (_, index) => ({
-        id: `engine-${range}-${index}`,
-        service: SERVICE,
-        address: { host: '127.0.0.1', port: 1 },
-        dataCentre: DATA_CENTRE,
-        slots,
-        isLeaving: false,
-        kind: KIND,
-        layers,
-      })),
-    );
+    this.#entries = createEngines(options.shortOf);
     const priorities = new Set(options.loads.map(({ priority }) => priority));
     this.#configuration = {
       routes: [...priorities].map(createRoute),
@@ -155,7 +125,7 @@
   }
 
   run(): readonly ReplayedRequest[] {
-    const held = HOLDERS * (this.#options.shortOf === 'slots' ? HELD_REQUESTS / 4 : HELD_REQUESTS);
+    const held = countHeldRequests(this.#options.shortOf);
     this.#options.loads.forEach((load) => {
       const interval = SERVICE_MILLISECONDS / (load.load * held);
       const schedule = (at: number): void => {
@@ -234,6 +204,10 @@
     this.#queue.add(RECORD_INTERVAL_MILLISECONDS * this.#random.next(), publish);
   }
 
+  get #fleets(): readonly BackendFleet[] {
+    return this.#instances.map(({ fleet }) => fleet);
+  }
+
   #forgetPeers(): void {
     this.#instances
       .flatMap(({ fleet }) => fleet.servers)
@@ -243,30 +217,9 @@
       });
   }
 
-  /** What all instances together have running on an engine, as shares of its slots and of its KV cache. */
-  #computeUse(entry: ServerEntry): readonly [slots: number, cache: number] {
-    const loads = this.#instances.map(({ fleet }) => fleet.find(entry.id)?.ownLoad);
-    const requests = loads.reduce((sum, load) => sum + (load?.requests ?? 0), 0);
-    const tokenLayers = loads.reduce((sum, load) => sum + (load?.reservedTokenLayers ?? 0), 0);
-    const capacity = cacheCapacityTokenLayers(PROFILE, KIND, entry.layers ?? { from: 0, to: 0 });
-    return [entry.layers?.from === 0 ? requests / entry.slots : 0, tokenLayers / capacity];
-  }
-
-  #computeTakenPlaces(): number {
-    const uses = this.#entries.map((entry) => ({ entry, use: this.#computeUse(entry) }));
-    return Math.max(
-      ...RANGES.map(({ from }) => {
-        const holders = uses.filter(({ entry }) => entry.layers?.from === from);
-        const mean = (index: 0 | 1): number =>
-          holders.reduce((sum, { use }) => sum + use[index], 0) / holders.length;
-        return Math.max(mean(0), mean(1));
-      }),
-    );
-  }
-
   #offer({ priority, account = '' }: ReplayedLoad): void {
     const instance = this.#random.pick(this.#instances);
-    const takenPlaces = this.#computeTakenPlaces();
+    const takenPlaces = computeTakenPlaces(this.#entries, this.#fleets);
     const at = this.#queue.now;
     const record = (outcome: ReplayedRequest['outcome']): void => {
       this.#requests.push({ at, priority, account, outcome, takenPlaces });
@@ -276,7 +229,11 @@
       service: { name: SERVICE },
       account: account === '' ? undefined : { name: account, priority: undefined },
       route: createRoute(priority),
-      metadata: { requestId: 'r', promptTokens: 900, expectedOutputTokens: 100 },
+      metadata: {
+        requestId: 'r',
+        promptTokens: REQUEST_TOKENS.prompt,
+        expectedOutputTokens: REQUEST_TOKENS.output,
+      },
       deadline: this.#queue.now + ROUTE_MILLISECONDS,
       response: {
         once: (_event: string, listener: () => void) => {
@@ -293,7 +250,7 @@
       record('rejected');
       return;
     }
-    const tokens = { prompt: 900, output: 100 };
+    const tokens = REQUEST_TOKENS;
     if (this.#options.isAdmissionUsed) {
       if (instance.admission.admitStream({ request, chain, profile: PROFILE, tokens })) {
         record('notAdmitted');
@@ -317,7 +274,7 @@
     const release = selector.reserve(chain);
     const { now } = this.#queue;
     const full = chain.stages.find(({ engine }) =>
-      this.#computeUse(engine.server.entry).some((use) => use > 1 + Number.EPSILON),
+      computeUse(engine.server.entry, this.#fleets).some((use) => use > 1 + Number.EPSILON),
     );
     if (!full) {
       chain.stages.forEach(({ engine }) => recordAcceptance(engine.server));
