--- a/src/daemon/peer-observations.ts
+++ b/src/daemon/peer-observations.ts
@@ -39,12 +39,13 @@
   /** Acts on a new record of a peer. */
   accept(record: PeerRecord): void {
     const { servers, storeFollower } = this.#options;
-    const { outlierEjection, evidenceChanges, serverLimits } = servers;
+    const { outlierEjection, evidenceChanges, serverLimits, accountShares } = servers;
     outlierEjection.replacePeerEjections(record.instance, listPeerEjections(record));
     // What a newer build has sent is taken over by the exchange itself.
     if (!record.evidencePosition) evidenceChanges.merge(record);
     serverLimits.merge(record.limits ?? {});
     this.#remoteLoads.accept(record);
+    accountShares.merge(record.instance, record.accountLoads);
     storeFollower.catchUpWithPeer(record);
   }
 
@@ -60,8 +61,12 @@
     applyPeerObservations(servers.fleet, peers.aliveRecords, this.#remoteLoads.current);
   }
 
-  /** Sums the loads of this data centre anew. */
+  /**
+   * Sums the loads of this data centre anew. What the peers observed is taken over as well: when no record arrives
+   * any more, the loads of peers that have gone silent would otherwise stay at their last values for good.
+   */
   sumLoads(ownRecord: PeerRecord): void {
+    this.apply();
     const { dataCentre, peers } = this.#options;
     this.dataCentreLoads = sumDataCentreLoads([ownRecord, ...peers.aliveRecords], dataCentre);
   }
