--- a/src/fleet/backend-fleet.ts
+++ b/src/fleet/backend-fleet.ts
@@ -15,6 +15,8 @@
   readonly onEnded?: (processKey: string) => void;
   /** Called when a server has started again under its id; what is known of the old process is void. */
   readonly onRestarted?: (id: string) => void;
+  /** Called when a process has become known; other entries of the same list may follow. */
+  readonly onRegistered?: () => void;
   readonly now?: () => number;
 }
 
@@ -34,6 +36,8 @@
 
   readonly #onRestarted: (id: string) => void;
 
+  readonly #onRegistered: () => void;
+
   readonly #now: () => number;
 
   /** Revision of the store that the servers reflect. */
@@ -67,6 +71,7 @@
     this.#log = options.log;
     this.#onEnded = options.onEnded ?? (() => undefined);
     this.#onRestarted = options.onRestarted ?? (() => undefined);
+    this.#onRegistered = options.onRegistered ?? (() => undefined);
     this.#now = options.now ?? (() => performance.now());
   }
 
@@ -296,6 +301,7 @@
         ...STATE_OF_NEW_PROCESS,
         missingSince: undefined,
       });
+      this.#onRegistered();
       return;
     }
     if (getProcessKey(known.entry) !== getProcessKey(entry)) {
@@ -303,6 +309,7 @@
         this.recordEnd(known.entry, `it started again, incarnation ${entry.incarnation}`);
       Object.assign(known, STATE_OF_NEW_PROCESS, { ownWord: this.#getOwnWord(entry) });
       this.#onRestarted(entry.id);
+      this.#onRegistered();
     }
     if (known.entry.isLeaving !== entry.isLeaving) {
       this.#log.info('Backend server is leaving.', { id: entry.id, revision: this.revision });
--- a/src/fleet/outlier-ejection.ts
+++ b/src/fleet/outlier-ejection.ts
@@ -15,6 +15,8 @@
   readonly log: Logger;
   /** Called when this instance ejects a server. */
   readonly onEjected?: () => void;
+  /** Called with the id of a server that this instance had ejected and that has passed a health check. */
+  readonly onReadmitted?: (id: string) => void;
   /** Whether this instance is cut from all servers, so that it sees nothing of them. */
   readonly isCut?: () => boolean;
   readonly now?: () => number;
@@ -59,6 +61,8 @@
 
   readonly #onEjected: () => void;
 
+  readonly #onReadmitted: (id: string) => void;
+
   readonly #isCut: () => boolean;
 
   readonly #now: () => number;
@@ -75,6 +79,7 @@
   constructor(options: OutlierEjectionOptions) {
     this.#log = options.log;
     this.#onEjected = options.onEjected ?? (() => undefined);
+    this.#onReadmitted = options.onReadmitted ?? (() => undefined);
     this.#isCut = options.isCut ?? (() => false);
     this.#now = options.now ?? (() => performance.now());
   }
@@ -153,6 +158,7 @@
     known.isActive = false;
     known.endedAt = this.#now();
     this.#log.info('Backend server readmitted.', { id });
+    this.#onReadmitted(id);
   }
 
   /** Discards what this instance has observed of a server, since another process has its id now. */
