Slow start: instances exchange the windows, and avoid servers that are at them

Cause: the windows have no effect while requests, answers and records don't use them.

Chains and calls tell the windows of first events, answers, refusals and failures (src/relay/chain-pace, call-exchange). A replica at its window gets a call only if none is at its full rate; the choice is moved out of relay-call into src/relay/server-choice. An engine at its window is left out only if other engines of its data centre hold all its layers (src/relay/engines-at-window), so that coverage doesn't depend on windows. "Chain chosen." names the engines that were left out.

--- a/src/daemon/entry-components.ts
+++ b/src/daemon/entry-components.ts
@@ -212,6 +212,7 @@
     const { settings, platform, logs, signal } = this.#options;
     return new ServerComponents({
       instance: settings.instance,
+      dataCentre: settings.dataCentre,
       contactMilliseconds: settings.contactMilliseconds,
       protocol: platform.protocol,
       configuration: this.configuration,
--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -24,7 +24,15 @@
 /** What an instance tells its peers about its state. */
 export type RecordState = { readonly urgent: UrgentFields } & Pick<
   PeerRecord,
-  'fleetRevision' | 'fleetEra' | 'loads' | 'paces' | 'holdings' | 'leaving' | 'retries' | 'limits'
+  | 'fleetRevision'
+  | 'fleetEra'
+  | 'loads'
+  | 'paces'
+  | 'holdings'
+  | 'leaving'
+  | 'retries'
+  | 'limits'
+  | 'windows'
 >;
 
 /** Options of {@link OwnRecord}. */
--- a/src/daemon/peer-observations.ts
+++ b/src/daemon/peer-observations.ts
@@ -39,12 +39,13 @@
   /** Acts on a new record of a peer. */
   accept(record: PeerRecord): void {
     const { servers, storeFollower } = this.#options;
-    const { outlierEjection, crashBlame, serverLimits } = servers;
+    const { outlierEjection, crashBlame, serverLimits, serverPace } = servers;
     outlierEjection.replacePeerEjections(record.instance, listPeerEjections(record));
     crashBlame.contents.merge(record);
     if (record.promptParts && record.clock !== undefined)
       crashBlame.promptParts.merge(record.promptParts, record.clock);
     serverLimits.merge(record.limits ?? {});
+    serverPace.merge(record.instance, record.windows ?? {});
     this.#remoteLoads.accept(record);
     storeFollower.catchUpWithPeer(record);
   }
@@ -59,6 +60,7 @@
     this.#appliedAt = now;
     const { servers, peers } = this.#options;
     applyPeerObservations(servers.fleet, peers.aliveRecords, this.#remoteLoads.current);
+    servers.serverPace.observe();
   }
 
   /** Sums the loads of this data centre anew. */
--- a/src/daemon/record-state.ts
+++ b/src/daemon/record-state.ts
@@ -28,7 +28,8 @@
  */
 export function describeRecordState(sources: RecordStateSources): RecordState {
   const { isReady, isStopping, configuration, storeFollower, lease, peers, retryBudget } = sources;
-  const { fleet, outlierEjection, serverReach, crashBlame, serverLimits } = sources.servers;
+  const { fleet, outlierEjection, serverReach, crashBlame, serverLimits, serverPace } =
+    sources.servers;
   return {
     urgent: {
       isReady,
@@ -48,5 +49,6 @@
     ...collectServerObservations(fleet),
     retries: retryBudget.counts,
     limits: serverLimits.reported,
+    windows: serverPace.reported,
   };
 }
--- a/src/daemon/request-components.ts
+++ b/src/daemon/request-components.ts
@@ -44,8 +44,9 @@
   const { settings, platform, servers, peers, peerRelay, configurationVersion, signal, logs } =
     options;
   const { fleet, outlierEjection, callTimes, endCheck, crashBlame } = servers;
-  const { serverLimits, statements, serverReach, stallDetector } = servers;
+  const { serverLimits, serverPace, statements, serverReach, stallDetector } = servers;
   const metrics = new EntryMetrics();
+  serverPace.onEvent = (event) => metrics.countEvent(event);
   const eventLoopDelay = new EventLoopDelay({
     onDelay: (milliseconds) => metrics.recordEventLoopDelay(milliseconds),
   });
@@ -59,6 +60,7 @@
     endCheck,
     crashBlame,
     serverLimits,
+    serverPace,
     statements,
     serverReach,
     peerRelay,
--- a/src/daemon/server-components.ts
+++ b/src/daemon/server-components.ts
@@ -16,6 +16,7 @@
 import { EndCheck } from '../fleet/end-check.js';
 import { OutlierEjection } from '../fleet/outlier-ejection.js';
 import { ServerLimits } from '../fleet/server-limits.js';
+import { ServerPace } from '../fleet/server-pace.js';
 import { ServerReach } from '../fleet/server-reach.js';
 import { StatementRecorder } from '../fleet/server-statements.js';
 import type { PeerTable } from '../gossip/peer-table.js';
@@ -27,6 +28,7 @@
 export interface ServerComponentsOptions {
   /** The id of this instance. */
   readonly instance: string;
+  readonly dataCentre: string;
   /** How long after a disturbance of its connections this instance must know again what holds. */
   readonly contactMilliseconds: number;
   readonly protocol: ProtocolAdapter;
@@ -62,6 +64,8 @@
 
   readonly serverLimits: ServerLimits;
 
+  readonly serverPace: ServerPace;
+
   readonly statements: StatementRecorder;
 
   readonly engineReports: EngineReports;
@@ -79,6 +83,7 @@
     this.outlierEjection = new OutlierEjection({
       log: logs('backend'),
       onEjected: () => options.onNews(),
+      onReadmitted: (id) => this.serverPace.recordReadmission(id),
       isCut: () => this.serverReach.isCut,
     });
     this.serverReach = this.#createServerReach();
@@ -89,6 +94,7 @@
       contactMilliseconds,
       log: logs('backend'),
     });
+    this.serverPace = this.#createServerPace();
     const { fleet, serverLimits } = this;
     this.statements = new StatementRecorder({ fleet, serverLimits, log: logs('routing') });
     this.engineReports = new EngineReports({ protocol, statements: this.statements, fleet });
@@ -101,6 +107,7 @@
     return new BackendFleet({
       log: this.#options.logs('backend'),
       onEnded: (processKey) => this.crashBlame.recordEndedServer(processKey),
+      onRegistered: () => this.serverPace.noteRegistration(),
       onRestarted: (id) => {
         this.outlierEjection.forget(id);
         this.callTimes.forget(id);
@@ -109,6 +116,22 @@
     });
   }
 
+  #createServerPace(): ServerPace {
+    const { instance, dataCentre, peers, configuration, logs } = this.#options;
+    return new ServerPace({
+      instance: { name: instance, dataCentre },
+      listPeers: () =>
+        peers.aliveRecords
+          .filter((peer) => peer.isReady && !peer.isStopping && peer.isCutFromServers !== true)
+          .map((peer) => ({ name: peer.instance, dataCentre: peer.dataCentre })),
+      listServers: () => this.fleet.servers,
+      fleetEra: () => this.fleet.era,
+      isEjected: (id) => this.outlierEjection.isEjected(id),
+      findProfile: (service) => configuration.current?.services.get(service)?.engine,
+      log: logs('backend'),
+    });
+  }
+
   #createServerReach(): ServerReach {
     const { logs, signal } = this.#options;
     return new ServerReach({
--- a/src/entry/entry-context.ts
+++ b/src/entry/entry-context.ts
@@ -5,6 +5,7 @@
 import type { OutlierEjection } from '../fleet/outlier-ejection.js';
 import type { ServerReach } from '../fleet/server-reach.js';
 import type { ServerLimits } from '../fleet/server-limits.js';
+import type { ServerPace } from '../fleet/server-pace.js';
 import type { StatementRecorder } from '../fleet/server-statements.js';
 import type { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import type { MemoryBudget } from '../memory/memory-budget.js';
@@ -29,6 +30,7 @@
   readonly endCheck: EndCheck;
   readonly crashBlame: CrashBlame;
   readonly serverLimits: ServerLimits;
+  readonly serverPace: ServerPace;
   readonly statements: StatementRecorder;
   readonly serverReach: ServerReach;
   readonly peerRelay: PeerRelay;
--- a/src/gossip/peer-record-compatibility.test.ts
+++ b/src/gossip/peer-record-compatibility.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import { createPeerRecord } from '../../tools/peer-record.js';
 import { PeerRecord } from './peer-record.js';
+import { parseTolerantly } from './tolerant-parse.js';
 
 const RECORD = createPeerRecord('entry-2', {
   promptParts: { ends: {}, written: {}, tried: {} },
@@ -34,3 +35,12 @@
   assert.deepEqual(PeerRecord.parse(sent), sent);
   assert.equal(names.size, 18);
 });
+
+// An instance whose record a stricter build refused for one odd window would count as dead there.
+test('record of another build: windows may be missing, and an unreadable one costs only itself', () => {
+  const sent = createPeerRecord('entry-2', { windows: { a: [3, 4, 120, 1], b: [5, null, 9, 0] } });
+  assert.deepEqual(PeerRecord.parse(sent), sent);
+  assert.equal(PeerRecord.parse(createPeerRecord('entry-2')).windows, undefined);
+  const odd = { ...sent, windows: { ...sent.windows, c: [1, -2, 0, 0], d: [1], e: 'open' } };
+  assert.deepEqual(parseTolerantly(PeerRecord, odd).value, sent);
+});
--- a/src/gossip/peer-record.ts
+++ b/src/gossip/peer-record.ts
@@ -81,6 +81,12 @@
    * before the record it last said so. Absent in records of older builds.
    */
   limits: z.record(z.string(), z.tuple([Amount.nullable(), Time])).optional(),
+  /**
+   * By process of a backend server that has lately started or recovered: round and places of its window (null once
+   * that has ended), how many milliseconds before the record it last changed, and the answers in time that the
+   * instance got in the round. Absent in records of older builds, which keep no window.
+   */
+  windows: z.record(z.string(), z.tuple([Amount, Amount.nullable(), Time, Amount])).optional(),
   /** By content key of a request: ids of the backend servers that crashed while running it. */
   crashes: z.record(z.string(), z.array(z.string())),
   /**
--- a/src/relay/call-exchange.ts
+++ b/src/relay/call-exchange.ts
@@ -44,15 +44,18 @@
 
   /** Sends the call to a backend server and records what a failure says about that server. */
   async send(server: FleetServer, attemptSignal: AbortSignal): Promise<CallResult> {
-    const { callTimes, outlierEjection, crashBlame, serverLimits, endCheck } = this.#context;
+    const { callTimes, outlierEjection, crashBlame, serverLimits, serverPace, endCheck } =
+      this.#context;
     const { signal, content } = this.#request;
     const { id } = server.entry;
     const startedAt = performance.now();
     serverLimits.recordSend(id);
     server.ownLoad.requests += 1;
+    const endCount = serverPace.begin(server);
     try {
       const result = await this.#sendToServer(server, AbortSignal.any([signal, attemptSignal]));
       outlierEjection.recordLife(id);
+      this.#recordPace(server, startedAt, result);
       const status = result.kind === 'answered' ? result.response.status : undefined;
       // A server may fail a call before it begins the work that ends others.
       if (status !== undefined && status < FIRST_FAILURE) crashBlame.recordCompletion(content);
@@ -63,6 +66,7 @@
       if (signal.aborted || attemptSignal.reason === 'notNeeded')
         return { kind: 'unknown', message };
       callTimes.record(id, performance.now() - startedAt, undefined);
+      if (!(error instanceof OwnMemoryError)) serverPace.recordFailure(server, startedAt, 'failed');
       if (error instanceof HttpRequestError && error.phase === 'connecting') {
         if (isConnectionRefused(error)) void endCheck.recordRefusal(server.entry, message);
         if (attemptSignal.aborted) outlierEjection.recordFailure(id, message);
@@ -77,6 +81,19 @@
       return { kind: 'unknown', message };
     } finally {
       server.ownLoad.requests -= 1;
+      endCount();
+    }
+  }
+
+  /** Tells the server's window of a refusal, a failure, or an answer and whether it is in time. */
+  #recordPace(server: FleetServer, startedAt: number, result: CallResult): void {
+    const { serverPace } = this.#context;
+    const hasFailed = result.kind === 'answered' && result.response.status >= FIRST_SERVER_FAILURE;
+    if (result.kind === 'notRun') serverPace.recordFailure(server, startedAt, 'refused');
+    else if (hasFailed) serverPace.recordFailure(server, startedAt, 'failed');
+    else {
+      const { targetMilliseconds } = this.#request.route;
+      serverPace.recordAnswer({ servers: [server], sentAt: startedAt, targetMilliseconds });
     }
   }
 
--- /dev/null
+++ b/src/relay/chain-pace.ts
@@ -0,0 +1,60 @@
+/** Tells the windows of a chain's engines how an attempt of a stream went. */
+import type { FleetServer } from '../fleet/fleet-server.js';
+import type { ServerPace } from '../fleet/server-pace.js';
+import type { EngineChain } from './chain-selector.js';
+
+/** Options of {@link ChainPace}. */
+export interface ChainPaceOptions {
+  readonly serverPace: Pick<ServerPace, 'recordAnswer' | 'recordFailure'>;
+  readonly chain: Pick<EngineChain, 'stages'>;
+  /** The route's target for the first event; 0 for none. */
+  readonly targetMilliseconds: number;
+  /** Whether the exchange was begun by an earlier attempt, so that its time isn't known here. */
+  readonly hasBegun: boolean;
+  readonly now?: () => number;
+}
+
+/** How an attempt ended, as far as it says something of its engines. */
+export interface EndedAttempt {
+  readonly kind: string;
+  readonly engineIdsToAvoid?: readonly string[];
+}
+
+export class ChainPace {
+  readonly #options: ChainPaceOptions;
+
+  readonly #startedAt: number;
+
+  #hasAnswered = false;
+
+  constructor(options: ChainPaceOptions) {
+    this.#options = options;
+    this.#startedAt = (options.now ?? (() => performance.now()))();
+  }
+
+  /** Records the first event of the attempt, for the engines that it has passed. */
+  recordFirstEvent(engines: readonly FleetServer[]): void {
+    this.#hasAnswered = true;
+    this.#recordAnswer(engines);
+  }
+
+  /** Records the end of the attempt. */
+  recordEnd({ kind, engineIdsToAvoid = [] }: EndedAttempt): void {
+    const { serverPace, chain } = this.#options;
+    const engines = chain.stages.map(({ engine }) => engine.server);
+    // It was replaced because its first event did not come.
+    if (kind === 'replaced' && !this.#hasAnswered) this.#recordAnswer(engines);
+    if (kind !== 'notRun' && kind !== 'broken') return;
+    const reason = kind === 'notRun' ? 'refused' : 'failed';
+    engines
+      .filter(({ entry }) => engineIdsToAvoid.includes(entry.id))
+      .forEach((engine) => serverPace.recordFailure(engine, this.#startedAt, reason));
+  }
+
+  #recordAnswer(servers: readonly FleetServer[]): void {
+    const { serverPace, targetMilliseconds, hasBegun } = this.#options;
+    if (hasBegun) return;
+    const hasAnswered = this.#hasAnswered;
+    serverPace.recordAnswer({ servers, sentAt: this.#startedAt, targetMilliseconds, hasAnswered });
+  }
+}
--- a/src/relay/chain-selector.ts
+++ b/src/relay/chain-selector.ts
@@ -9,10 +9,11 @@
 import type { EntryContext } from '../entry/entry-context.js';
 import type { EntryRequest } from '../entry/entry-request.js';
 import type { EngineProfile } from '../entry/serving-configuration.js';
+import { listSpareAtWindow } from './engines-at-window.js';
 
 /** Which engines a chain may use besides those that are available without restriction. */
 interface SelectionLimits {
-  /** Engines that recently refused a request for lack of room. */
+  /** Engines that recently refused a request for lack of room, and those at their windows. */
   readonly canUseFull: boolean;
   /** Engines that this request is to avoid. */
   readonly canUseAvoided: boolean;
@@ -88,6 +89,9 @@
   /** Engines that failed this request or were too slow for it. */
   readonly avoidedEngineIds = new Set<string>();
 
+  /** Engines that the last choice did without, since they are at their windows. */
+  #atWindow: ReadonlySet<string> = new Set();
+
   readonly #canStartAt: (entry: ServerEntry) => boolean;
 
   readonly #now: () => number;
@@ -111,7 +115,7 @@
   }
 
   /**
-   * Chooses a chain. Engines without room are used only where no chain exists without them, and
+   * Chooses a chain. Engines without room or at their windows are used only where no chain exists without them, and
    * engines to avoid only after that. Ejected engines are never used, except as the pinned stage.
    * Links whose share is used up serve only requests that have begun to answer: a new one would be
    * late there and make others late.
@@ -142,20 +146,36 @@
     { canUseFull, canUseAvoided, canUseBusyLinks = false }: SelectionLimits,
     pinnedStage?: ChainStage<EngineCandidate>,
   ): EngineChain | undefined {
-    const { fleet, outlierEjection, dataCentre, linkLoad, logs } = this.#context;
+    const { fleet, outlierEjection, serverPace, dataCentre, linkLoad, logs } = this.#context;
     const candidates: EngineCandidate[] = [];
     const now = this.#now();
-    fleet.listForService(this.#request.service.name).forEach((server) => {
-      const { id, kind } = server.entry;
-      const layers = getHeldLayers(server);
+    const servers = fleet.listForService(this.#request.service.name);
+    const isUsable = (server: FleetServer): boolean => {
+      const { id } = server.entry;
       const availability = getAvailability(server, now);
       const isExcludedAsFull = availability === 'avoided' && !canUseFull;
       const isExcludedAsAvoided = this.avoidedEngineIds.has(id) && !canUseAvoided;
-      const isExcluded =
+      return !(
         availability === 'closed' ||
         isExcludedAsAvoided ||
         outlierEjection.isEjected(id) ||
-        isExcludedAsFull;
+        isExcludedAsFull
+      );
+    };
+    const usable = new Set(servers.filter(isUsable));
+    const atWindow =
+      canUseFull || canUseAvoided
+        ? new Set<string>()
+        : listSpareAtWindow({
+            engines: servers,
+            isOpen: (server) => usable.has(server),
+            isAtWindow: (server) => serverPace.isAtWindow(server),
+          });
+    this.#atWindow = atWindow;
+    servers.forEach((server) => {
+      const { id, kind } = server.entry;
+      const layers = getHeldLayers(server);
+      const isExcluded = !usable.has(server) || atWindow.has(id);
       if (!layers || (isExcluded && id !== pinnedStage?.engine.id)) return;
       candidates.push({
         id,
@@ -215,6 +235,9 @@
       load: engine.server.ownLoad,
       tokenLayers: totalTokens * (layers.to - layers.from),
     }));
+    const endCounts = chain.stages.map(({ engine }) =>
+      this.#context.serverPace.begin(engine.server),
+    );
     this.#recordLinkTransfers(chain);
     reservations.forEach(({ load, tokenLayers }) => {
       load.requests += 1;
@@ -225,6 +248,7 @@
         load.requests -= 1;
         load.reservedTokenLayers -= tokenLayers;
       });
+      endCounts.forEach((end) => end());
     };
   }
 
@@ -270,6 +294,7 @@
       chain: chain.stages.map(({ engine, layers }) => `${engine.id}=${layers.from}-${layers.to}`),
       expectedMilliseconds: Math.round(chain.expectedMilliseconds),
       isOverfull: chain.isOverCapacity,
+      ...(this.#atWindow.size > 0 ? { enginesAtWindow: [...this.#atWindow] } : {}),
       fleetRevision: this.#context.fleet.revision,
     };
   }
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -15,6 +15,7 @@
 import { isIdempotent, type EntryRequest } from '../entry/entry-request.js';
 import { decideOnSuspicion, type SuspicionDecision } from '../evidence/exchange-suspicion.js';
 import type { PeerAnswer } from './peer-answer.js';
+import { chooseReplica } from './server-choice.js';
 
 /**
  * Limit on attempts that backend servers refuse; these do not count towards the route's maximum.
@@ -125,7 +126,8 @@
 
   /** Chooses the backend server with the lowest expected time, weighted by load and data centre. */
   #chooseServer(): FleetServer | undefined {
-    const { fleet, outlierEjection, callTimes, dataCentre, serverLimits } = this.#context;
+    const { fleet, outlierEjection, callTimes, dataCentre, serverLimits, serverPace } =
+      this.#context;
     const servers = fleet
       .listForService(this.#request.service.name)
       .filter(({ entry }) => !this.#triedServerIds.has(entry.id))
@@ -135,25 +137,7 @@
     // When all are ejected, a request that may be repeated is still tried on one of them.
     const reachable =
       notEjected.length > 0 || !isIdempotent(this.#request.route) ? notEjected : servers;
-    const staying = reachable.filter(({ isLeavingByPeer }) => !isLeavingByPeer);
-    const eligible = staying.length > 0 ? staying : reachable;
-    let best: FleetServer | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    eligible.forEach((server) => {
-      const { id, slots } = server.entry;
-      const knownRequests = server.ownLoad.requests + server.peerLoad.requests;
-      const activeRequests = Math.max(knownRequests, callTimes.reportedLoad(id));
-      const isInSameDataCentre = server.entry.dataCentre === dataCentre;
-      const slotUse = (activeRequests + 1) / Math.max(1, slots);
-      const cost =
-        callTimes.expectedMilliseconds(id) *
-        (1 + slotUse * slotUse * 2) *
-        (isInSameDataCentre ? 1 : 1.02);
-      if (cost >= bestCost) return;
-      bestCost = cost;
-      best = server;
-    });
-    return best;
+    return chooseReplica({ replicas: reachable, dataCentre, callTimes, serverPace });
   }
 
   /**
--- a/src/relay/stream-attempt.test.ts
+++ b/src/relay/stream-attempt.test.ts
@@ -45,6 +45,7 @@
         metrics: { countEvent: () => undefined },
         stallDetector: { add: () => undefined, remove: () => undefined },
         fleet: { find: () => undefined },
+        serverPace: { recordAnswer: () => undefined, recordFailure: () => undefined },
       } as unknown as EntryContext,
       request: {
         signal: new AbortController().signal,
--- a/src/relay/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -5,7 +5,9 @@
  */
 import { startPatientTimer } from '../common/patient-timer.js';
 import type { FleetServer } from '../fleet/fleet-server.js';
+import { recordAcceptance } from '../fleet/server-availability.js';
 import type { CallerStream } from './caller-stream.js';
+import { ChainPace } from './chain-pace.js';
 import type { ChainSelector, EngineChain } from './chain-selector.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import type { EntryRequest } from '../entry/entry-request.js';
@@ -86,6 +88,8 @@
 
   readonly #controller: AbortController;
 
+  readonly #pace: ChainPace;
+
   #release: () => void;
 
   #replacement: StreamReplacement | undefined;
@@ -112,6 +116,12 @@
     this.firstEventTimeoutMilliseconds = getFirstEventTimeout(request.route.targetMilliseconds);
     this.#controller = options.begun?.controller ?? new AbortController();
     this.#release = options.release;
+    this.#pace = new ChainPace({
+      serverPace: options.context.serverPace,
+      chain,
+      targetMilliseconds: request.route.targetMilliseconds,
+      hasBegun: options.begun !== undefined,
+    });
   }
 
   get requestId(): string {
@@ -132,9 +142,12 @@
     try {
       const result = await this.#relay();
       if (this.#replacedBy) discard(this.#replacedBy);
+      this.#pace.recordEnd(result);
       return result;
     } catch (error) {
-      return this.#classifyError(error);
+      const result = this.#classifyError(error);
+      this.#pace.recordEnd(result);
+      return result;
     } finally {
       this.#hasEnded = true;
       this.#release();
@@ -157,6 +170,11 @@
     this.#replacement = undefined;
   }
 
+  recordFirstEvent(): void {
+    this.chain.forEach(recordAcceptance);
+    this.#pace.recordFirstEvent(this.chain);
+  }
+
   /** Tries another chain beside this one, since the first event is late. */
   retryElsewhere(): void {
     const { chain, tryTakeLateRetry } = this.#options;
--- a/src/relay/stream-exchange.ts
+++ b/src/relay/stream-exchange.ts
@@ -12,7 +12,7 @@
 import type { AnswerDelimiter } from '../evidence/answer-end.js';
 import { assertWhole, assertWholeFromPeer, UnprovedAnswerError } from '../evidence/whole-answer.js';
 import type { FleetServer } from '../fleet/fleet-server.js';
-import { recordAcceptance, recordRefusal } from '../fleet/server-availability.js';
+import { recordRefusal } from '../fleet/server-availability.js';
 import { getProcessKey, type ServerEntry } from '../fleet/server-entry.js';
 import { readAnswer, readChunks } from './backend-request.js';
 import type { CallerStream } from './caller-stream.js';
@@ -60,6 +60,8 @@
   hasEvents: boolean;
   /** Notes that a piece of the stream arrived or was read by the caller. */
   recordProgress(): void;
+  /** Notes that the attempt's first event has passed its engines. */
+  recordFirstEvent(): void;
 }
 
 /** Options of {@link StreamExchange}. */
@@ -196,7 +198,7 @@
       // A piece of the stream has passed all its engines.
       stream.chain.forEach(({ entry }) => outlierEjection.recordLife(entry.id));
       if (events.bytes.length > 0) {
-        if (!this.#writingTime.hasBegun) stream.chain.forEach(recordAcceptance);
+        if (!this.#writingTime.hasBegun) stream.recordFirstEvent();
         const arrivedAt = performance.now();
         this.#writingTime.recordEvents(chunks.beganAt ?? arrivedAt, arrivedAt);
         stream.hasEvents = true;
--- a/tools/chain-load-replay.ts
+++ b/tools/chain-load-replay.ts
@@ -167,6 +167,7 @@
       fleet,
       linkLoad,
       outlierEjection: { isEjected: () => false, counts: {} },
+      serverPace: { isAtWindow: () => false, begin: () => () => undefined },
       logs: () => log,
     } as unknown as EntryContext;
     const budget = new RetryBudget({
