--- a/src/daemon/own-record.ts
+++ b/src/daemon/own-record.ts
@@ -33,6 +33,7 @@
   | 'leaving'
   | 'retries'
   | 'limits'
+  | 'windows'
 >;
 
 /** Options of {@link OwnRecord}. */
--- a/src/daemon/peer-observations.test.ts
+++ b/src/daemon/peer-observations.test.ts
@@ -28,7 +28,7 @@
   let aliveRecords: PeerRecord[] = [createPeerRecord('peer', { loads: { a: [6, 100] } })];
   const observations = new PeerObservations({
     dataCentre: 'z',
-    servers: { fleet } as ServerComponents,
+    servers: { fleet, serverPace: { observe: () => undefined } } as unknown as ServerComponents,
     peers: {
       get aliveRecords() {
         return aliveRecords;
--- a/src/daemon/peer-observations.ts
+++ b/src/daemon/peer-observations.ts
@@ -39,11 +39,12 @@
   /** Acts on a new record of a peer. */
   accept(record: PeerRecord): void {
     const { servers, storeFollower } = this.#options;
-    const { outlierEjection, evidenceChanges, serverLimits, accountShares } = servers;
+    const { outlierEjection, evidenceChanges, serverLimits, accountShares, serverPace } = servers;
     outlierEjection.replacePeerEjections(record.instance, listPeerEjections(record));
     // What a newer build has sent is taken over by the exchange itself.
     if (!record.evidencePosition) evidenceChanges.merge(record);
     serverLimits.merge(record.limits ?? {});
+    serverPace.merge(record.instance, record.windows ?? {});
     this.#remoteLoads.accept(record);
     accountShares.merge(record.instance, record.accountLoads);
     storeFollower.catchUpWithPeer(record);
@@ -59,6 +60,7 @@
     this.#appliedAt = now;
     const { servers, peers } = this.#options;
     applyPeerObservations(servers.fleet, peers.aliveRecords, this.#remoteLoads.current);
+    servers.serverPace.observe();
   }
 
   /**
--- a/src/daemon/record-state.ts
+++ b/src/daemon/record-state.ts
@@ -30,6 +30,7 @@
   const { isReady, isStopping, configuration, storeFollower, lease, peers, retryBudget } = sources;
   const { fleet, outlierEjection, serverReach, crashBlame, serverLimits, accountShares } =
     sources.servers;
+  const { serverPace } = sources.servers;
   return {
     urgent: {
       isReady,
@@ -50,5 +51,6 @@
     accountLoads: accountShares.reported,
     retries: retryBudget.counts,
     limits: serverLimits.reported,
+    windows: serverPace.reported,
   };
 }
--- a/src/relay/chain-reservations.ts
+++ b/src/relay/chain-reservations.ts
@@ -3,6 +3,7 @@
  * requests that come so close together that engines and peers have not reported the ones before.
  */
 import type { EngineProfile } from '../entry/serving-configuration.js';
+import type { ServerPace } from '../fleet/server-pace.js';
 import type { DataCentreLinkLoad } from '../layers/data-centre-link-load.js';
 import type { RequestTokens } from '../layers/engine-estimates.js';
 import { describeLinkStream, listCrossings } from '../layers/priced-choice.js';
@@ -11,6 +12,7 @@
 /** Options of {@link ChainReservations}. */
 export interface ChainReservationsOptions {
   readonly linkLoad: DataCentreLinkLoad;
+  readonly serverPace: Pick<ServerPace, 'begin'>;
   readonly profile: EngineProfile;
   readonly tokens: RequestTokens;
   /** 0 for none. */
@@ -40,12 +42,16 @@
     const tokens = Math.max(0, prompt + output - recordedTokens);
     this.recordTransfer(chain, tokens, Math.max(0, prompt - recordedTokens));
     const removeFromLinks = this.#addToLinks(chain);
+    const endCounts = chain.stages.map(({ engine }) =>
+      this.#options.serverPace.begin(engine.server),
+    );
     reservations.forEach(({ load, tokenLayers }) => {
       load.requests += 1;
       load.reservedTokenLayers += tokenLayers;
     });
     return () => {
       removeFromLinks();
+      endCounts.forEach((end) => end());
       reservations.forEach(({ load, tokenLayers }) => {
         load.requests -= 1;
         load.reservedTokenLayers -= tokenLayers;
--- a/src/relay/chain-selection.ts
+++ b/src/relay/chain-selection.ts
@@ -5,7 +5,7 @@
 
 /** Which engines a chain may use besides those that are available without restriction. */
 export interface SelectionLimits {
-  /** Engines that recently refused a request for lack of room. */
+  /** Engines that recently refused a request for lack of room, and those at their windows. */
   readonly canUseFull: boolean;
   /** Engines that this request is to avoid. */
   readonly canUseAvoided: boolean;
--- a/src/relay/chain-selector.ts
+++ b/src/relay/chain-selector.ts
@@ -1,6 +1,5 @@
 /** Selects chains of engines for one streaming request and reserves its work at their engines. */
-import { getHeldLayers, type FleetServer } from '../fleet/fleet-server.js';
-import { getAvailability } from '../fleet/server-availability.js';
+import type { FleetServer } from '../fleet/fleet-server.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
 import type { Chain, ChainCandidate } from '../layers/chain-choice.js';
 import { chooseChainAtPrice } from '../layers/priced-choice.js';
@@ -18,6 +17,7 @@
   SelectionLimits,
 } from './chain-selection.js';
 import { CrossingLog } from './crossing-log.js';
+import { listEngineCandidates } from './engine-candidates.js';
 
 /** Options of {@link ChainSelector}. */
 export interface ChainSelectorOptions {
@@ -83,6 +83,9 @@
   /** Engines that failed this request or were too slow for it. */
   readonly avoidedEngineIds = new Set<string>();
 
+  /** Engines that the last choice did without, since they are at their windows. */
+  #atWindow: ReadonlySet<string> = new Set();
+
   readonly #canStartAt: (entry: ServerEntry) => boolean;
 
   readonly #crossingLog: CrossingLog;
@@ -109,6 +112,7 @@
     this.#tokens = estimateTokens(request, profile);
     this.#reservations = new ChainReservations({
       linkLoad: context.linkLoad,
+      serverPace: context.serverPace,
       profile,
       tokens: this.#tokens,
       pauseTargetMilliseconds: request.route.gapTargetMilliseconds,
@@ -117,7 +121,7 @@
   }
 
   /**
-   * Chooses a chain. Engines without room are used only where no chain exists without them, and
+   * Chooses a chain. Engines without room or at their windows are used only where no chain exists without them, and
    * engines to avoid only after that. Ejected engines are never used, except as the pinned stage.
    * Links whose share is used up serve only requests that have begun to answer: a new one would be
    * late there and make others late.
@@ -180,37 +184,21 @@
   }
 
   #chooseWithin(
-    { canUseFull, canUseAvoided, canUseBusyLinks = false }: SelectionLimits,
+    limits: SelectionLimits,
     { hasStarted, pinnedStage, reroute }: SelectedStream,
   ): Selection {
-    const { fleet, outlierEjection, dataCentre, linkLoad, logs } = this.#context;
-    const candidates: EngineCandidate[] = [];
-    const now = this.#now();
-    fleet.listForService(this.#request.service.name).forEach((server) => {
-      const { id, kind } = server.entry;
-      const layers = getHeldLayers(server);
-      const availability = getAvailability(server, now);
-      const isExcludedAsFull = availability === 'avoided' && !canUseFull;
-      const isExcludedAsAvoided = this.avoidedEngineIds.has(id) && !canUseAvoided;
-      const isExcluded =
-        availability === 'closed' ||
-        isExcludedAsAvoided ||
-        outlierEjection.isEjected(id) ||
-        isExcludedAsFull;
-      if (!layers || (isExcluded && id !== pinnedStage?.engine.id)) return;
-      candidates.push({
-        id,
-        dataCentre: server.entry.dataCentre,
-        kind,
-        layers,
-        slots: server.entry.slots,
-        runningRequests: server.ownLoad.requests + server.peerLoad.requests,
-        reservedTokenLayers:
-          server.ownLoad.reservedTokenLayers + server.peerLoad.reservedTokenLayers,
-        slowdownFactor: Math.max(server.ownSlowdownFactor, server.peerSlowdownFactor),
-        server,
-      });
+    const { canUseAvoided, canUseBusyLinks = false } = limits;
+    const { fleet, outlierEjection, serverPace, dataCentre, linkLoad, logs } = this.#context;
+    const { candidates, atWindow } = listEngineCandidates({
+      engines: fleet.listForService(this.#request.service.name),
+      limits,
+      pinnedEngineId: pinnedStage?.engine.id,
+      isAvoided: (id) => this.avoidedEngineIds.has(id),
+      isEjected: (id) => outlierEjection.isEjected(id),
+      serverPace,
+      now: this.#now(),
     });
+    this.#atWindow = atWindow;
     const { chain, decision } = chooseChainAtPrice(
       candidates,
       {
@@ -317,6 +305,7 @@
       ...(chain.highestShareUse === undefined
         ? {}
         : { highestShareUse: Math.round(100 * chain.highestShareUse) / 100 }),
+      ...(this.#atWindow.size > 0 ? { enginesAtWindow: [...this.#atWindow] } : {}),
       fleetRevision: this.#context.fleet.revision,
     };
   }
--- a/src/relay/crossing-reroute.test.ts
+++ b/src/relay/crossing-reroute.test.ts
@@ -93,6 +93,12 @@
       dataCentre: 'a',
       fleet,
       linkLoad: this.linkLoad,
+      serverPace: {
+        isAtWindow: () => false,
+        begin: () => () => undefined,
+        recordAnswer: () => undefined,
+        recordFailure: () => undefined,
+      },
       outlierEjection: { isEjected: () => false, counts: {} },
       stallDetector: { add: () => undefined, remove: () => undefined },
       serverReach: { isCut: false },
--- a/tools/admission-replay.ts
+++ b/tools/admission-replay.ts
@@ -152,6 +152,7 @@
       dataCentre: DATA_CENTRE,
       fleet,
       linkLoad,
+      serverPace: { isAtWindow: () => false, begin: () => () => undefined },
       outlierEjection,
       logs: () => log,
     } as unknown as EntryContext;
--- a/tools/chain-load-replay.ts
+++ b/tools/chain-load-replay.ts
@@ -172,6 +172,7 @@
       fleet,
       linkLoad,
       outlierEjection: { isEjected: () => false, counts: {} },
+      serverPace: { isAtWindow: () => false, begin: () => () => undefined },
       logs: () => log,
       metrics: { countEvent: () => undefined },
     } as unknown as EntryContext;
