Planner lease: write no order duration that readers reject

A reader drops an order whose duration is above 600 s, and the writer did not bound it. After a takeover the next planner would order the layers of such a load a second time. The writer now writes at most 600 s, by which the order still counts as in progress for that long.

--- a/src/layers/planner-lease-orders.test.ts
+++ b/src/layers/planner-lease-orders.test.ts
@@ -124,3 +124,11 @@
     orders: encodeLeaseOrders(2, [ORDER]),
   });
 });
+
+// The reader dropped such an order, so that the next planner ordered the same layers again.
+test('planner lease: an order with a longer duration than a reader accepts is inherited with the longest one', () => {
+  const order = { ...ORDER, durationMilliseconds: 700_000, expiresAt: NOW + 700_000 };
+  const [inherited] = decodeLeaseOrders(encodeLeaseOrders(2, [order]), 2, NOW);
+  assert.equal(inherited?.order.durationMilliseconds, 600_000);
+  assert.equal(inherited.remainingMilliseconds, 600_000);
+});
--- a/src/layers/planner-lease-orders.ts
+++ b/src/layers/planner-lease-orders.ts
@@ -12,7 +12,7 @@
   readonly expiresAt: number;
 }
 
-/** An order of the planner before this one. */
+/** An order of the previous planner. */
 export interface InheritedOrder {
   readonly order: CoverageOrder;
   readonly remainingMilliseconds: number;
@@ -26,7 +26,7 @@
 const MAXIMUM_NAME_CHARACTERS = 200;
 /** Far more than a model has layers; bounds what a reader loops over. */
 const MAXIMUM_LAYERS = 100_000;
-/** Longer than any load; bounds how long an order of another build can keep an engine out of plans. */
+/** Bounds how long an order that was read can keep an engine out of plans; a longer one counts for this long. */
 const MAXIMUM_DURATION_MILLISECONDS = 600_000;
 
 const Name = z.string().min(1).max(MAXIMUM_NAME_CHARACTERS);
@@ -63,7 +63,7 @@
       from,
       to,
       expiresAt: Math.round(expiresAt),
-      milliseconds: Math.round(durationMilliseconds),
+      milliseconds: Math.round(Math.min(durationMilliseconds, MAXIMUM_DURATION_MILLISECONDS)),
     }));
   return { term, list };
 }
