--- a/src/layers/chain-choice.ts
+++ b/src/layers/chain-choice.ts
@@ -12,6 +12,7 @@
   estimateLayerMilliseconds,
   type RequestTokens,
 } from './engine-estimates.js';
+import { computeTransferMilliseconds } from './data-centre-link-load.js';
 import { computeShareCost, computeShareUses } from './engine-share.js';
 import { isWithinModel } from './layer-ranges.js';
 
@@ -194,7 +195,10 @@
   if (request.canUseLink?.(from.dataCentre, to.dataCentre) === false)
     return Number.POSITIVE_INFINITY;
   const bits = 8 * tokens.prompt * profile.activationBytesPerToken;
-  const transferMilliseconds = bits / (1000 * profile.dataCentreLinkMegabitsPerSecond);
+  const transferMilliseconds = computeTransferMilliseconds(
+    bits,
+    profile.dataCentreLinkMegabitsPerSecond,
+  );
   const utilisation = request.linkUtilisation?.(from.dataCentre, to.dataCentre) ?? 0;
   const isBusy = utilisation >= BUSY_LINK_UTILISATION;
   if (isBusy && request.canUseBusyLinks === false) return Number.POSITIVE_INFINITY;
--- a/src/layers/coverage-gap-orders.ts
+++ b/src/layers/coverage-gap-orders.ts
@@ -10,8 +10,8 @@
 import { countLayers, countNewLayers, subtractRange } from './layer-ranges.js';
 import type { PlanConditions, PlannedEngine } from './planned-engine.js';
 
-/** How an engine gets the layers of a gap; a lower one is preferred. */
-const CHOICES = {
+/** How an engine gets the layers of a gap; a lower number is preferred. */
+const METHODS = {
   /** Extends a neighbour of the gap into its free memory. */
   neighbour: 0,
   /** Loads the layers into an engine that holds none. */
@@ -23,7 +23,7 @@
 /** A range that an engine may get. */
 interface RangeChoice {
   readonly range: LayerRange;
-  readonly choice: (typeof CHOICES)[keyof typeof CHOICES];
+  readonly method: (typeof METHODS)[keyof typeof METHODS];
 }
 
 /** An order that would load a part of a gap. */
@@ -45,7 +45,7 @@
 }
 
 /** Lists the parts of a gap that a range of `count` layers can start or end with. */
-function takeEnds({ from, to }: LayerRange, count: number): LayerRange[] {
+function listEndRanges({ from, to }: LayerRange, count: number): LayerRange[] {
   if (count <= 0) return [];
   if (count >= to - from) return [{ from, to }];
   return [
@@ -86,7 +86,7 @@
       if (!best) return { ranges, isClosed: false };
       const { engine, range } = best.order;
       ranges.push([engine.id, range]);
-      this.#use(engine, range);
+      this.#markUsed(engine, range);
       open.splice(open.indexOf(best.part), 1, ...subtractRange(best.part, range));
     }
     return { ranges, isClosed: true };
@@ -105,18 +105,18 @@
     return undefined;
   }
 
-  /** Takes an engine out of the choice, and the layers that it drops out of those that are held. */
-  #use(engine: PlannedEngine, range: LayerRange): void {
+  /** Marks an engine as used by an order; the layers that it drops no longer count as held by it. */
+  #markUsed(engine: PlannedEngine, range: LayerRange): void {
     this.#free = new Map([...this.#free].filter(([id]) => id !== engine.id));
     this.#holderCounts.change(engine, range, -1);
   }
 
   #listOrders(gap: LayerRange): GapOrder[] {
     return [...this.#free.values()].flatMap((engine) =>
-      this.#listRanges(engine, gap).map(({ range, choice }) => ({
+      this.#listRanges(engine, gap).map(({ range, method }) => ({
         engine,
         range,
-        choice,
+        method,
         missing: countNewLayers(gap, range),
         cost: layerChangeCost(engine, range, this.#conditions.profile),
       })),
@@ -127,7 +127,7 @@
     const limit = this.#conditions.layerLimit(engine);
     const { layers } = engine;
     if (!layers)
-      return takeEnds(gap, limit).map((range) => ({ range, choice: CHOICES.withoutLayers }));
+      return listEndRanges(gap, limit).map((range) => ({ range, method: METHODS.withoutLayers }));
     const isBelow = layers.to === gap.from;
     const isAbove = layers.from === gap.to;
     const added = Math.min(limit - countLayers(layers), countLayers(gap));
@@ -136,12 +136,12 @@
         ? { from: layers.from, to: gap.from + added }
         : { from: gap.to - added, to: layers.to };
     const neighbour =
-      added > 0 && (isBelow || isAbove) ? [{ range: extended, choice: CHOICES.neighbour }] : [];
+      added > 0 && (isBelow || isAbove) ? [{ range: extended, method: METHODS.neighbour }] : [];
     return [
       ...neighbour,
       ...this.#listReplacements(engine, layers, gap).map((range) => ({
         range,
-        choice: CHOICES.heldByOthers,
+        method: METHODS.heldByOthers,
       })),
     ];
   }
@@ -156,17 +156,17 @@
       ({ from, to }) =>
         (layers.to === gap.from || layers.from === gap.to) && from <= gap.from && gap.to <= to,
     );
-    return [...moved, ...takeEnds(gap, limit)].filter((range) =>
+    return [...moved, ...listEndRanges(gap, limit)].filter((range) =>
       subtractRange(layers, range).every((part) => this.#holderCounts.isHeldByOthers(engine, part)),
     );
   }
 }
 
-/** An order that closes its gap comes first, then the preferred choice, then the larger part, then the lower cost. */
+/** An order that closes its gap comes first, then the preferred method, then the larger part, then the lower cost. */
 function compareOrders(one: GapOrder, other: GapOrder): number {
   return (
     Math.sign(one.missing) - Math.sign(other.missing) ||
-    one.choice - other.choice ||
+    one.method - other.method ||
     one.missing - other.missing ||
     one.cost - other.cost
   );
--- a/src/layers/coverage-observations.ts
+++ b/src/layers/coverage-observations.ts
@@ -34,7 +34,7 @@
   /** By id of an ejected server: when it was first seen ejected, on the monotonic clock. */
   readonly #ejectedSince = new Map<string, number>();
 
-  /** By service: since when some layer has been held by no engine. */
+  /** By service: since when some layer has been neither held nor ordered anywhere. */
   readonly #gapsSince = new Map<string, number>();
 
   /** By service: the ids of its engines at the last review, and when their set last changed. */
@@ -64,7 +64,7 @@
     return 0;
   }
 
-  /** Returns for how many milliseconds some layer has been held by no engine in any data centre. */
+  /** Returns for how many milliseconds some layer has been neither held by an engine of any data centre nor ordered. */
   trackGap(service: string, engines: readonly PlannedEngine[], layerCount: number): number {
     const now = performance.now();
     const ranges = engines.flatMap(({ layers }) => layers ?? []);
--- a/src/layers/coverage-order-sender.ts
+++ b/src/layers/coverage-order-sender.ts
@@ -1,6 +1,6 @@
 /**
- * Sends placement orders to engines and follows them until they are carried out. Handles engines that are busy, pause or
- * don't answer, and a lease that runs out between its renewal and the order.
+ * Sends placement orders to engines and follows them until they are carried out. Handles engines that are busy, pause
+ * or don't answer, and a lease that runs out between its renewal and the order.
  */
 import { sleep } from '../common/clock.js';
 import { getErrorMessage } from '../common/http-client.js';
@@ -48,7 +48,8 @@
   /** Whether no order is sent to an engine's process now, as it is busy, pauses or has rejected one. */
   isPausing(processKey: string): boolean {
     const until = this.#busyUntil.get(processKey);
-    if (until === undefined || until >= performance.now()) return until !== undefined;
+    if (until === undefined) return false;
+    if (until >= performance.now()) return true;
     this.#busyUntil.delete(processKey);
     return false;
   }
@@ -98,7 +99,7 @@
       await sleep(ORDER_CHECK_INTERVAL_MILLISECONDS, signal);
       const order = orders.find(processKey, getHeldLayers(server));
       if (!order || !isSameRange(order.layers, layers)) return;
-      // Its entry shows the layers as well.
+      // The engine is not asked while it pauses; its registry entry will show the layers.
       if (isClosed(server)) return;
       try {
         const report = await reports.fetch(server, REPORT_TIMEOUT_MILLISECONDS);
--- a/src/layers/coverage-orders.ts
+++ b/src/layers/coverage-orders.ts
@@ -1,7 +1,7 @@
 /**
- * The orders that engines are carrying out, as far as this instance knows. Handles orders whose answer is lost, orders of
- * a planner that is gone, and engines that end an order without having loaded its layers: until an engine reports the
- * ordered layers, the order counts as dropping layers and not as adding any.
+ * The orders that engines are carrying out, as far as this instance knows. Handles orders whose answer is lost, orders
+ * of a planner that is gone, and engines that end an order without having loaded its layers: until an engine reports
+ * the ordered layers, the order counts as dropping layers and not as adding any.
  */
 import type { LayerRange } from '../fleet/server-entry.js';
 import { intersectRanges, isSameRange } from './layer-ranges.js';
@@ -77,7 +77,7 @@
   }
 
   /**
-   * Adds an order of the planner before this one, unless this instance knows one for the process.
+   * Adds an order of the previous planner, unless this instance knows one for the process.
    *
    * @param order - The order.
    * @param remainingMilliseconds - The time until it expires.
--- a/src/layers/coverage-round.ts
+++ b/src/layers/coverage-round.ts
@@ -1,7 +1,7 @@
 /**
- * Decides which orders of a plan a round sends. Handles several gaps at once and plans of several moves: orders that close
- * a gap go first, no order drops a layer that nobody else holds, and a service has no more loads at once than engines can
- * load at full rate, since beyond that each takes longer and none is completed in time.
+ * Decides which orders of a plan a round sends. Handles several gaps at once and plans of several moves: orders that
+ * close a gap go first, no order drops a layer that no other engine holds, and a service has no more loads at once than
+ * engines can load at full rate, since beyond that each takes longer and none is completed in time.
  */
 import type { EngineProfile } from '../entry/serving-configuration.js';
 import { selectSafeChanges, type LayerChange, type LayerHolder } from './coverage-guard.js';
@@ -69,13 +69,13 @@
     layerCount,
   );
   const closesGap = createGapTest(engines, layerCount);
-  const isFirst = ({ layers }: LayerChange): boolean =>
+  const isLackedEverywhere = ({ layers }: LayerChange): boolean =>
     lackedEverywhere.some((gap) => intersectRanges(gap, layers) !== undefined);
   const gapOrders = changes.filter((change) => closesGap(change));
   return {
     urgent: [
-      ...gapOrders.filter((change) => isFirst(change)),
-      ...gapOrders.filter((change) => !isFirst(change)),
+      ...gapOrders.filter((change) => isLackedEverywhere(change)),
+      ...gapOrders.filter((change) => !isLackedEverywhere(change)),
     ],
     others: changes.filter((change) => !closesGap(change)),
   };
@@ -92,12 +92,12 @@
   { profile, isIdle, canSpanDataCentres, ordersInProgress }: RoundConditions,
 ): CoverageRound {
   const { layerCount, concurrentLoads } = profile;
-  const busy = new Set(
+  const idsWithOrder = new Set(
     engines.filter(({ hasOrderInProgress }) => hasOrderInProgress).map(({ id }) => id),
   );
   const changes = [...planCoverage(engines, profile, isIdle, canSpanDataCentres)]
     .map(([id, layers]) => ({ id, layers }))
-    .filter(({ id }) => !busy.has(id));
+    .filter(({ id }) => !idsWithOrder.has(id));
   const isInitial = isIdle || engines.every(({ layers }) => layers === undefined);
   if (isInitial || changes.length === 0)
     return { orders: changes, heldBack: [], waiting: [], isInitial };
@@ -108,10 +108,10 @@
   const closing = selectSafeChanges(urgent, holders, conditions);
   const hasRange = new Set(engines.filter(({ layers }) => layers).map(({ id }) => id));
   const moves = others.filter(({ id }) => hasRange.has(id));
-  const fillings = others.filter(({ id }) => !hasRange.has(id));
-  // An order that is held back waits for the ones under way; filling another engine would take the load that it needs.
+  const firstRanges = others.filter(({ id }) => !hasRange.has(id));
+  // An order that is held back waits for those in progress; loading an empty engine would delay it further.
   const isAwaited = closing.heldBack.length > 0 && ordersInProgress + closing.allowed.length > 0;
-  const following = isAwaited ? moves : [...moves, ...fillings];
+  const following = isAwaited ? moves : [...moves, ...firstRanges];
   const { allowed, heldBack, beyondLimit } = selectSafeChanges(
     [...closing.allowed, ...following],
     holders,
--- a/src/layers/crossing-price.ts
+++ b/src/layers/crossing-price.ts
@@ -53,7 +53,7 @@
 export interface CrossingDecision {
   readonly outcome: CrossingOutcome;
   readonly reason: CrossingReason;
-  /** Of the dearest link that the chain crosses. */
+  /** Of the link that {@link findDecidingPrice} returns. */
   readonly price: CrossingPrice;
 }
 
@@ -68,9 +68,9 @@
   readonly own: LinkStream;
 }
 
-/** The part of a pause target that the estimates of the chain choice leave free. */
+/** The part of a pause target that `objective-choice` leaves free, see `USABLE_OBJECTIVE_SHARE` there. */
 const FREE_PAUSE_SHARE = 0.3;
-/** Transfers that may meet on a link in calm times: one under way and one behind it. */
+/** Transfers that may meet on a link that is little used: one under way and one behind it. */
 const COINCIDING_TRANSFERS = 2;
 
 /**
@@ -153,11 +153,11 @@
  *
  * @param prices - The prices of the links that a chain crosses.
  */
-export function findDearest(prices: readonly CrossingPrice[]): CrossingPrice | undefined {
+export function findDecidingPrice(prices: readonly CrossingPrice[]): CrossingPrice | undefined {
   const [first, ...others] = prices.filter(({ isFastLink }) => !isFastLink);
   if (!first) return prices[0];
   return others.reduce(
-    (dearest, price) => (computeExcess(price) > computeExcess(dearest) ? price : dearest),
+    (highest, price) => (computeExcess(price) > computeExcess(highest) ? price : highest),
     first,
   );
 }
--- a/src/layers/engine-share.ts
+++ b/src/layers/engine-share.ts
@@ -21,11 +21,12 @@
 const MEAN_MULTIPLE = 2;
 /** With fewer requests in progress, whole requests differ from the mean by more than the limit. */
 const MINIMUM_LIMIT_REQUESTS = 2;
+/** Use of the limit from which the cost rises; the rest is for chains of peers whose records have not arrived. */
+const COST_FROM_USE = 0.8;
 /**
- * Use of the limit from which the cost rises. The rest is for chains of peers whose records have not arrived.
+ * Added for each whole use above that. At the limit it is 8, which outweighs the lower cost of engines that are several
+ * times faster than the others.
  */
-const COST_FROM_USE = 0.8;
-/** Fast engines are several times faster than the others, and the cost has to exceed that well below the limit. */
 const COST_PER_USE = 40;
 /** As much as a nearly full KV cache adds, and far below what would mark a chain over capacity. */
 const MAXIMUM_COST = 40;
--- a/src/layers/group-plan.ts
+++ b/src/layers/group-plan.ts
@@ -10,7 +10,7 @@
 import { planFromScratch } from './initial-placement.js';
 import { countLayers, findUncoveredRanges } from './layer-ranges.js';
 import type { LayerLimit, PlanConditions, PlannedEngine } from './planned-engine.js';
-import { findRangeForNewEngine } from './spare-holders.js';
+import { findRangeForNewEngine, planSpareGroup } from './spare-holders.js';
 import { hasSpareMemory } from './spare-memory.js';
 
 /** Options of {@link planGroup}. */
@@ -47,7 +47,7 @@
   return positions;
 }
 
-/** Returns ranges that close the uncovered ones by moving several engines; undefined if they cannot hold every layer. */
+/** Closes the uncovered ranges by moving several engines; undefined if they cannot hold every layer. */
 function moveSeveral(
   engines: readonly PlannedEngine[],
   conditions: PlanConditions,
@@ -115,10 +115,13 @@
   const uncovered = findUncoveredRanges([...ranges.values()], profile.layerCount);
   if (uncovered.length > 0)
     closeUncovered(engines, uncovered, options).forEach((range, id) => ranges.set(id, range));
-  engines
-    .filter(({ id, hasOrderInProgress }) => !ranges.has(id) && !hasOrderInProgress)
-    .forEach((engine) => {
-      ranges.set(engine.id, findRangeForNewEngine(engine, { engines, ranges, profile }));
-    });
+  const withoutLayers = engines.filter(
+    ({ id, hasOrderInProgress }) => !ranges.has(id) && !hasOrderInProgress,
+  );
+  if (withoutLayers.length === 0) return ranges;
+  const sparePlan = planSpareGroup(engines, profile);
+  withoutLayers.forEach((engine) => {
+    ranges.set(engine.id, findRangeForNewEngine(engine, { engines, ranges, profile }, sparePlan));
+  });
   return ranges;
 }
--- a/src/layers/initial-placement.ts
+++ b/src/layers/initial-placement.ts
@@ -5,7 +5,7 @@
  */
 import type { LayerRange } from '../fleet/server-entry.js';
 import { targetLayerCount, type PlanConditions, type PlannedEngine } from './planned-engine.js';
-import { isSpareGroup, planSpareHolders } from './spare-holders.js';
+import { planSpareGroup } from './spare-holders.js';
 
 /** Spare copies of the first layer for each copy of the model, so that these may be used unevenly. */
 const FIRST_LAYER_RESERVE = 1.2;
@@ -94,7 +94,7 @@
   conditions: PlanConditions,
 ): Map<string, LayerRange> | undefined {
   const { profile } = conditions;
-  const sparePlan = isSpareGroup(engines, profile) ? planSpareHolders(engines, profile) : undefined;
+  const sparePlan = planSpareGroup(engines, profile);
   if (sparePlan) return sparePlan;
   const sized = engines.map((engine) => ({ engine, count: targetLayerCount(engine, profile) }));
   const smallestFirst = [...sized].sort((one, other) => one.count - other.count);
--- a/src/layers/layer-change-cost.ts
+++ b/src/layers/layer-change-cost.ts
@@ -11,7 +11,7 @@
 const DROP_LAYER_IN_USE_COST = 3;
 const CACHE_SHORTAGE_COST = 4;
 /** The KV cache is considered short if it serves no more than this share of the engine's slots. */
-const CACHE_SHORTAGE_SLOT_SHARE = 0.3;
+export const CACHE_SHORTAGE_SLOT_SHARE = 0.3;
 
 /**
  * Returns for how many requests at once an engine's KV cache should suffice.
--- a/src/layers/objective-choice.ts
+++ b/src/layers/objective-choice.ts
@@ -13,6 +13,7 @@
   type ChainRequest,
   type NoChain,
 } from './chain-choice.js';
+import { computeTransferMilliseconds } from './data-centre-link-load.js';
 import { estimateLayerTimes } from './engine-estimates.js';
 
 /** The objectives of a stream, in milliseconds; an objective of 0 is none. */
@@ -65,7 +66,7 @@
     if (next.dataCentre === engine.dataCentre) return;
     const utilisation = linkUtilisation?.(engine.dataCentre, next.dataCentre) ?? 0;
     const bits = 8 * tokens.prompt * profile.activationBytesPerToken;
-    const transfer = bits / (1000 * profile.dataCentreLinkMegabitsPerSecond);
+    const transfer = computeTransferMilliseconds(bits, profile.dataCentreLinkMegabitsPerSecond);
     const queued = transfer / (1 - Math.min(MAXIMUM_LINK_UTILISATION, utilisation));
     prefill += queued;
     // Transfers share the link one after another, so each event may wait for those of prompts.
--- a/src/layers/planner-lease.ts
+++ b/src/layers/planner-lease.ts
@@ -74,7 +74,7 @@
   /** The lease as it was read, with what other builds wrote. */
   #found: Record<string, unknown> = {};
 
-  /** Orders of the holder before, until they are taken. */
+  /** Orders of the previous holder, until they are taken. */
   #inheritedOrders: readonly InheritedOrder[] = [];
 
   #validUntil = Number.NEGATIVE_INFINITY;
@@ -111,7 +111,7 @@
     this.#validUntil = Number.NEGATIVE_INFINITY;
   }
 
-  /** Returns the orders that the holder before had in progress when the lease was taken over, once. */
+  /** Returns once the orders that the previous holder had in progress when the lease was taken over. */
   takeInheritedOrders(): readonly InheritedOrder[] {
     const orders = this.#inheritedOrders;
     this.#inheritedOrders = [];
@@ -228,7 +228,7 @@
     return 'held';
   }
 
-  /** A store that came back from an older copy has lost the terms that were given since; those of its new era are higher. */
+  /** A store that came back from an older copy has lost the terms given since; those of its new era are higher. */
   #chooseNewTerm(era: number): number {
     return Math.max(this.#highestTerm, era * TERMS_PER_ERA) + 1;
   }
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -48,7 +48,7 @@
  * hold no layers is planned only after its set of engines has not changed for this long.
  */
 const SETTLE_MILLISECONDS = 1000;
-/** Engines that crash are mostly back within this time, empty; what is missing after it is missing for good. */
+/** After a gap of this length all data centres are planned together; most crashed engines are back before, empty. */
 const GAP_MILLISECONDS = 8000;
 /** Added to twice the load time until an order that had no effect is sent again. */
 const ORDER_MARGIN_MILLISECONDS = 2500;
@@ -72,7 +72,7 @@
 
   readonly #observations: CoverageObservations;
 
-  /** By service: the orders that were last reported as held back or waiting, as JSON. */
+  /** By service: the orders that were last logged as held back or waiting, as JSON. */
   readonly #reportedWaiting = new Map<string, string>();
 
   constructor(options: PlannerOptions) {
@@ -123,7 +123,7 @@
       isHolderGone,
       this.#listLeaseOrders(orders.map(({ order }) => order)),
     );
-    if (leaseState === 'lost' || this.#hasRestoredOrders()) return;
+    if (leaseState === 'lost' || this.#restoreInheritedOrders()) return;
     this.#reportOrders(service, round, { ...conditions, leaseState });
     await Promise.all(
       orders.map(({ server, order }) => this.#sender.send(server, order, leaseState)),
@@ -162,8 +162,8 @@
     ];
   }
 
-  /** Takes over the orders of the planner before this one; the round without them is void if there are any. */
-  #hasRestoredOrders(): boolean {
+  /** Takes over the orders of the previous planner. Returns whether there are any, as the round was planned without. */
+  #restoreInheritedOrders(): boolean {
     const { lease, fleet, log, metrics } = this.#options;
     const inherited = lease.takeInheritedOrders();
     inherited.forEach(({ order, remainingMilliseconds }) => {
--- a/src/layers/priced-choice.ts
+++ b/src/layers/priced-choice.ts
@@ -13,7 +13,7 @@
 import {
   decideForNewRequest,
   decideForRunningStream,
-  findDearest,
+  findDecidingPrice,
   priceCrossing,
   type CrossingDecision,
   type LinkCrossing,
@@ -114,7 +114,7 @@
   const own = describeLinkStream(best, request, objectives.pauseMilliseconds);
   const { profile } = request;
   const tokens = request.tokens.prompt + generatedTokens;
-  const price = findDearest(
+  const price = findDecidingPrice(
     crossings.map((crossing) => {
       const link = describeLink(crossing.from, crossing.to);
       return priceCrossing({ crossing, link, profile, tokens, own });
--- a/src/layers/spare-holders.ts
+++ b/src/layers/spare-holders.ts
@@ -9,6 +9,7 @@
 import type { EngineProfile } from '../entry/serving-configuration.js';
 import type { LayerRange } from '../fleet/server-entry.js';
 import { findAccelerator, maximumLayerCount } from './engine-estimates.js';
+import { CACHE_SHORTAGE_SLOT_SHARE } from './layer-change-cost.js';
 import { countLayers } from './layer-ranges.js';
 import { countHolders, findLeastCachedRange, sumCachedTokens } from './least-cached-range.js';
 import { targetLayerCount, type PlannedEngine } from './planned-engine.js';
@@ -25,13 +26,11 @@
 const MINIMUM_HOLDERS = 2;
 /** The KV cache of all copies serves at least this many times the slots of one engine. */
 const MINIMUM_SLOT_MULTIPLE = 2;
-/** Below it the cost of a layer change counts the KV cache of a single engine as short. */
-const MINIMUM_SLOT_SHARE = 0.3;
 /** Fine enough that one step changes an engine's range by a layer or two. */
 const SLOT_SHARE_STEP = 0.05;
 /** The shares of its slots for which an engine may get KV cache, the highest first. */
 const SLOT_SHARES = Array.from(
-  { length: 1 + Math.round((1 - MINIMUM_SLOT_SHARE) / SLOT_SHARE_STEP) },
+  { length: 1 + Math.round((1 - CACHE_SHORTAGE_SLOT_SHARE) / SLOT_SHARE_STEP) },
   (_, index) => 1 - index * SLOT_SHARE_STEP,
 );
 /** Step between the numbers of copies that are tried. */
@@ -41,13 +40,8 @@
   return values.reduce((total, value) => total + value, 0);
 }
 
-/**
- * Whether the engines are those of one data centre with spare memory.
- *
- * @param engines - The engines that are planned together.
- * @param profile - The service's profile.
- */
-export function isSpareGroup(engines: readonly PlannedEngine[], profile: EngineProfile): boolean {
+/** Whether the engines are those of one data centre with spare memory. */
+function isSpareGroup(engines: readonly PlannedEngine[], profile: EngineProfile): boolean {
   const dataCentre = engines[0]?.dataCentre;
   if (dataCentre === undefined) return false;
   if (engines.some((engine) => engine.dataCentre !== dataCentre)) return false;
@@ -155,7 +149,7 @@
   const wantedFirstSlots = FIRST_LAYER_RESERVE * estimateDemand(engines);
   groups.slice(rows.length).forEach((rest) =>
     rest.forEach((engine) => {
-      const fitting = targetLayerCount(engine, profile, MINIMUM_SLOT_SHARE);
+      const fitting = targetLayerCount(engine, profile, CACHE_SHORTAGE_SLOT_SHARE);
       const part = (maximumLayerCount(profile, engine.kind) / memory) * copies * layerCount;
       const count = Math.max(1, Math.min(fitting, Math.round(part)));
       const options = { engines, ranges, profile, wantedHolders };
@@ -189,7 +183,7 @@
  * @param profile - The service's profile.
  * @returns The range of each engine by id; undefined if no arrangement with two holders leaves enough KV cache.
  */
-export function planSpareHolders(
+function planSpareHolders(
   engines: readonly PlannedEngine[],
   profile: EngineProfile,
 ): Map<string, LayerRange> | undefined {
@@ -201,11 +195,15 @@
     Math.min(...sumCachedTokens(engines, ranges, profile)) >= demand * requestTokens &&
     countFirstSlots(engines, ranges) >= demand;
   const sorted = sortBySpeed(engines, profile);
-  const most = countModelCopies(engines, engines[0]?.dataCentre ?? '', profile);
+  const maximumCopies = countModelCopies(engines, engines[0]?.dataCentre ?? '', profile);
   let best: Map<string, LayerRange> | undefined;
   let bestHolders = MINIMUM_HOLDERS - 1;
   // Fewer copies leave more KV cache.
-  for (let copies = most; copies >= Math.max(bestHolders, MINIMUM_HOLDERS); copies -= COPY_STEP) {
+  for (
+    let copies = maximumCopies;
+    copies >= Math.max(bestHolders, MINIMUM_HOLDERS);
+    copies -= COPY_STEP
+  ) {
     const ranges = planRows(sorted, copies, profile);
     if (ranges && isEnough(ranges)) {
       const holders = Math.min(wantedHolders, ...countHolders(ranges, layerCount));
@@ -217,12 +215,27 @@
   return best;
 }
 
+/**
+ * Plans engines as {@link planSpareHolders} does if they are those of one data centre with spare memory.
+ *
+ * @param engines - The engines that are planned together, sorted by id.
+ * @param profile - The service's profile.
+ * @returns The range of each engine by id; undefined without spare memory or an arrangement for it.
+ */
+export function planSpareGroup(
+  engines: readonly PlannedEngine[],
+  profile: EngineProfile,
+): Map<string, LayerRange> | undefined {
+  return isSpareGroup(engines, profile) ? planSpareHolders(engines, profile) : undefined;
+}
+
 /**
  * Finds the layers for an engine that comes without any, while the others keep theirs. With spare memory it gets as
  * many as it would if all were planned anew, and first those that have too few holders.
  *
  * @param engine - The engine.
  * @param options - The engines that are planned together, their ranges, and the model's profile.
+ * @param sparePlan - What {@link planSpareGroup} returns for the engines.
  * @returns The range.
  */
 export function findRangeForNewEngine(
@@ -232,11 +245,10 @@
     readonly ranges: ReadonlyMap<string, LayerRange>;
     readonly profile: EngineProfile;
   },
+  sparePlan: ReadonlyMap<string, LayerRange> | undefined,
 ): LayerRange {
   const { engines, profile } = options;
-  const planned = isSpareGroup(engines, profile)
-    ? planSpareHolders(engines, profile)?.get(engine.id)
-    : undefined;
+  const planned = sparePlan?.get(engine.id);
   if (!planned) return findLeastCachedRange(targetLayerCount(engine, profile), options);
   const wantedHolders = countWantedHolders(engines.length);
   return findLeastCachedRange(countLayers(planned), { ...options, wantedHolders });
--- a/src/relay/attempt-beside.ts
+++ b/src/relay/attempt-beside.ts
@@ -53,7 +53,7 @@
    *
    * @param firstEngine - The first engine of that attempt.
    * @param suspectedEngineIds - The engines that are suspected.
-   * @param mustStayInside - Whether another chain must stay inside a data centre if its crossing is too dear.
+   * @param mustStayInside - Whether another chain must stay inside a data centre if the price of its crossing is too high.
    */
   decide(
     firstEngine: ServerEntry,
--- a/src/relay/chain-pace.ts
+++ b/src/relay/chain-pace.ts
@@ -1,4 +1,4 @@
-/** Tells the windows of a chain's engines how an attempt of a stream went. */
+/** Records how an attempt of a stream went in the slow-start windows of its engines. */
 import type { FleetServer } from '../fleet/fleet-server.js';
 import type { ServerPace } from '../fleet/server-pace.js';
 import type { EngineChain } from './chain-selector.js';
@@ -9,7 +9,7 @@
   readonly chain: Pick<EngineChain, 'stages'>;
   /** The route's target for the first event; 0 for none. */
   readonly targetMilliseconds: number;
-  /** Whether the exchange was begun by an earlier attempt, so that its time isn't known here. */
+  /** Whether the exchange began as a replacement of an earlier attempt, so that its start isn't known here. */
   readonly hasBegun: boolean;
   readonly now?: () => number;
 }
@@ -42,7 +42,7 @@
   recordEnd({ kind, engineIdsToAvoid = [] }: EndedAttempt): void {
     const { serverPace, chain } = this.#options;
     const engines = chain.stages.map(({ engine }) => engine.server);
-    // It was replaced because its first event did not come.
+    // Without a first event it was replaced because that was late.
     if (kind === 'replaced' && !this.#hasAnswered) this.#recordAnswer(engines);
     if (kind !== 'notRun' && kind !== 'broken') return;
     const reason = kind === 'notRun' ? 'refused' : 'failed';
--- a/src/relay/chain-selector.ts
+++ b/src/relay/chain-selector.ts
@@ -1,8 +1,8 @@
 /** Selects chains of engines for one streaming request and reserves its work at their engines. */
 import type { FleetServer } from '../fleet/fleet-server.js';
 import type { ServerEntry } from '../fleet/server-entry.js';
-import type { Chain, ChainCandidate } from '../layers/chain-choice.js';
-import { chooseChainAtPrice } from '../layers/priced-choice.js';
+import type { Chain, ChainCandidate, ChainRequest } from '../layers/chain-choice.js';
+import { chooseChainAtPrice, type PricedStream } from '../layers/priced-choice.js';
 import type { RequestTokens } from '../layers/engine-estimates.js';
 import type { StageAddress } from '../entry/protocol-adapter.js';
 import type { EntryContext } from '../entry/entry-context.js';
@@ -18,6 +18,7 @@
 } from './chain-selection.js';
 import { CrossingLog } from './crossing-log.js';
 import { listEngineCandidates } from './engine-candidates.js';
+import { estimateTokens } from './request-tokens.js';
 
 /** Options of {@link ChainSelector}. */
 export interface ChainSelectorOptions {
@@ -42,21 +43,6 @@
 /** Random cost of a starting data centre, so that instances do not all choose the same one. */
 const START_JITTER_MILLISECONDS = 80;
 
-/**
- * Estimates the tokens of a request.
- *
- * @param request - The request, which may state them.
- * @param profile - The usual lengths.
- */
-export function estimateTokens(request: EntryRequest, profile: EngineProfile): RequestTokens {
-  const { promptTokens, maximumOutputTokens, expectedOutputTokens } = request.metadata;
-  const outputTokens = expectedOutputTokens ?? profile.typicalOutputTokens;
-  return {
-    prompt: promptTokens ?? profile.typicalPromptTokens,
-    output: Math.min(outputTokens, maximumOutputTokens ?? outputTokens),
-  };
-}
-
 /**
  * Lists the stages of a chain as the protocol names them.
  *
@@ -183,16 +169,13 @@
     return other.chain ? other : selection;
   }
 
-  #chooseWithin(
-    limits: SelectionLimits,
-    { hasStarted, pinnedStage, reroute }: SelectedStream,
-  ): Selection {
+  #chooseWithin(limits: SelectionLimits, stream: SelectedStream): Selection {
     const { canUseAvoided, canUseBusyLinks = false } = limits;
-    const { fleet, outlierEjection, serverPace, dataCentre, linkLoad, logs } = this.#context;
+    const { fleet, outlierEjection, serverPace, logs } = this.#context;
     const { candidates, atWindow } = listEngineCandidates({
       engines: fleet.listForService(this.#request.service.name),
       limits,
-      pinnedEngineId: pinnedStage?.engine.id,
+      pinnedEngineId: stream.pinnedStage?.engine.id,
       isAvoided: (id) => this.avoidedEngineIds.has(id),
       isEjected: (id) => outlierEjection.isEjected(id),
       serverPace,
@@ -201,30 +184,8 @@
     this.#atWindow = atWindow;
     const { chain, decision } = chooseChainAtPrice(
       candidates,
-      {
-        profile: this.#profile,
-        tokens: this.#tokens,
-        ...(pinnedStage ? { pinnedStage } : { canStartAt: (id: string) => this.#canStartAtId(id) }),
-        linkUtilisation: (from, to) => linkLoad.estimateUtilisation(from, to),
-        canUseBusyLinks,
-        costNoise: () => 1 + COST_NOISE_SHARE * (2 * this.#random() - 1),
-        startPenaltyMilliseconds: (startDataCentre) =>
-          (startDataCentre === dataCentre ? 0 : REMOTE_START_PENALTY_MILLISECONDS) +
-          this.#random() * START_JITTER_MILLISECONDS,
-      },
-      {
-        objectives: {
-          firstEventMilliseconds: this.#request.route.targetMilliseconds,
-          pauseMilliseconds: this.#request.route.gapTargetMilliseconds,
-        },
-        homeDataCentre: pinnedStage?.engine.dataCentre ?? dataCentre,
-        describeLink: (from, to) => linkLoad.describe(from, to),
-        hasBegun: hasStarted,
-        generatedTokens: this.#countGeneratedTokens(reroute?.lastEventId),
-        oldStages: reroute?.chain.stages,
-        // A stream without a first stage to keep is being resumed; it crosses where it can't stay inside.
-        isResumeImpossible: reroute?.isResumeImpossible ?? true,
-      },
+      this.#createChainRequest(canUseBusyLinks, stream.pinnedStage),
+      this.#describeStream(stream),
     );
     if ('missingLayer' in chain) {
       const none = { chain: undefined, ...(decision && { decision }) };
@@ -241,6 +202,44 @@
     return { chain, ...(decision && { decision }) };
   }
 
+  /** The request and the conditions on its chain. */
+  #createChainRequest(
+    canUseBusyLinks: boolean,
+    pinnedStage: SelectedStream['pinnedStage'],
+  ): ChainRequest {
+    const { dataCentre, linkLoad } = this.#context;
+    return {
+      profile: this.#profile,
+      tokens: this.#tokens,
+      ...(pinnedStage ? { pinnedStage } : { canStartAt: (id: string) => this.#canStartAtId(id) }),
+      linkUtilisation: (from, to) => linkLoad.estimateUtilisation(from, to),
+      canUseBusyLinks,
+      costNoise: () => 1 + COST_NOISE_SHARE * (2 * this.#random() - 1),
+      startPenaltyMilliseconds: (startDataCentre) =>
+        (startDataCentre === dataCentre ? 0 : REMOTE_START_PENALTY_MILLISECONDS) +
+        this.#random() * START_JITTER_MILLISECONDS,
+    };
+  }
+
+  /** What the price of a crossing depends on. */
+  #describeStream({ hasStarted, pinnedStage, reroute }: SelectedStream): PricedStream {
+    const { dataCentre, linkLoad } = this.#context;
+    const { targetMilliseconds, gapTargetMilliseconds } = this.#request.route;
+    return {
+      objectives: {
+        firstEventMilliseconds: targetMilliseconds,
+        pauseMilliseconds: gapTargetMilliseconds,
+      },
+      homeDataCentre: pinnedStage?.engine.dataCentre ?? dataCentre,
+      describeLink: (from, to) => linkLoad.describe(from, to),
+      hasBegun: hasStarted,
+      generatedTokens: this.#countGeneratedTokens(reroute?.lastEventId),
+      oldStages: reroute?.chain.stages,
+      // A stream without a first stage to keep is being resumed; it crosses where it can't stay inside.
+      isResumeImpossible: reroute?.isResumeImpossible ?? true,
+    };
+  }
+
   /** Estimates how many tokens of the answer the engines have generated. */
   #countGeneratedTokens(lastEventId: number | undefined): number {
     return lastEventId === undefined ? 0 : (lastEventId + 1) * this.#profile.tokensPerEvent;
@@ -281,7 +280,7 @@
    *
    * @param ids - The engines to avoid.
    * @param hasStarted - Whether the caller has received events of the stream.
-   * @param mustStayInside - Whether a chain that crosses at too high a price doesn't count for a stream that has begun.
+   * @param mustStayInside - Whether a chain that crosses at too high a price is no alternative for a stream that has begun.
    * @returns Whether they are avoided now.
    */
   avoidIfPossible(ids: readonly string[], hasStarted = false, mustStayInside = false): boolean {
@@ -289,8 +288,8 @@
     newIds.forEach((id) => this.avoidedEngineIds.add(id));
     const limits = { canUseFull: false, canUseAvoided: false };
     const { chain, decision } = this.#chooseWithin(limits, { hasStarted });
-    const isTooDear = mustStayInside && decision?.reason === 'cannot_resume';
-    if (chain && !chain.isOverCapacity && !isTooDear) return true;
+    const isTooExpensive = mustStayInside && decision?.reason === 'cannot_resume';
+    if (chain && !chain.isOverCapacity && !isTooExpensive) return true;
     newIds.forEach((id) => this.avoidedEngineIds.delete(id));
     return false;
   }
--- a/src/relay/engines-at-window.ts
+++ b/src/relay/engines-at-window.ts
@@ -1,6 +1,6 @@
 /**
- * Finds the engines at their windows that a chain can do without. Handles engines that have just started and are the only
- * holders of some layer: they are used whatever their windows are, so that coverage doesn't depend on windows.
+ * Finds the engines at their windows that a chain can do without. Handles engines that have just started and are the
+ * only holders of some layer: they are used whatever their windows are, so that coverage doesn't depend on windows.
  */
 import { getHeldLayers, type FleetServer } from '../fleet/fleet-server.js';
 import type { LayerRange } from '../fleet/server-entry.js';
--- a/src/relay/stream-attempt.ts
+++ b/src/relay/stream-attempt.ts
@@ -13,6 +13,7 @@
 import type { EntryRequest } from '../entry/entry-request.js';
 import type { SuspicionDecision } from '../evidence/exchange-suspicion.js';
 import type { WatchedStream } from '../evidence/stall-detector.js';
+import { RecheckDelay } from './recheck-delay.js';
 import type { AttemptResult, RelayedStream, StreamExchange } from './stream-exchange.js';
 import {
   discard,
@@ -36,7 +37,7 @@
   readonly begun?: BegunStream | undefined;
   /**
    * Decides on the suspicion that some engines have stalled; told whether another chain must stay inside a data centre
-   * if its crossing is too dear.
+   * if the price of its crossing is too high.
    */
   readonly decide: (
     suspectedEngineIds: readonly string[],
@@ -59,9 +60,6 @@
  * Share of the route's target time after which a first event is late and another chain is tried.
  */
 const FIRST_EVENT_TIMEOUT_SHARE = 0.7;
-/** A stream that stayed open is looked at again after this long, and each time after twice as long. */
-const FIRST_RECHECK_MILLISECONDS = 300;
-const MAXIMUM_RECHECK_MILLISECONDS = 1200;
 /** A replacement that has not begun after this long beside an open attempt is given up. */
 const REPLACEMENT_TIMEOUT_MILLISECONDS = 2000;
 
@@ -112,9 +110,7 @@
 
   #hasEnded = false;
 
-  #recheckAt = 0;
-
-  #recheckMilliseconds = FIRST_RECHECK_MILLISECONDS;
+  readonly #recheckDelay = new RecheckDelay();
 
   readonly #suspectedEngineIds = new Set<string>();
 
@@ -202,7 +198,7 @@
    * @param suspectedEngineIds - The engines; empty if the first engine didn't name one that is known.
    */
   routeAround(suspectedEngineIds: readonly string[]): void {
-    if (this.#isRerouting || this.#replacement || performance.now() < this.#recheckAt) return;
+    if (this.#isRerouting || this.#replacement || this.#recheckDelay.isInEffect) return;
     this.#isRerouting = true;
     void this.#reroute(suspectedEngineIds).finally(() => {
       this.#isRerouting = false;
@@ -225,7 +221,7 @@
       });
     const isSilent = (): boolean => !this.#hasEnded && this.lastProgressAt <= suspectedAt;
     let result = await reroute(false);
-    if (result.kind === 'tooDear' && caller.hasStarted) {
+    if (result.kind === 'tooExpensive' && caller.hasStarted) {
       if (!isSilent()) return;
       const decision = this.#actOnSuspicion(suspectedEngineIds, suspectedEngineIds[0], true);
       if (decision !== 'wait') return;
@@ -243,12 +239,11 @@
     this.#engineChain = chain;
     this.chain = listServers(chain);
     this.lastProgressAt = performance.now();
-    this.#recheckAt = 0;
-    this.#recheckMilliseconds = FIRST_RECHECK_MILLISECONDS;
+    this.#recheckDelay.reset();
   }
 
   /**
-   * @param mustStayInside - Whether another chain must stay inside a data centre if its crossing is too dear.
+   * @param mustStayInside - Whether another chain must stay inside a data centre if its price is too high.
    * @returns What was decided; undefined for a request that is over.
    */
   #actOnSuspicion(
@@ -275,11 +270,11 @@
       this.#suspectedAtEnd = suspectedEngineIds;
       this.#controller.abort();
     } else if (decision.kind === 'tryBeside') void this.#replace(silentEngineId);
-    else this.#delayRecheck();
+    else this.#recheckDelay.extend();
     return decision.kind;
   }
 
-  /** Tries another attempt beside this one, which ends once the other has begun to answer. */
+  /** Starts another attempt beside this one, which ends once the other has begun to answer. */
   async #replace(silentEngineId: string | undefined): Promise<void> {
     const replacement = this.#options.startReplacement(silentEngineId);
     this.#replacement = replacement;
@@ -297,15 +292,7 @@
     if (begun) {
       this.#replacedBy = begun;
       this.#controller.abort();
-    } else this.#delayRecheck();
-  }
-
-  #delayRecheck(): void {
-    this.#recheckAt = performance.now() + this.#recheckMilliseconds;
-    this.#recheckMilliseconds = Math.min(
-      MAXIMUM_RECHECK_MILLISECONDS,
-      2 * this.#recheckMilliseconds,
-    );
+    } else this.#recheckDelay.extend();
   }
 
   #recordStall(engineId: string | undefined): void {
--- a/src/relay/stream-reroute.ts
+++ b/src/relay/stream-reroute.ts
@@ -30,7 +30,7 @@
   /** It is not known to have been rerouted. */
   | { readonly kind: 'impossible' }
   /** Each reroute would cross a link at too high a price. */
-  | { readonly kind: 'tooDear' };
+  | { readonly kind: 'tooExpensive' };
 
 /** Why a stream cannot be rerouted, as in the log and in the metrics. */
 type Obstacle =
@@ -68,7 +68,7 @@
       lastEventId,
     });
     metrics.countEvent(`reroute_impossible_${obstacle}`);
-    return { kind: obstacle === 'crossing_too_dear' ? 'tooDear' : 'impossible' };
+    return { kind: obstacle === 'crossing_too_dear' ? 'tooExpensive' : 'impossible' };
   };
   const [pinnedStage] = chain.stages;
   if (!pinnedStage || faultyEngineIds.length === 0) return giveUp('fault_unknown');
--- a/src/relay/stream-way.ts
+++ b/src/relay/stream-way.ts
@@ -1,13 +1,14 @@
 /**
- * Finds how a stream goes on: over a chain of engines, or over a peer while this instance reaches no server. What
- * has not begun is told at once that there is none; a stream that has begun waits. Handles losses that leave no
+ * Finds how a stream goes on: over a chain of engines, or over a peer while this instance reaches no server. If there
+ * is no way, a request that has not begun ends at once, and a stream that has begun waits. Handles losses that leave no
  * room for a while.
  */
 import type { AdmissionRefusal } from '../admission/admission-control.js';
 import type { CallerStream } from './caller-stream.js';
-import { estimateTokens, type ChainSelector, type EngineChain } from './chain-selector.js';
+import type { ChainSelector, EngineChain } from './chain-selector.js';
 import type { EntryContext } from '../entry/entry-context.js';
 import type { EntryRequest } from '../entry/entry-request.js';
+import { estimateTokens } from './request-tokens.js';
 import type { StreamLimits } from './stream-limits.js';
 
 /** A chain, which is reserved. */
--- a/src/relay/waiting-streams.ts
+++ b/src/relay/waiting-streams.ts
@@ -1,7 +1,7 @@
 /**
  * Streams that have begun, whose run has ended, and that wait for room at engines or for a retry of the budget.
- * Those of the most urgent class are served first, among them the one with the least time left, and all of them before requests that arrive. Handles the loss
- * of engines that leaves no room for a while: whoever looks at the right moment took the room, mostly a new request.
+ * They are served by class, then by the time that they have left, and before requests that arrive. Handles a loss of
+ * engines that leaves no room for a while: without an order, new requests take most of the room that becomes free.
  */
 
 import { getErrorMessage } from '../common/http-client.js';
