Admission, slow start, evidence exchange: plainer comments and names

Change: comments and private names only, with two extractions that keep the behaviour: addReported in account-shares, and measureShare in the replay of slow start, which was part of a function that registers the server.

--- a/src/admission/account-shares.ts
+++ b/src/admission/account-shares.ts
@@ -8,14 +8,14 @@
 
 /**
  * By service and priority: all requests in progress of client accounts, and those of the accounts with the most. Lists
- * and not maps, since an account may be named like what each object inherits.
+ * rather than maps, since an account may have the name of an inherited property, such as `constructor`.
  */
 export const AccountLoads = z.array(
   z.tuple([z.string(), Amount, Amount, z.array(z.tuple([z.string(), Amount]))]),
 );
 export type AccountLoads = z.infer<typeof AccountLoads>;
 
-/** Whose load is meant. */
+/** Identifies the load of one client account in one class. */
 export interface AccountKey {
   readonly service: string;
   readonly priority: number;
@@ -39,13 +39,13 @@
   readonly accounts: Map<string, number>;
 }
 
-/** Accounts in a record. With all 1,900 accounts of a large deployment it would be several times as long. */
+/** Accounts in a record, which all 1,900 accounts of a large deployment would make several times as long. */
 const MAXIMUM_REPORTED_ACCOUNTS = 16;
 /** Accounts that are read from a record, which a newer build may have written. */
 const MAXIMUM_READ_ACCOUNTS = 64;
-/** Loads that a peer reported longer ago say nothing of the present. */
+/** Loads that a peer reported longer ago are ignored, since these requests may have ended. */
 const MAXIMUM_AGE_MILLISECONDS = 3000;
-/** The sum over all peers is made anew after this long; with 380 instances it takes about a millisecond. */
+/** How long the sum over all peers is reused; with 380 instances computing it takes about a millisecond. */
 const SUM_INTERVAL_MILLISECONDS = 250;
 /** An account may use this many times the mean of the others before it is over its share. */
 const FAIR_SHARE_FACTOR = 2;
@@ -66,6 +66,19 @@
   else load.accounts.delete(key.account);
 }
 
+/** Adds what one peer reported, as far as the bound on the accounts that are read allows. */
+function addReported(loads: Map<string, ClassLoad>, reported: AccountLoads): void {
+  let readAccounts = 0;
+  reported.slice(0, MAXIMUM_READ_ACCOUNTS).forEach(([service, priority, total, accounts]) => {
+    const read = accounts.slice(0, Math.max(0, MAXIMUM_READ_ACCOUNTS - readAccounts));
+    readAccounts += read.length;
+    read.forEach(([account, requests]) => add(loads, { service, priority, account }, requests));
+    const classLoad = loads.get(toClassKey({ service, priority }));
+    const named = read.reduce((sum, [, requests]) => sum + requests, 0);
+    if (classLoad) classLoad.total += Math.max(0, total - named);
+  });
+}
+
 export class AccountShares {
   readonly #now: () => number;
 
@@ -81,9 +94,9 @@
 
   #sum: {
     readonly loads: ReadonlyMap<string, ClassLoad>;
-    readonly madeAt: number;
+    readonly computedAt: number;
     readonly oldestAt: number | undefined;
-  } = { loads: new Map(), madeAt: Number.NEGATIVE_INFINITY, oldestAt: undefined };
+  } = { loads: new Map(), computedAt: Number.NEGATIVE_INFINITY, oldestAt: undefined };
 
   #newestRecordAt = Number.NEGATIVE_INFINITY;
 
@@ -156,7 +169,7 @@
     const total = (own?.total ?? 0) + (peers?.total ?? 0);
     const names = new Set([...(own?.accounts.keys() ?? []), ...(peers?.accounts.keys() ?? [])]);
     names.delete(key.account);
-    // Accounts that records leave out are in the total only, so the mean is rather too high than too low.
+    // Accounts that records leave out are in the total only, so the mean may be too high.
     const meanOfOthers = names.size > 0 ? (total - load) / names.size : 0;
     const isOver =
       names.size > 0 && load >= MINIMUM_OVER_LOAD && load > FAIR_SHARE_FACTOR * meanOfOthers;
@@ -173,7 +186,7 @@
     readonly oldestAt: number | undefined;
   } {
     const now = this.#now();
-    if (now - this.#sum.madeAt < SUM_INTERVAL_MILLISECONDS) return this.#sum;
+    if (now - this.#sum.computedAt < SUM_INTERVAL_MILLISECONDS) return this.#sum;
     const loads = new Map<string, ClassLoad>();
     let oldestAt: number | undefined;
     this.#peers.forEach((peer, instance) => {
@@ -182,17 +195,9 @@
         return;
       }
       oldestAt = Math.min(oldestAt ?? now, peer.receivedAt);
-      let readAccounts = 0;
-      peer.loads.slice(0, MAXIMUM_READ_ACCOUNTS).forEach(([service, priority, total, accounts]) => {
-        const read = accounts.slice(0, Math.max(0, MAXIMUM_READ_ACCOUNTS - readAccounts));
-        readAccounts += read.length;
-        read.forEach(([account, requests]) => add(loads, { service, priority, account }, requests));
-        const classLoad = loads.get(toClassKey({ service, priority }));
-        const named = read.reduce((sum, [, requests]) => sum + requests, 0);
-        if (classLoad) classLoad.total += Math.max(0, total - named);
-      });
+      addReported(loads, peer.loads);
     });
-    this.#sum = { loads, madeAt: now, oldestAt };
+    this.#sum = { loads, computedAt: now, oldestAt };
     return this.#sum;
   }
 }
--- a/src/admission/admission-control.ts
+++ b/src/admission/admission-control.ts
@@ -59,7 +59,7 @@
   readonly request: AdmissionRequest;
   /** The server that was chosen. */
   readonly server: FleetServer;
-  /** All that could have been. */
+  /** All servers that could have been chosen. */
   readonly servers: readonly FleetServer[];
 }
 
@@ -87,7 +87,7 @@
   readonly computeTakenPlaces: () => number;
 }
 
-/** Asked of the most urgent callers of calls, like those of calls that servers refuse. */
+/** `Retry-After` of the most urgent class, before it is spread; the same as for calls that servers refuse. */
 const CALL_RETRY_AFTER_SECONDS = 0.3;
 
 function round(value: number | undefined): number | undefined {
--- a/src/admission/admission-decision.ts
+++ b/src/admission/admission-decision.ts
@@ -20,7 +20,7 @@
 
 export type RefusalCode = 'reserved_for_priority' | 'account_over_share' | 'not_in_time';
 
-/** What becomes of a request. */
+/** Whether a request is admitted, and the limit that decided. */
 export type AdmissionDecision =
   | { readonly kind: 'admit'; readonly limit: number }
   | { readonly kind: 'refuse'; readonly code: RefusalCode; readonly limit: number };
@@ -88,7 +88,7 @@
   if (pressure.value <= lowestLimit || takenPlaces() < MINIMUM_TAKEN_PLACES)
     return { kind: 'admit', limit };
   if (pressure.value > limit) return { kind: 'refuse', code: 'reserved_for_priority', limit };
-  // An account over its share is treated as one class less urgent: the next class is never served before it.
+  // An account over its share has the limit of the next less urgent class, so that the order of classes holds.
   const shareLimit = computeClassLimit({ index: Math.min(index + 1, count - 1), count });
   if (pressure.value > shareLimit && isOverShare())
     return { kind: 'refuse', code: 'account_over_share', limit: shareLimit };
--- a/src/admission/pressure.ts
+++ b/src/admission/pressure.ts
@@ -7,7 +7,7 @@
 import { estimateStreamTimes } from '../layers/objective-choice.js';
 import type { EngineProfile } from '../entry/serving-configuration.js';
 
-/** What runs short. */
+/** A resource that limits how many requests can run. */
 export type Resource = 'cache' | 'slots' | 'pause';
 
 /** The pressure if a request were admitted. */
@@ -74,8 +74,8 @@
 }
 
 /**
- * Computes the pressure on a chain with the request on it. Of six slots, a limit on what is in use without the
- * request would leave one or none to more urgent ones.
+ * Computes the pressure on a chain, with the request included: with six slots a request is a sixth of them, so a limit on
+ * the use without it would leave one slot or none to more urgent requests.
  *
  * @param chain - The chain that was chosen for a request.
  * @param request - The request that it was chosen for.
@@ -103,8 +103,8 @@
 }
 
 /**
- * Computes the share of the places that is taken of all engines that could run a stage of the chain: a full engine
- * beside an empty one with the same layers is a matter of the choice and not a shortage.
+ * Computes the share of the places that is taken of all engines that could run a stage of the chain: while one
+ * of them is full and another with the same layers is empty, there is no shortage.
  *
  * @param chain - The chain that was chosen for a request.
  * @param engines - All engines of the service that may be used.
--- a/src/admission/priority-classes.ts
+++ b/src/admission/priority-classes.ts
@@ -1,6 +1,6 @@
 /**
- * Tells which priority classes a service has. Admission control acts only where there are several: with one class
- * no request is worth more than another, and the service is served as without it.
+ * Tells which priority classes a service has. Admission control by priority acts only on services with several,
+ * since requests of one class have no order among them.
  */
 import type { EntryRequest } from '../entry/entry-request.js';
 import type { Route, ServingConfiguration } from '../entry/serving-configuration.js';
@@ -13,10 +13,10 @@
   readonly count: number;
 }
 
-/** The least urgent of the ten degrees that backend servers know. */
+/** The least urgent of the ten priorities that backend servers know. */
 const LEAST_URGENT = 9;
 
-function toDegree(priority: number): number {
+function clampPriority(priority: number): number {
   return Math.max(0, Math.min(LEAST_URGENT, priority));
 }
 
@@ -26,7 +26,7 @@
  * @param request - Its route, and its client account, whose own priority takes precedence.
  */
 export function getPriority({ account, route }: Pick<EntryRequest, 'account' | 'route'>): number {
-  return toDegree(account?.priority ?? route.priority);
+  return clampPriority(account?.priority ?? route.priority);
 }
 
 function listRoutePriorities(
@@ -34,7 +34,7 @@
   { accounts, hasAccounts }: ServingConfiguration,
 ): readonly number[] {
   // Requests to public routes have no client account.
-  if (route.isPublic || !hasAccounts) return [toDegree(route.priority)];
+  if (route.isPublic || !hasAccounts) return [clampPriority(route.priority)];
   return [...accounts.values()].map((account) => getPriority({ account, route }));
 }
 
--- a/src/daemon/record-state.ts
+++ b/src/daemon/record-state.ts
@@ -28,9 +28,8 @@
  */
 export function describeRecordState(sources: RecordStateSources): RecordState {
   const { isReady, isStopping, configuration, storeFollower, lease, peers, retryBudget } = sources;
-  const { fleet, outlierEjection, serverReach, crashBlame, serverLimits, accountShares } =
-    sources.servers;
-  const { serverPace } = sources.servers;
+  const { fleet, outlierEjection, serverReach, crashBlame } = sources.servers;
+  const { serverLimits, serverPace, accountShares } = sources.servers;
   return {
     urgent: {
       isReady,
--- a/src/daemon/server-components.ts
+++ b/src/daemon/server-components.ts
@@ -56,7 +56,7 @@
 
   readonly callTimes = new CallTimes();
 
-  /** Who uses the servers. */
+  /** Requests in progress by client account. */
   readonly accountShares = new AccountShares();
 
   readonly fleet: BackendFleet;
--- a/src/evidence/evidence-changes.ts
+++ b/src/evidence/evidence-changes.ts
@@ -29,13 +29,13 @@
   }
 
   /**
-   * Whether a peer lacks something.
+   * Whether a peer has not been sent all evidence.
    *
    * @param position - Up to where it has been sent the evidence.
    */
   hasMoreThan([contentsNumber, partsNumber]: EvidencePosition): boolean {
     const { contents, promptParts } = this.#blame;
-    this.#numberParts(JSON.stringify(promptParts.reported));
+    this.#updatePartsNumber(JSON.stringify(promptParts.reported));
     return contentsNumber < contents.changeNumber || partsNumber < this.#partsNumber;
   }
 
@@ -49,7 +49,7 @@
     const { contents, promptParts } = this.#blame;
     const { changeNumber, ...crashes } = contents.reportSince(contentsNumber);
     const { reported } = promptParts;
-    this.#numberParts(JSON.stringify(reported));
+    this.#updatePartsNumber(JSON.stringify(reported));
     return {
       ...crashes,
       promptParts: partsNumber < this.#partsNumber ? reported : undefined,
@@ -67,7 +67,7 @@
     if (promptParts && clock !== undefined) this.#blame.promptParts.merge(promptParts, clock);
   }
 
-  #numberParts(text: string): void {
+  #updatePartsNumber(text: string): void {
     if (text === this.#partsText) return;
     this.#partsText = text;
     this.#partsNumber += 1;
--- a/src/fleet/open-window.ts
+++ b/src/fleet/open-window.ts
@@ -1,4 +1,7 @@
-/** An open window of one backend server, with the answers of the current round and this instance's sends of the current turn. */
+/**
+ * An open window of one backend server: the answers of the current round, and the requests that this instance has sent in
+ * the current turn.
+ */
 import type { FleetServer } from './fleet-server.js';
 import type { PaceWindow } from './pace-window.js';
 import { getProcessKey } from './server-entry.js';
@@ -25,7 +28,7 @@
 
   readonly #peerAnswers = new Map<string, number>();
 
-  /** Answers to requests that were sent earlier say nothing of the current window. */
+  /** Answers to requests that were sent earlier are not counted, as they ran in another window. */
   countedSince: number;
 
   #turn = 0;
@@ -80,7 +83,7 @@
   /**
    * Counts a request that is sent in the current turn.
    *
-   * @returns Ends the count; call it once.
+   * @returns A function that ends the count; it must be called once.
    */
   begin(): () => void {
     const turn = this.#turn;
--- a/src/fleet/pace-comparison.ts
+++ b/src/fleet/pace-comparison.ts
@@ -29,7 +29,7 @@
 }
 
 /**
- * Whether requests can go elsewhere while a server is kept small: to another replica, or to other engines of a data
+ * Whether requests can go elsewhere while a window limits a server: to another replica, or to other engines of a data
  * centre whose memory holds the model several times.
  *
  * @param server - The server.
--- a/src/fleet/pace-sharing.ts
+++ b/src/fleet/pace-sharing.ts
@@ -1,7 +1,7 @@
 /**
  * The instances that share the window of a server: those of its data centre, which know of each other's requests
- * soonest, or all where it has none. Ranks are the places in the sorted names, so that they cost one sort for all servers
- * together; each server's ranks begin at another instance.
+ * soonest, or all where it has none. An instance's rank is its index in the sorted names, which are sorted once
+ * for all servers; an offset makes each server's first instance another one.
  */
 import { createHash } from 'node:crypto';
 import type { ServerEntry } from './server-entry.js';
@@ -17,7 +17,7 @@
   /** From 0; -1 if this instance isn't one of them. */
   readonly rank: number;
   readonly instances: number;
-  /** Separates the servers. */
+  /** Differs by server, so that one instance isn't the first at all of them. */
   readonly offset: number;
 }
 
--- a/src/fleet/pace-window.ts
+++ b/src/fleet/pace-window.ts
@@ -42,15 +42,15 @@
   readonly offset: number;
 }
 
-/** Two answers in time show more than one. */
+/** A round of a single answer would be weak evidence. */
 const MINIMUM_INITIAL_PLACES = 2;
 /** A larger server begins with this share of its slots, so that it needs three rounds at most. */
 const INITIAL_SHARE_OF_SLOTS = 0.25;
-/** So long instances tell each other that a window has ended; several record intervals of a fleet of 380 instances. */
+/** How long instances report that a window has ended; several record intervals of a fleet of 380 instances. */
 export const ENDED_SHARED_MILLISECONDS = 10_000;
 /** The record grows by about 50 bytes for each. */
 export const MAXIMUM_REPORTED_WINDOWS = 32;
-/** Age of what this instance never saw change. */
+/** Time of a change that this instance did not observe. */
 const NEVER = Number.NEGATIVE_INFINITY;
 
 /** The state of a process that was registered before this instance started: at its full rate, older than any report. */
@@ -104,7 +104,7 @@
 
 /**
  * Returns an instance's part of the free places of a window. The parts of all instances that know the same add up to the
- * free places. Where there are fewer of these than instances, the places go round, so that none is shut out for good.
+ * free places. Where there are fewer of these than instances, the places rotate, so that each gets some in time.
  */
 export function getOwnPart(options: OwnPartOptions): number {
   const { freePlaces, rank, instances, places, turn, offset } = options;
--- a/src/fleet/server-pace-options.ts
+++ b/src/fleet/server-pace-options.ts
@@ -1,4 +1,4 @@
-/** What {@link ServerPace} is made of, and what it is told. */
+/** Options of {@link ServerPace}, and the arguments of its methods. */
 import type { EngineProfile } from '../entry/serving-configuration.js';
 import type { Logger } from '../telemetry/log.js';
 import type { FleetServer } from './fleet-server.js';
--- a/src/fleet/server-pace.ts
+++ b/src/fleet/server-pace.ts
@@ -35,9 +35,10 @@
 import type { PacedAnswer, ServerPaceOptions, ShrinkReason } from './server-pace-options.js';
 import { UsualLateness } from './usual-lateness.js';
 
-/** Longer than the news of a request needs to reach the peers of a usual fleet, so that few turns overlap unknown requests. */
+/** Longer than a record takes to reach the peers of a usual fleet, so that most requests of a turn are known in the next. */
 const TURN_MILLISECONDS = 1000;
 const MAXIMUM_KNOWN_PROCESSES = 2000;
+
 export class ServerPace {
   readonly #options: ServerPaceOptions;
 
@@ -54,13 +55,13 @@
 
   readonly #open = new Map<string, OpenWindow>();
 
-  /** Processes whose windows have ended lately, which peers are told. */
+  /** Processes whose windows have ended lately; peers are told that they have. */
   readonly #ended = new Set<string>();
 
   #hasObserved = false;
 
-  /** Whether a process has become known since the last look. */
-  #hasNews = false;
+  /** Whether a process has become known since the last {@link observe}. */
+  #hasNewProcess = false;
 
   #era: number | undefined;
 
@@ -76,11 +77,11 @@
   }
 
   /**
-   * Looks for processes that have started, and ends windows that are of no use any more. Processes of the first list
+   * Opens windows for processes that have started, and ends those that are no longer needed. Processes of the first list
    * are taken to be at their full rate, and those that come with another copy of the store.
    */
   observe(): void {
-    this.#hasNews = false;
+    this.#hasNewProcess = false;
     const servers = this.#options.listServers();
     const era = this.#options.fleetEra();
     const isFirstList = !this.#hasObserved || era !== this.#era;
@@ -102,7 +103,7 @@
 
   /** Notes that a process has become known, so that its window is open before the next request is sent. */
   noteRegistration(): void {
-    this.#hasNews = true;
+    this.#hasNewProcess = true;
   }
 
   /** Opens the window of a server that this instance had ejected and that has passed a health check. */
@@ -117,7 +118,7 @@
 
   /** Whether a server has a window in effect and this instance has no place left in it. */
   isAtWindow(server: FleetServer): boolean {
-    if (this.#hasNews) this.observe();
+    if (this.#hasNewProcess) this.observe();
     const open = this.#find(server);
     if (!open?.isInEffect) return false;
     const turn = this.#getTurn();
@@ -232,14 +233,9 @@
   }
 
   #openWindow(server: FleetServer, before: PaceWindow, reason: 'started' | 'readmitted'): void {
-    const changedAt = this.#now();
-    const state = {
-      round: before.round + 1,
-      places: getInitialPlaces(server.entry.slots),
-      changedAt,
-    };
-    this.#add(server, state);
-    this.#note('opened', this.#open.get(getProcessKey(server.entry)), { reason });
+    const places = getInitialPlaces(server.entry.slots);
+    this.#add(server, { round: before.round + 1, places, changedAt: this.#now() });
+    this.#logChange('opened', this.#open.get(getProcessKey(server.entry)), { reason });
   }
 
   #add(server: FleetServer, state: PaceWindow): void {
@@ -257,7 +253,7 @@
   #shrink(open: OpenWindow, reason: ShrinkReason): void {
     const { places } = open.state;
     this.#change(open, shrink(open.state, open.server.entry.slots, this.#now()));
-    if (open.state.places < places) this.#note('shrunk', open, { reason, before: places });
+    if (open.state.places < places) this.#logChange('shrunk', open, { reason, before: places });
   }
 
   #growIfRoundIsComplete(open: OpenWindow): void {
@@ -270,11 +266,11 @@
       return;
     }
     this.#change(open, grown);
-    this.#note('grown', open, { before: places, answers });
+    this.#logChange('grown', open, { before: places, answers });
   }
 
   #end(open: OpenWindow, state: PaceWindow, reason: 'slots' | 'load'): void {
-    this.#note('ended', open, { reason });
+    this.#logChange('ended', open, { reason });
     this.#setEnded(open.processKey, state);
   }
 
@@ -288,7 +284,7 @@
     const open = this.#open.get(processKey);
     const before = open?.state.places;
     if (hasEnded(state)) {
-      if (open) this.#note('taken_over', open, { peer, before, hasEnded: true });
+      if (open) this.#logChange('taken_over', open, { peer, before, hasEnded: true });
       this.#setEnded(processKey, state);
       return;
     }
@@ -299,10 +295,10 @@
         .find(({ entry }) => getProcessKey(entry) === processKey);
       if (server) this.#add(server, state);
     }
-    this.#note('taken_over', this.#open.get(processKey), { peer, before });
+    this.#logChange('taken_over', this.#open.get(processKey), { peer, before });
   }
 
-  #note(change: string, open: OpenWindow | undefined, fields: Record<string, unknown>): void {
+  #logChange(change: string, open: OpenWindow | undefined, fields: Record<string, unknown>): void {
     if (!open) return;
     const { server, state } = open;
     this.onEvent?.(`server_window_${change}`);
--- a/src/fleet/usual-lateness.ts
+++ b/src/fleet/usual-lateness.ts
@@ -1,6 +1,6 @@
 /**
  * Tells whether an answer is late, compared with its route's target and with the usual answers of its service. Under
- * overload all answers are late; a sound server that has just started would stay small just when it is needed.
+ * overload all answers are late, and by the target alone a sound server would keep the smallest window when it is needed.
  */
 
 interface Usual {
@@ -11,7 +11,7 @@
 
 /** Weight of a new answer in the moving average. */
 const NEW_ANSWER_WEIGHT = 0.1;
-/** Without new answers the average moves halfway back to the target in this time. */
+/** Without new answers the average halves in this time. */
 const HALF_LIFE_MILLISECONDS = 4000;
 /** An answer that takes this many times longer than usual is late; times of one service vary by half with its prompts. */
 const LATE_FACTOR = 1.5;
--- a/src/gossip/evidence-exchange.ts
+++ b/src/gossip/evidence-exchange.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps up to where each peer has been sent this instance's evidence against requests, and this instance theirs. Only the
- * receiver of an exchange knows what has arrived: it names what it has in its requests, and an answer confirms what came
- * with the request. Handles exchanges that fail halfway, and restarts of either side: what isn't confirmed is sent again.
+ * Tracks how much of this instance's evidence against requests each peer has, and how much of a peer's this instance has.
+ * Only the receiver knows what has arrived: an instance names what it has in its requests, and the answer to a request
+ * confirms what came with it. Handles exchanges that fail halfway, and restarts of either side: what isn't confirmed is sent again.
  */
 import { LruMap } from '../common/lru-map.js';
 import { NO_EVIDENCE, type EvidenceChanges } from '../evidence/evidence-changes.js';
@@ -14,7 +14,7 @@
   readonly position: EvidencePosition;
 }
 
-/** What an instance names in a request: the run of the receiver whose evidence it has, and up to where. */
+/** What a request names: the run of the receiver whose evidence the sender has, and the position that it has reached. */
 export type NamedPosition = [incarnation: number, ...position: EvidencePosition];
 
 /** More than the instances of a fleet, with those that were replaced. */
@@ -31,10 +31,10 @@
 export class EvidenceExchange {
   readonly #changes: EvidenceChanges;
 
-  /** By peer: what it has of this instance. */
+  /** By peer: the position in this instance's evidence that it has confirmed. */
   readonly #sent = new LruMap<string, KnownPosition>(MAXIMUM_PEERS);
 
-  /** By peer: what this instance has of it. */
+  /** By peer: the position in its evidence that this instance has reached. */
   readonly #received = new LruMap<string, KnownPosition>(MAXIMUM_PEERS);
 
   /** @param changes - The evidence of this instance. */
--- a/src/gossip/peer-table.ts
+++ b/src/gossip/peer-table.ts
@@ -266,7 +266,7 @@
     );
   }
 
-  /** Since the last record of a live peer arrived; undefined while no peer is alive. */
+  /** Milliseconds since the last record of a live peer arrived; undefined while no peer is alive. */
   get recordAgeMilliseconds(): number | undefined {
     let latest: number | undefined;
     this.#peers.forEach(({ isAlive, arrivedAt }) => {
--- a/src/relay/call-exchange.ts
+++ b/src/relay/call-exchange.ts
@@ -85,7 +85,7 @@
     }
   }
 
-  /** Tells the server's window of a refusal, a failure, or an answer and whether it is in time. */
+  /** Records a refusal, a failure or an answer for the server's window. */
   #recordPace(server: FleetServer, startedAt: number, result: CallResult): void {
     const { serverPace } = this.#context;
     const hasFailed = result.kind === 'answered' && result.response.status >= FIRST_SERVER_FAILURE;
--- a/src/relay/chain-pace.ts
+++ b/src/relay/chain-pace.ts
@@ -1,4 +1,4 @@
-/** Tells the windows of a chain's engines how an attempt of a stream went. */
+/** Records the answer or failure of a stream's attempt for the windows of the chain's engines. */
 import type { FleetServer } from '../fleet/fleet-server.js';
 import type { ServerPace } from '../fleet/server-pace.js';
 import type { EngineChain } from './chain-selector.js';
@@ -14,7 +14,7 @@
   readonly now?: () => number;
 }
 
-/** How an attempt ended, as far as it says something of its engines. */
+/** How an attempt ended, and the engines that caused it. */
 export interface EndedAttempt {
   readonly kind: string;
   readonly engineIdsToAvoid?: readonly string[];
@@ -42,7 +42,7 @@
   recordEnd({ kind, engineIdsToAvoid = [] }: EndedAttempt): void {
     const { serverPace, chain } = this.#options;
     const engines = chain.stages.map(({ engine }) => engine.server);
-    // It was replaced because its first event did not come.
+    // The attempt was replaced because its first event was late.
     if (kind === 'replaced' && !this.#hasAnswered) this.#recordAnswer(engines);
     if (kind !== 'notRun' && kind !== 'broken') return;
     const reason = kind === 'notRun' ? 'refused' : 'failed';
--- a/src/relay/server-choice.ts
+++ b/src/relay/server-choice.ts
@@ -18,8 +18,8 @@
 const REMOTE_COST_FACTOR = 1.02;
 
 /**
- * Leaves out replicas that leave, as peers say, and those at their windows, unless there are no others. A free slot isn't
- * asked of the others: under load none seems to have one, and the empty server would be flooded all the same.
+ * Leaves out replicas that leave, as peers say, and those at their windows, unless there are no others. The others
+ * need not have a free slot: under load none appears to have one, and the empty server would be flooded.
  */
 function listPreferred({ replicas, serverPace }: ReplicaChoiceOptions): readonly FleetServer[] {
   const staying = replicas.filter(({ isLeavingByPeer }) => !isLeavingByPeer);
--- a/tools/admission-engines.ts
+++ b/tools/admission-engines.ts
@@ -1,10 +1,10 @@
-/** The engines of the replay of admission, and what of them is taken in truth. */
+/** The engines of the replay of admission, and what all instances together use of them. */
 import type { BackendFleet } from '../src/fleet/backend-fleet.js';
 import type { ServerEntry } from '../src/fleet/server-entry.js';
 import { cacheCapacityTokenLayers } from '../src/layers/engine-estimates.js';
 import { ENGINE_PROFILE } from './engine-profile.js';
 
-/** What of the engines runs short. */
+/** The resource of the engines that limits the replayed requests. */
 export type ShortResource = 'cache' | 'slots';
 
 export const SERVICE = 'generation';
--- a/tools/admission-replay.ts
+++ b/tools/admission-replay.ts
@@ -79,6 +79,7 @@
 const RECORD_DELAY_MILLISECONDS = 60;
 /** Peers without records are taken for dead after this long, and their loads no longer count. */
 const SILENCE_LIMIT_MILLISECONDS = 1000;
+
 function createRoute(priority: number) {
   return {
     name: `route-${priority}`,
@@ -174,7 +175,7 @@
   }
 
   #startRecords(instance: Instance, name: string): void {
-    let told: ReadonlyMap<string, readonly [number, number]> = new Map();
+    let published: ReadonlyMap<string, readonly [number, number]> = new Map();
     const publish = (): void => {
       const loads = new Map(
         instance.fleet.servers.map(({ entry, ownLoad }) => [
@@ -192,13 +193,13 @@
             shares.merge(name, accountLoads);
             loads.forEach(([requests, tokenLayers], id) => {
               const peerLoad = fleet.find(id)?.peerLoad;
-              const [oldRequests, oldTokenLayers] = told.get(id) ?? [0, 0];
+              const [oldRequests, oldTokenLayers] = published.get(id) ?? [0, 0];
               if (!peerLoad) return;
               peerLoad.requests += requests - oldRequests;
               peerLoad.reservedTokenLayers += tokenLayers - oldTokenLayers;
             });
           });
-        told = loads;
+        published = loads;
       });
       this.#queue.add(this.#queue.now + RECORD_INTERVAL_MILLISECONDS, publish);
     };
--- a/tools/server-pace-replay.ts
+++ b/tools/server-pace-replay.ts
@@ -71,7 +71,7 @@
 
   readonly #random: Random;
 
-  /** Of its own, so that the same requests come whatever is decided. */
+  /** Separate, so that the arrivals don't depend on the decisions. */
   readonly #arrivalRandom: Random;
 
   readonly #queue = new EventQueue();
@@ -111,6 +111,7 @@
     };
     scheduleArrival(1);
     this.#queue.add(WARM_UP_MILLISECONDS, () => this.#returnServer());
+    this.#queue.add(WARM_UP_MILLISECONDS, () => this.#measureShare());
     this.#queue.add(WARM_UP_MILLISECONDS, () => this.#observeReturning());
     this.#queue.runUntil(end + 1000);
     return {
@@ -211,7 +212,7 @@
     others.forEach(({ pace }) => pace.merge(instance.name, windows));
   }
 
-  /** Registers the server at all instances, as the store's news arrives, and watches its share. */
+  /** Registers the server at all instances, at random within the delay of the store's notifications. */
   #returnServer(): void {
     const { entry } = this.#returning;
     this.#instances.forEach(({ fleet, pace }) => {
@@ -220,8 +221,12 @@
         pace.observe();
       });
     });
+  }
+
+  /** Compares the requests that the server begins with those of the others, until it has its full share. */
+  #measureShare(): void {
     const begunBefore = new Map<string, number>();
-    const look = (): void => {
+    const measure = (): void => {
       const begun = [...this.#replicas].map(([id, replica]) => {
         const count = replica.begun - (begunBefore.get(id) ?? 0);
         begunBefore.set(id, replica.begun);
@@ -233,9 +238,9 @@
       if (age > 0 && own >= FULL_SHARE * mean)
         this.#fullShareAfter = Math.min(this.#fullShareAfter, age);
       if (age < OBSERVED_MILLISECONDS)
-        this.#queue.add(this.#queue.now + SHARE_INTERVAL_MILLISECONDS, look);
+        this.#queue.add(this.#queue.now + SHARE_INTERVAL_MILLISECONDS, measure);
     };
-    look();
+    measure();
   }
 
   /** The largest window that an instance knows; infinite where none has it open. */
