--- a/src/admission/account-shares.test.ts
+++ b/src/admission/account-shares.test.ts
@@ -35,6 +35,17 @@
   assert.equal(shares.find({ ...CLASS, account: 'heavy' }).load, 0);
 });
 
+// Peers took the accounts of a class that a record had no place for to have no requests.
+test('account shares: a class without a place for its accounts is reported with its total', () => {
+  const { shares } = createShares();
+  Array.from({ length: 16 }, (_, index) => begin(shares, `busy-${index}`, 3));
+  shares.begin({ ...CLASS, priority: 0, account: 'urgent' });
+  assert.deepEqual(
+    shares.reported?.find(([, priority]) => priority === 0),
+    ['model', 0, 1, []],
+  );
+});
+
 // An account that spreads its requests over all instances is light at each of them.
 test('account shares: the requests at peers count', () => {
   const { shares } = createShares();
--- a/src/admission/account-shares.ts
+++ b/src/admission/account-shares.ts
@@ -56,10 +56,15 @@
   return `${priority} ${service}`;
 }
 
-function add(loads: Map<string, ClassLoad>, key: AccountKey, requests: number): void {
+function getClassLoad(loads: Map<string, ClassLoad>, key: Omit<AccountKey, 'account'>): ClassLoad {
   const classKey = toClassKey(key);
   const load = loads.get(classKey) ?? { total: 0, accounts: new Map<string, number>() };
   loads.set(classKey, load);
+  return load;
+}
+
+function add(loads: Map<string, ClassLoad>, key: AccountKey, requests: number): void {
+  const load = getClassLoad(loads, key);
   load.total += requests;
   const next = (load.accounts.get(key.account) ?? 0) + requests;
   if (next > 0) load.accounts.set(key.account, next);
@@ -73,9 +78,8 @@
     const read = accounts.slice(0, Math.max(0, MAXIMUM_READ_ACCOUNTS - readAccounts));
     readAccounts += read.length;
     read.forEach(([account, requests]) => add(loads, { service, priority, account }, requests));
-    const classLoad = loads.get(toClassKey({ service, priority }));
     const named = read.reduce((sum, [, requests]) => sum + requests, 0);
-    if (classLoad) classLoad.total += Math.max(0, total - named);
+    getClassLoad(loads, { service, priority }).total += Math.max(0, total - named);
   });
 }
 
@@ -139,7 +143,7 @@
           .filter((entry) => entry.classKey === classKey)
           .map(({ account, requests }) => [account, requests]),
       ])
-      .filter(([, , , accounts]) => accounts.length > 0);
+      .filter(([, , total]) => total > 0);
   }
 
   /**
--- a/src/gossip/evidence-exchange.test.ts
+++ b/src/gossip/evidence-exchange.test.ts
@@ -58,8 +58,12 @@
   }
 
   /** Asks a peer; returns the bytes of the request and its answer. */
-  ask(peer: TestInstance, { isAnswerLost = false } = {}): number {
-    const planned = { target: toTarget(peer.record), scope: 'all' as const };
+  ask(
+    peer: TestInstance,
+    { isAnswerLost = false, knownIncarnation = peer.record.incarnation } = {},
+  ): number {
+    const target = toTarget({ ...peer.record, incarnation: knownIncarnation });
+    const planned = { target, scope: 'all' as const };
     const request = this.exchange.createRequest(planned);
     const sent = JSON.stringify(request);
     const answer = JSON.stringify(peer.exchange.answer(JSON.parse(sent)));
@@ -155,6 +159,20 @@
   assert.ok(after.knows('content-0'));
 });
 
+// The peer sent what followed its last exchange with the earlier run, and the new run took that for all.
+test('evidence: a peer that does not know of the new run yet leaves no gap in its evidence', () => {
+  const peer = new TestInstance('peer');
+  peer.endServers(1, 'server-1');
+  const before = new TestInstance('one');
+  peer.ask(before);
+  peer.blame.contents.recordCrash('later', 'server-2');
+  const after = new TestInstance('one', { incarnation: 2 });
+  peer.ask(after, { knownIncarnation: 1 });
+  assert.ok(after.knows('later'));
+  after.ask(peer);
+  assert.ok(after.knows('content-0'));
+});
+
 // A digest can show a record that came through another instance, without evidence.
 test('evidence: a record that another instance passed on does not count as its evidence', () => {
   const [source, middle, last] = ['source', 'middle', 'last'].map((name) => new TestInstance(name));
--- a/src/gossip/evidence-exchange.ts
+++ b/src/gossip/evidence-exchange.ts
@@ -37,9 +37,15 @@
   /** By peer: the position in its evidence that this instance has reached. */
   readonly #received = new LruMap<string, KnownPosition>(MAXIMUM_PEERS);
 
-  /** @param changes - The evidence of this instance. */
-  constructor(changes: EvidenceChanges) {
+  readonly #now: () => number;
+
+  /**
+   * @param changes - The evidence of this instance.
+   * @param now - Current time on the monotonic clock, in milliseconds.
+   */
+  constructor(changes: EvidenceChanges, now = () => Math.round(performance.now())) {
     this.#changes = changes;
+    this.#now = now;
   }
 
   /**
@@ -89,12 +95,14 @@
    * Takes the evidence of a record that its own instance has sent.
    *
    * @param record - The record. One of an older build holds all, and is read with the rest of the record.
+   * @param isForThisRun - Whether the sender knew this run of the instance. Otherwise the record may hold only what
+   *   followed the evidence that an earlier run had been sent, and its position doesn't count.
    */
-  accept(record: PeerRecord): void {
+  accept(record: PeerRecord, isForThisRun = true): void {
     const { instance, incarnation, evidencePosition } = record;
     if (!evidencePosition) return;
     this.#changes.merge(record);
-    this.#received.set(instance, { incarnation, position: evidencePosition });
+    if (isForThisRun) this.#received.set(instance, { incarnation, position: evidencePosition });
   }
 
   /**
@@ -108,7 +116,10 @@
   }
 
   #attach(record: PeerRecord, position: EvidencePosition): PeerRecord {
-    return { ...record, ...this.#changes.since(position) };
+    const evidence = this.#changes.since(position);
+    // The times in it are read against the clock, which would otherwise be as old as the record.
+    const { clock } = record;
+    return { ...record, ...evidence, ...(clock === undefined ? {} : { clock: this.#now() }) };
   }
 }
 
--- a/src/gossip/record-exchange.ts
+++ b/src/gossip/record-exchange.ts
@@ -150,7 +150,8 @@
    */
   answer(value: unknown): PeerRecord[] {
     const request = ExchangeRequest.parse(value);
-    this.merge([request.own], request.own.instance);
+    const isForThisRun = request.evidence?.[0] === this.#options.ownRecord().incarnation;
+    this.merge([request.own], request.own.instance, isForThisRun);
     return this.#findRecordsNewerThan(request);
   }
 
@@ -159,13 +160,14 @@
    *
    * @param value - The answer to a request, or what stands in its place.
    * @param sender - Name of the peer, if it is known. Only its own record says what this instance has of its evidence.
+   * @param isForThisRun - Whether the peer knew this run of the instance.
    */
-  merge(value: unknown, sender?: string): void {
+  merge(value: unknown, sender?: string, isForThisRun = true): void {
     const { table, evidence, onRecord, onRecords } = this.#options;
     const records = this.#decoder.decodeAll(value);
     records
       .filter(({ instance }) => instance === sender)
-      .forEach((record) => evidence?.accept(record));
+      .forEach((record) => evidence?.accept(record, isForThisRun));
     const accepted = records.filter((record) => table.accept(record));
     accepted.forEach(onRecord);
     if (accepted.length > 0) onRecords();
--- a/src/layers/coverage-observations.ts
+++ b/src/layers/coverage-observations.ts
@@ -75,6 +75,11 @@
     return now - since;
   }
 
+  /** Forgets since when layers have been missing, as gaps are not followed while another instance plans. */
+  forgetGaps(): void {
+    this.#gapsSince.clear();
+  }
+
   /** Records how many requests run in each data centre, by the KV cache that they have reserved. */
   recordDemand(service: string, profile: EngineProfile): void {
     const requestTokens = profile.typicalPromptTokens + profile.typicalOutputTokens;
--- a/src/layers/planner-task.ts
+++ b/src/layers/planner-task.ts
@@ -92,7 +92,10 @@
   async review(): Promise<void> {
     const { configuration, isPlanner } = this.#options;
     this.#observations.trackEjections();
-    if (!isPlanner()) return;
+    if (!isPlanner()) {
+      this.#observations.forgetGaps();
+      return;
+    }
     const services = [...(configuration.current?.services.values() ?? [])];
     for (const service of services) {
       if (service.engine) await this.#reviewService(service.name, service.engine);
