--- a/src/admission/admission-control.ts
+++ b/src/admission/admission-control.ts
@@ -246,25 +246,27 @@
       timeLeftShare: timeLeftMilliseconds / Math.max(1, route.timeoutMilliseconds),
     });
     const outcome = decision.kind === 'admit' ? 'admitted' : decision.code;
-    logs('routing').info('Admission decided.', {
-      requestId: metadata.requestId,
-      class: priorityClass.index,
-      classes: priorityClass.count,
-      account: account?.name,
-      pressure: round(pressure.value),
-      resource: pressure.resource,
-      utilisations: Object.fromEntries(
-        Object.entries(pressure.utilisations).map(([name, value]) => [name, round(value)]),
-      ),
-      takenPlaces: round(takenPlaces),
-      limit: Number.isFinite(decision.limit) ? round(decision.limit) : undefined,
-      timeLeftMilliseconds: Math.round(timeLeftMilliseconds),
-      accountLoad: share?.load,
-      meanLoadOfOthers: round(share?.meanOfOthers),
-      oldestAccountRecordMilliseconds: round(share?.oldestRecordMilliseconds),
-      newestRecordMilliseconds: this.#newestRecordMilliseconds,
-      outcome,
-    });
+    // Without pressure nothing was weighed; the counter tells of the request.
+    if (takenPlaces !== undefined)
+      logs('routing').info('Admission decided.', {
+        requestId: metadata.requestId,
+        class: priorityClass.index,
+        classes: priorityClass.count,
+        account: account?.name,
+        pressure: round(pressure.value),
+        resource: pressure.resource,
+        utilisations: Object.fromEntries(
+          Object.entries(pressure.utilisations).map(([name, value]) => [name, round(value)]),
+        ),
+        takenPlaces: round(takenPlaces),
+        limit: Number.isFinite(decision.limit) ? round(decision.limit) : undefined,
+        timeLeftMilliseconds: Math.round(timeLeftMilliseconds),
+        accountLoad: share?.load,
+        meanLoadOfOthers: round(share?.meanOfOthers),
+        oldestAccountRecordMilliseconds: round(share?.oldestRecordMilliseconds),
+        newestRecordMilliseconds: this.#newestRecordMilliseconds,
+        outcome,
+      });
     metrics.countEvent(`admission_${outcome}_class_${priorityClass.index}`);
     if (decision.kind === 'refuse') metrics.countEvent(`admission_short_of_${pressure.resource}`);
     return decision;
--- a/src/gossip/document-encoding.ts
+++ b/src/gossip/document-encoding.ts
@@ -6,10 +6,8 @@
 import { promisify } from 'node:util';
 import { gunzip, gzip } from 'node:zlib';
 
-/** Smaller documents cost less to send within a data centre than to compress. */
+/** Smaller documents cost less to send than to compress. */
 const MINIMUM_COMPRESSED_BYTES = 65_536;
-/** Smaller ones hardly become shorter. */
-export const MINIMUM_COMPRESSIBLE_BYTES = 1024;
 const MAXIMUM_DOCUMENT_BYTES = 16 * 1024 * 1024;
 export const COMPRESSED_ENCODING = 'gzip';
 
@@ -26,15 +24,9 @@
 /** The encoded forms of each document, as long as the document itself is in use. */
 const encodedDocuments = new WeakMap<object, Promise<EncodedDocument>>();
 
-/** Options of {@link encodeDocument}. */
-export interface EncodingOptions {
-  /** Shorter documents are sent as they are. */
-  readonly minimumBytes?: number;
-}
-
-async function compress(document: unknown, minimumBytes: number): Promise<EncodedDocument> {
+async function compress(document: unknown): Promise<EncodedDocument> {
   const plain = Buffer.from(JSON.stringify(document));
-  if (plain.length < minimumBytes) return { body: plain, encoding: undefined };
+  if (plain.length < MINIMUM_COMPRESSED_BYTES) return { body: plain, encoding: undefined };
   return { body: await encodeCompressed(plain), encoding: COMPRESSED_ENCODING };
 }
 
@@ -43,13 +35,11 @@
  *
  * @param document - A value that JSON can express; an object is encoded once and must not change.
  * @param acceptedEncodings - The peer's Accept-Encoding header.
- * @param options - From which length on it is compressed.
  * @returns What to send.
  */
 export async function encodeDocument(
   document: unknown,
   acceptedEncodings: string | undefined,
-  { minimumBytes = MINIMUM_COMPRESSED_BYTES }: EncodingOptions = {},
 ): Promise<EncodedDocument> {
   if (
     !acceptedEncodings?.includes(COMPRESSED_ENCODING) ||
@@ -57,7 +47,7 @@
     !document
   )
     return { body: Buffer.from(JSON.stringify(document)), encoding: undefined };
-  const encoded = encodedDocuments.get(document) ?? compress(document, minimumBytes);
+  const encoded = encodedDocuments.get(document) ?? compress(document);
   encodedDocuments.set(document, encoded);
   return encoded;
 }
--- a/src/gossip/gossip.ts
+++ b/src/gossip/gossip.ts
@@ -10,12 +10,7 @@
 import { getErrorMessage, isConnectionRefused } from '../common/http-client.js';
 import type { Logger } from '../telemetry/log.js';
 import { PeerConnections } from './peer-connections.js';
-import {
-  COMPRESSED_ENCODING,
-  decodeDocument,
-  encodeDocument,
-  MINIMUM_COMPRESSIBLE_BYTES,
-} from './document-encoding.js';
+import { COMPRESSED_ENCODING, decodeDocument, encodeDocument } from './document-encoding.js';
 import {
   RecordExchange,
   type PlannedExchange,
@@ -149,9 +144,7 @@
   }
 
   async #runExchange(planned: PlannedExchange): Promise<void> {
-    const { address, instance, dataCentre } = planned.target;
-    // Field names make up most of a record. Within a data centre the processor time to compress them costs more.
-    const isRemote = dataCentre !== undefined && dataCentre !== this.#options.dataCentre;
+    const { address, instance } = planned.target;
     const askedAt = performance.now();
     const request = this.#exchange.createRequest(planned);
     try {
@@ -159,16 +152,11 @@
         address,
         method: 'POST',
         path: '/records',
-        headers: {
-          'content-type': 'application/json',
-          ...(isRemote ? { 'accept-encoding': COMPRESSED_ENCODING } : {}),
-        },
+        headers: { 'content-type': 'application/json' },
         body: JSON.stringify(request),
         timeoutMilliseconds: EXCHANGE_TIMEOUT_MILLISECONDS,
       });
-      const { body, headers } = answer;
-      const records = await decodeDocument({ body, encoding: headers['content-encoding'] });
-      this.#exchange.acceptAnswer(planned, request, records);
+      this.#exchange.acceptAnswer(planned, request, JSON.parse(answer.body.toString()));
     } catch (error) {
       if (instance !== undefined && isConnectionRefused(error))
         this.#options.table.recordRefusal(instance, askedAt);
@@ -188,8 +176,7 @@
       const chunks: Buffer[] = [];
       for await (const chunk of request) chunks.push(chunk as Buffer);
       let body: unknown;
-      const isExchange = request.url === '/records';
-      if (isExchange) {
+      if (request.url === '/records') {
         body = this.#exchange.answer(JSON.parse(Buffer.concat(chunks).toString()));
       } else {
         const { pathname, searchParams } = new URL(request.url ?? '', 'http://peer');
@@ -198,8 +185,7 @@
       response.statusCode = body === undefined ? 404 : 200;
       response.setHeader('Content-Type', 'application/json');
       const { 'accept-encoding': accepted } = request.headers;
-      const options = isExchange ? { minimumBytes: MINIMUM_COMPRESSIBLE_BYTES } : {};
-      const encoded = await encodeDocument(body ?? {}, String(accepted), options);
+      const encoded = await encodeDocument(body ?? {}, String(accepted));
       if (encoded.encoding) response.setHeader('Content-Encoding', encoded.encoding);
       response.end(encoded.body);
     } catch (error) {
