--- a/review/common-2/group.ts
+++ b/review/common-2/group.ts
@@ -154,7 +154,7 @@
 
   #storePort = 0;
 
-  /** The port at which daemons reach the store, if it isn't the store's own. */
+  /** The port at which daemons that are added from now on reach the store, if it isn't the store's own. */
   storePortForDaemons = 0;
 
   get storePort(): number {
@@ -176,11 +176,8 @@
 
   /** Registers a replica in the store and renews its entry as replicas do. */
   register(id: string, entry: Readonly<Record<string, unknown>>, heartbeatMs = 1200): void {
-    let seq = 1;
-    const write = (): void => {
-      seq += 1;
-      this.store.put('servers', id, { ...entry, seq });
-    };
+    // A heartbeat alone, which changes `seq`, doesn't change the entry.
+    const write = (): void => this.store.put('servers', id, { ...entry, seq: 1 });
     write();
     this.#heartbeats.push(setInterval(write, heartbeatMs));
   }
