Review case 8: the same end of a stream behind a cut, by one disruption

Tried: a stream that may not be resumed, without length and chunks; its engine is cut off from the instances for 4 s, killed behind the cut and back at its address after 3.1 s.

--- a/review/common-2/engine.ts
+++ b/review/common-2/engine.ts
@@ -86,7 +86,7 @@
     this.beatAt = performance.now();
     this.#group.store.put('servers', id, {
       service: 'drafter',
-      address: `127.0.0.1:${port}`,
+      address: `127.0.0.1:${this.#group.nearPorts.get(port) ?? port}`,
       zone: this.#zone,
       version: 'v1',
       slots: 134,
--- a/review/common-2/group.ts
+++ b/review/common-2/group.ts
@@ -6,10 +6,10 @@
 import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import http from 'node:http';
-import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { findFreePorts } from '../../tools/ports.js';
 import { PlatformStore } from '../../tools/stand-ins/platform-store.js';
 
 export { sleep };
@@ -31,24 +31,8 @@
   await writeFile(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
 }
 
-/** Finds ports on loopback on which nothing listens. */
-export async function findPorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => net.createServer());
-  await Promise.all(
-    servers.map(async (server) => {
-      server.listen(0, '127.0.0.1');
-      await once(server, 'listening');
-    }),
-  );
-  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-  await Promise.all(
-    servers.map(async (server) => {
-      server.close();
-      await once(server, 'close');
-    }),
-  );
-  return ports;
-}
+/** Finds ports on loopback on which nothing listens, below those of outgoing connections. */
+export const findPorts = findFreePorts;
 
 /** Waits until a condition holds. */
 export async function waitFor(
@@ -154,6 +138,9 @@
 
   #storePort = 0;
 
+  /** By port of a replica: the port at which daemons reach it, if it isn't the replica's own. */
+  readonly nearPorts = new Map<number, number>();
+
   /** The port at which daemons that are added from now on reach the store, if it isn't the store's own. */
   storePortForDaemons = 0;
 
--- a/review/common-2/proxy.ts
+++ b/review/common-2/proxy.ts
@@ -7,22 +7,46 @@
 
   #server: net.Server | undefined;
 
+  /** While set, bytes and ends of connections wait on their way, as behind a partition. */
+  #isHolding = false;
+
+  readonly #waiting = new Set<() => void>();
+
+  /** Begins or ends a partition; what waited goes on when it ends. */
+  hold(isHolding: boolean): void {
+    this.#isHolding = isHolding;
+    if (isHolding) return;
+    this.#waiting.forEach((go) => go());
+    this.#waiting.clear();
+  }
+
+  /** Passes bytes and the end of one direction on. */
+  #pass(from: net.Socket, to: net.Socket): void {
+    const queue: (Buffer | undefined)[] = [];
+    const send = (): void => {
+      queue.splice(0).forEach((part) => (part === undefined ? to.end() : to.write(part)));
+    };
+    const add = (part: Buffer | undefined): void => {
+      queue.push(part);
+      if (this.#isHolding) this.#waiting.add(send);
+      else send();
+    };
+    from.on('data', add);
+    from.on('end', () => add(undefined));
+    from.on('error', () => to.destroy());
+  }
+
   /** Starts a port that leads to another one. */
   async listen(farPort: number): Promise<number> {
-    const server = net.createServer((near) => {
-      const far = net.connect({ host: '127.0.0.1', port: farPort });
+    const server = net.createServer({ allowHalfOpen: true }, (near) => {
+      const far = net.connect({ host: '127.0.0.1', port: farPort, allowHalfOpen: true });
       [near, far].forEach((socket) => {
         this.#sockets.add(socket);
         socket.setNoDelay(true);
-        socket.on('error', () => undefined);
-        socket.on('close', () => {
-          this.#sockets.delete(socket);
-          near.destroy();
-          far.destroy();
-        });
+        socket.on('close', () => this.#sockets.delete(socket));
       });
-      near.pipe(far);
-      far.pipe(near);
+      this.#pass(near, far);
+      this.#pass(far, near);
     });
     this.#server = server;
     server.listen(0, '127.0.0.1');
